--- /dev/null
+++ b/src/cli.h
@@ -0,0 +1,35 @@
+#ifndef CHIVELANDING_CLI_H
+#define CHIVELANDING_CLI_H
+
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// Exit codes of every subcommand.
+enum ExitCode : int {
+  ExitOk = 0,
+  /// The action was tried and failed, or was refused.
+  ExitFailed = 1,
+  /// The command line or a file is wrong; nothing was tried.
+  ExitUsage = 2,
+  /// The outcome is not known.
+  ExitUnknown = 3
+};
+
+/// Arguments after the subcommand's name.
+using Arguments = std::vector<std::string>;
+
+/// A subcommand of the binary.
+struct Command {
+  const char *Name_;
+  const char *Summary_;
+  int (*Run_)(const Arguments &Args);
+};
+
+/// Prints the version of the program and of its protocol.
+int runVersion(const Arguments &Args);
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/events.h
@@ -0,0 +1,80 @@
+#ifndef CHIVELANDING_EVENTS_H
+#define CHIVELANDING_EVENTS_H
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chivelanding {
+
+enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
+
+/// Number, name, severity and meaning of one log event. Numbers are stable;
+/// docs/events.md lists them all.
+struct EventType {
+  std::uint16_t Number_;
+  const char *Name_;
+  Severity Severity_;
+  const char *Meaning_;
+};
+
+/// Name and value of one field of an event.
+using EventField = std::pair<const char *, std::string>;
+
+/// One occurrence of an event.
+struct Event {
+  const EventType *Type_;
+  std::vector<EventField> Fields_;
+
+  /// One line: "NUMBER NAME field=value ...", values quoted where needed.
+  std::string str() const;
+};
+
+namespace events {
+// 100-199: process.
+extern const EventType ProcessStarted;
+extern const EventType ProcessStopped;
+extern const EventType SettingsRefused;
+extern const EventType DrainStarted;
+// 200-299: membership and links.
+extern const EventType LinkUp;
+extern const EventType LinkDown;
+extern const EventType PeerSuspected;
+extern const EventType PeerLost;
+extern const EventType FrameRefused;
+extern const EventType EndpointAnnounced;
+extern const EventType EndpointLeaving;
+// 300-399: jobs.
+extern const EventType JobAccepted;
+extern const EventType JobAttached;
+extern const EventType JobRelayed;
+extern const EventType JobRefused;
+extern const EventType JobAnswered;
+extern const EventType JobCancelled;
+// 400-499: placement.
+extern const EventType TaskPlaced;
+extern const EventType TaskRejected;
+extern const EventType TaskRetried;
+extern const EventType EndpointSetAside;
+extern const EventType EndpointReinstated;
+// 500-599: recovery.
+extern const EventType IncarnationClosing;
+extern const EventType IncarnationClosedHere;
+extern const EventType JobResumed;
+extern const EventType SelfClosed;
+// 600-699: configuration.
+extern const EventType ConfigAccepted;
+extern const EventType ConfigRefused;
+extern const EventType ConfigRecordSkipped;
+extern const EventType LogUnavailable;
+extern const EventType LogAvailable;
+extern const EventType AdminAction;
+} // namespace events
+
+/// Every event type, by number.
+const std::vector<const EventType *> &allEventTypes();
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,36 @@
+#include "cli.h"
+
+#include <cstdio>
+
+using namespace chivelanding;
+
+namespace {
+
+constexpr Command Commands[] = {
+    {"version", "print the version", runVersion},
+};
+
+int usage(FILE *Stream) {
+  std::fprintf(Stream, "usage: chivelanding COMMAND [OPTIONS]\n\n");
+  for (const Command &C : Commands)
+    std::fprintf(Stream, "  %-10s %s\n", C.Name_, C.Summary_);
+  std::fprintf(Stream, "\nchivelanding COMMAND --help describes one command.\n"
+                       "Exit codes: 0 done, 1 failed, 2 usage, 3 outcome "
+                       "unknown.\n");
+  return Stream == stdout ? ExitOk : ExitUsage;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  if (Argc < 2)
+    return usage(stderr);
+  const std::string Name = Argv[1];
+  if (Name == "--help" || Name == "help")
+    return usage(stdout);
+  for (const Command &C : Commands)
+    if (Name == C.Name_)
+      return C.Run_(Arguments(Argv + 2, Argv + Argc));
+  std::fprintf(stderr, "chivelanding: unknown command '%s'\n", Name.c_str());
+  return usage(stderr);
+}
--- /dev/null
+++ b/src/message.cpp
@@ -0,0 +1,275 @@
+#include "message.h"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+#include <type_traits>
+
+namespace chivelanding {
+namespace {
+
+using Json = nlohmann::json;
+
+struct DecodeError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+template <typename T> struct IsName : std::false_type {};
+template <typename Tag> struct IsName<Name<Tag>> : std::true_type {};
+template <typename T> struct IsNumber : std::false_type {};
+template <typename Tag, typename Rep>
+struct IsNumber<Number<Tag, Rep>> : std::true_type {};
+template <typename T> struct IsVector : std::false_type {};
+template <typename T> struct IsVector<std::vector<T>> : std::true_type {};
+template <typename T> struct IsOptional : std::false_type {};
+template <typename T> struct IsOptional<std::optional<T>> : std::true_type {};
+template <typename T> struct IsPeer : std::false_type {};
+template <typename Tag> struct IsPeer<Peer<Tag>> : std::true_type {};
+
+// Field tables of the structs that are not messages themselves.
+template <typename T> constexpr auto fieldsOf() { return T::fields(); }
+template <> constexpr auto fieldsOf<EntryId>() {
+  return std::make_tuple(&EntryId::Name_, &EntryId::Incarnation_);
+}
+template <> constexpr auto fieldsOf<AgentId>() {
+  return std::make_tuple(&AgentId::Name_, &AgentId::Incarnation_);
+}
+template <> constexpr auto fieldsOf<OwnerToken>() {
+  return std::make_tuple(&OwnerToken::Owner_, &OwnerToken::Epoch_);
+}
+template <> constexpr auto fieldsOf<JobId>() {
+  return std::make_tuple(&JobId::Team_, &JobId::Token_, &JobId::Key_);
+}
+template <> constexpr auto fieldsOf<TaskSpec>() {
+  return std::make_tuple(&TaskSpec::Id_, &TaskSpec::Payload_,
+                         &TaskSpec::TimeHint_);
+}
+template <> constexpr auto fieldsOf<JobSpec>() {
+  return std::make_tuple(&JobSpec::Id_, &JobSpec::Service_, &JobSpec::Kind_,
+                         &JobSpec::Class_, &JobSpec::Idempotent_,
+                         &JobSpec::Deadline_, &JobSpec::Tasks_);
+}
+template <> constexpr auto fieldsOf<TaskAnswer>() {
+  return std::make_tuple(&TaskAnswer::Id_, &TaskAnswer::State_,
+                         &TaskAnswer::Result_);
+}
+template <> constexpr auto fieldsOf<JobAnswer>() {
+  return std::make_tuple(&JobAnswer::Outcome_, &JobAnswer::Code_,
+                         &JobAnswer::Detail_, &JobAnswer::RetryAfter_,
+                         &JobAnswer::Tasks_);
+}
+
+// Strings travel as CBOR byte strings, since payloads need not be UTF-8.
+template <typename T> Json encode(const T &V) {
+  if constexpr (std::is_same_v<T, std::string>) {
+    return Json::binary({V.begin(), V.end()});
+  } else if constexpr (std::is_arithmetic_v<T>) {
+    return V;
+  } else if constexpr (std::is_enum_v<T>) {
+    return static_cast<std::uint64_t>(V);
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    return V.count();
+  } else if constexpr (IsName<T>::value) {
+    return encode(V.str());
+  } else if constexpr (IsNumber<T>::value) {
+    return V.value();
+  } else if constexpr (IsOptional<T>::value) {
+    return V ? encode(*V) : Json();
+  } else if constexpr (IsVector<T>::value) {
+    Json List = Json::array();
+    for (const auto &Item : V)
+      List.push_back(encode(Item));
+    return List;
+  } else {
+    Json List = Json::array();
+    std::apply([&](auto... Field) { (List.push_back(encode(V.*Field)), ...); },
+               fieldsOf<T>());
+    return List;
+  }
+}
+
+// Highest value of each enumeration, to refuse numbers outside of it.
+std::uint64_t lastOf(RejectReason) {
+  return static_cast<std::uint64_t>(RejectReason::NoEndpoint);
+}
+std::uint64_t lastOf(RunOutcome) {
+  return static_cast<std::uint64_t>(RunOutcome::Stopped);
+}
+std::uint64_t lastOf(Outcome) {
+  return static_cast<std::uint64_t>(Outcome::Unknown);
+}
+std::uint64_t lastOf(TaskState) {
+  return static_cast<std::uint64_t>(TaskState::Unknown);
+}
+std::uint64_t lastOf(Role) { return static_cast<std::uint64_t>(Role::Agent); }
+
+std::uint64_t readUnsigned(const Json &J, std::uint64_t Max) {
+  if (!J.is_number_unsigned())
+    throw DecodeError("expected an unsigned number");
+  const auto V = J.get<std::uint64_t>();
+  if (V > Max)
+    throw DecodeError("number out of range");
+  return V;
+}
+
+template <typename T> void decode(Json &J, T &Out) {
+  if constexpr (std::is_same_v<T, std::string>) {
+    if (!J.is_binary())
+      throw DecodeError("expected a byte string");
+    const auto &Bytes = J.get_binary();
+    Out.assign(Bytes.begin(), Bytes.end());
+  } else if constexpr (std::is_same_v<T, bool>) {
+    if (!J.is_boolean())
+      throw DecodeError("expected a boolean");
+    Out = J.get<bool>();
+  } else if constexpr (std::is_unsigned_v<T>) {
+    Out = static_cast<T>(readUnsigned(J, std::numeric_limits<T>::max()));
+  } else if constexpr (std::is_enum_v<T>) {
+    Out = static_cast<T>(readUnsigned(J, lastOf(T())));
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    if (!J.is_number_integer())
+      throw DecodeError("expected a duration");
+    Out = Duration(J.get<std::int64_t>());
+  } else if constexpr (IsName<T>::value) {
+    std::string Text;
+    decode(J, Text);
+    Out = T(std::move(Text));
+  } else if constexpr (IsNumber<T>::value) {
+    using Rep = decltype(Out.value());
+    Out = T(static_cast<Rep>(readUnsigned(J, std::numeric_limits<Rep>::max())));
+  } else if constexpr (IsOptional<T>::value) {
+    if (J.is_null()) {
+      Out.reset();
+    } else {
+      Out.emplace();
+      decode(J, *Out);
+    }
+  } else if constexpr (IsVector<T>::value) {
+    if (!J.is_array())
+      throw DecodeError("expected a list");
+    Out.resize(J.size());
+    for (std::size_t I = 0; I < J.size(); ++I)
+      decode(J[I], Out[I]);
+  } else {
+    constexpr auto Fields = fieldsOf<T>();
+    if (!J.is_array() || J.size() != std::tuple_size_v<decltype(Fields)>)
+      throw DecodeError("wrong number of fields");
+    std::size_t I = 0;
+    std::apply([&](auto... Field) { (decode(J[I++], Out.*Field), ...); },
+               Fields);
+  }
+}
+
+template <std::size_t I = 0> Message decodeMessage(std::size_t Type, Json &J) {
+  if constexpr (I < std::variant_size_v<Message>) {
+    if (Type != I)
+      return decodeMessage<I + 1>(Type, J);
+    std::variant_alternative_t<I, Message> M;
+    decode(J, M);
+    return M;
+  } else {
+    throw DecodeError("unknown message type");
+  }
+}
+
+Json encodeMessage(const Message &M) {
+  Json Body = std::visit([](const auto &Body) { return encode(Body); }, M);
+  return Json::array({M.index(), std::move(Body)});
+}
+
+Batch decodeBatch(Json &J) {
+  if (J.size() != 4 || !J[3].is_array())
+    throw DecodeError("wrong number of fields");
+  Batch B;
+  decode(J[1], B.First_);
+  decode(J[2], B.Acknowledged_);
+  for (Json &Item : J[3]) {
+    if (!Item.is_array() || Item.size() != 2)
+      throw DecodeError("expected a message");
+    const auto Type = readUnsigned(Item[0], std::variant_size_v<Message>);
+    B.Messages_.push_back(decodeMessage(Type, Item[1]));
+  }
+  return B;
+}
+
+Frame decodeParsed(Json &J) {
+  if (!J.is_array() || J.size() < 2)
+    throw DecodeError("expected a frame");
+  switch (readUnsigned(J[0], 2)) {
+  case 0: {
+    Hello H;
+    decode(J[1], H);
+    return H;
+  }
+  case 1: {
+    Heartbeat H;
+    decode(J[1], H);
+    return H;
+  }
+  default:
+    return decodeBatch(J);
+  }
+}
+
+} // namespace
+
+const char *rejectReasonName(RejectReason R) {
+  static constexpr const char *Names[] = {"no_room",    "leaving",  "closed",
+                                          "not_owner",  "deadline", "cancelled",
+                                          "no_endpoint"};
+  return Names[static_cast<std::size_t>(R)];
+}
+
+const char *messageName(const Message &M) {
+  static constexpr const char *Names[] = {
+      "AnnounceEndpoint",  "StartTasks",     "TasksRejected",
+      "TaskFinished",      "CancelTasks",    "JobEnded",
+      "AgentReport",       "Demand",         "CloseIncarnation",
+      "IncarnationClosed", "TransferGrant",  "YouAreClosed",
+      "EntriesHeard",      "AgentAnnounced", "AgentAnnouncedAck",
+      "KnownEntries",      "RelaySubmit",    "RelayAnswer",
+      "RelayCancel",       "ConfigDigest",   "ConfigRequest",
+      "ConfigState",       "UsageSummary"};
+  static_assert(std::size(Names) == std::variant_size_v<Message>);
+  return Names[M.index()];
+}
+
+std::string encodeFrame(const Frame &F) {
+  Json J = Json::array({F.index()});
+  if (const auto *B = std::get_if<Batch>(&F)) {
+    J.push_back(B->First_);
+    J.push_back(B->Acknowledged_);
+    Json List = Json::array();
+    for (const Message &M : B->Messages_)
+      List.push_back(encodeMessage(M));
+    J.push_back(std::move(List));
+  } else if (const auto *H = std::get_if<Hello>(&F)) {
+    J.push_back(encode(*H));
+  } else {
+    J.push_back(encode(std::get<Heartbeat>(F)));
+  }
+  std::string Bytes;
+  Json::to_cbor(J, Bytes);
+  return Bytes;
+}
+
+// The parser of the library reports errors by exceptions; they end here and
+// become results, so that a malformed frame never ends the process.
+Result<Frame> decodeFrame(const std::string &Bytes, std::size_t MaxBytes) {
+  const auto Bad = [](const std::string &Detail) {
+    return Error{"bad_frame", "decode frame", "", Detail};
+  };
+  if (Bytes.size() > MaxBytes)
+    return Bad("frame of " + std::to_string(Bytes.size()) +
+               " bytes exceeds the limit of " + std::to_string(MaxBytes));
+  try {
+    Json J = Json::from_cbor(Bytes);
+    return decodeParsed(J);
+  } catch (const Json::exception &E) {
+    return Bad(E.what());
+  } catch (const DecodeError &E) {
+    return Bad(E.what());
+  }
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/message.h
@@ -0,0 +1,408 @@
+#ifndef CHIVELANDING_MESSAGE_H
+#define CHIVELANDING_MESSAGE_H
+
+#include "job.h"
+#include "result.h"
+#include "types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace chivelanding {
+
+/// Version of the protocol between entries and agents. A peer with another
+/// version is refused.
+constexpr std::uint32_t ProtocolVersion = 1;
+
+/// Each message lists its fields in wire order as a table of member pointers,
+/// from which the codec is generated.
+///
+/// Attributes of the endpoint beside an agent.
+struct EndpointInfo {
+  std::string EndpointName_;
+  ServiceName Service_;
+  ZoneName Zone_;
+  RackName Rack_;
+  std::uint32_t Slots_ = 0;
+  std::uint32_t Connections_ = 0;
+  std::uint32_t Cores_ = 0;
+  std::uint64_t MemoryBytes_ = 0;
+  bool Leaving_ = false;
+
+  static constexpr auto fields() {
+    return std::make_tuple(
+        &EndpointInfo::EndpointName_, &EndpointInfo::Service_,
+        &EndpointInfo::Zone_, &EndpointInfo::Rack_, &EndpointInfo::Slots_,
+        &EndpointInfo::Connections_, &EndpointInfo::Cores_,
+        &EndpointInfo::MemoryBytes_, &EndpointInfo::Leaving_);
+  }
+};
+
+/// Agent to entry: the endpoint's attributes, sent on each change.
+struct AnnounceEndpoint {
+  EndpointInfo Info_;
+  static constexpr auto fields() {
+    return std::make_tuple(&AnnounceEndpoint::Info_);
+  }
+};
+
+/// One task in StartTasks.
+struct TaskStart {
+  TaskIndex Index_;
+  std::string Payload_;
+  static constexpr auto fields() {
+    return std::make_tuple(&TaskStart::Index_, &TaskStart::Payload_);
+  }
+};
+
+/// Entry to agent: start these tasks of one job. Sender_ must be the job's
+/// owner or hold the agent's grant to resume the owner's jobs.
+struct StartTasks {
+  JobId Job_;
+  KindName Kind_;
+  PriorityClass Class_;
+  /// Time from receipt after which no task may start.
+  std::optional<Duration> Deadline_;
+  std::vector<TaskStart> Tasks_;
+  static constexpr auto fields() {
+    return std::make_tuple(&StartTasks::Job_, &StartTasks::Kind_,
+                           &StartTasks::Class_, &StartTasks::Deadline_,
+                           &StartTasks::Tasks_);
+  }
+};
+
+/// Why an agent did not start a task.
+enum class RejectReason : std::uint8_t {
+  NoRoom,
+  Leaving,
+  Closed,
+  NotOwner,
+  Deadline,
+  Cancelled,
+  NoEndpoint
+};
+
+/// Stable text of a reason in logs and answers.
+const char *rejectReasonName(RejectReason R);
+
+/// Agent to entry: these tasks did not start here and never will under this
+/// attempt; the agent refuses late copies of the same start.
+struct TasksRejected {
+  JobId Job_;
+  std::vector<TaskIndex> Tasks_;
+  RejectReason Reason_ = RejectReason::NoRoom;
+  static constexpr auto fields() {
+    return std::make_tuple(&TasksRejected::Job_, &TasksRejected::Tasks_,
+                           &TasksRejected::Reason_);
+  }
+};
+
+/// How a started task ended.
+enum class RunOutcome : std::uint8_t { Success, Failure, Stopped };
+
+/// Agent to entry: a started task has ended. Result_ is the endpoint's response
+/// body, or the error text if Outcome_ is not Success.
+struct TaskFinished {
+  JobId Job_;
+  TaskIndex Index_;
+  RunOutcome Outcome_ = RunOutcome::Failure;
+  std::string Result_;
+  /// Time from start to end at the endpoint.
+  Duration RunTime_{0};
+  static constexpr auto fields() {
+    return std::make_tuple(&TaskFinished::Job_, &TaskFinished::Index_,
+                           &TaskFinished::Outcome_, &TaskFinished::Result_,
+                           &TaskFinished::RunTime_);
+  }
+};
+
+/// Entry to agent: do not start these tasks, and stop those that run. An empty
+/// list means all tasks of the job.
+struct CancelTasks {
+  JobId Job_;
+  std::vector<TaskIndex> Tasks_;
+  static constexpr auto fields() {
+    return std::make_tuple(&CancelTasks::Job_, &CancelTasks::Tasks_);
+  }
+};
+
+/// Entry to agent: the job has been answered; the agent may forget its results
+/// but still refuses further starts until the owner is lost or closed.
+struct JobEnded {
+  JobId Job_;
+  static constexpr auto fields() { return std::make_tuple(&JobEnded::Job_); }
+};
+
+/// Agent to entry: room at the agent. Credit_ is the number of starts that this
+/// entry may send beyond the StartsSeen_ tasks that the agent has received from
+/// it so far.
+struct AgentReport {
+  std::uint32_t FreeSlots_ = 0;
+  std::uint32_t QueueLength_ = 0;
+  std::uint32_t Credit_ = 0;
+  std::uint64_t StartsSeen_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&AgentReport::FreeSlots_, &AgentReport::QueueLength_,
+                           &AgentReport::Credit_, &AgentReport::StartsSeen_);
+  }
+};
+
+/// Waiting tasks of one priority class at an entry.
+struct ClassDemand {
+  PriorityClass Class_;
+  std::uint32_t Waiting_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&ClassDemand::Class_, &ClassDemand::Waiting_);
+  }
+};
+
+/// Entry to agent: tasks waiting at the entry for the agent's service.
+struct Demand {
+  std::vector<ClassDemand> Classes_;
+  static constexpr auto fields() { return std::make_tuple(&Demand::Classes_); }
+};
+
+/// Entry to agent: close this entry incarnation for good and grant the sender
+/// the resumption of its jobs.
+struct CloseIncarnation {
+  EntryId Entry_;
+  static constexpr auto fields() {
+    return std::make_tuple(&CloseIncarnation::Entry_);
+  }
+};
+
+/// A task that an agent holds of a closed incarnation's job.
+struct HeldTask {
+  TaskIndex Index_;
+  bool Finished_ = false;
+  RunOutcome Outcome_ = RunOutcome::Failure;
+  std::string Result_;
+  static constexpr auto fields() {
+    return std::make_tuple(&HeldTask::Index_, &HeldTask::Finished_,
+                           &HeldTask::Outcome_, &HeldTask::Result_);
+  }
+};
+
+/// Started tasks of one job that an agent holds.
+struct HeldJob {
+  JobId Job_;
+  std::vector<HeldTask> Tasks_;
+  static constexpr auto fields() {
+    return std::make_tuple(&HeldJob::Job_, &HeldJob::Tasks_);
+  }
+};
+
+/// Agent to entry: the incarnation is closed here. Holder_ has the grant;
+/// Jobs_ is filled only if Holder_ is the receiver. Complete_ is false if the
+/// agent has already dropped records of the incarnation's jobs.
+struct IncarnationClosed {
+  EntryId Entry_;
+  EntryId Holder_;
+  bool Complete_ = true;
+  std::vector<HeldJob> Jobs_;
+  static constexpr auto fields() {
+    return std::make_tuple(
+        &IncarnationClosed::Entry_, &IncarnationClosed::Holder_,
+        &IncarnationClosed::Complete_, &IncarnationClosed::Jobs_);
+  }
+};
+
+/// Entry to agent: give the sender's grant for Entry_'s jobs to NewHolder_.
+struct TransferGrant {
+  EntryId Entry_;
+  EntryId NewHolder_;
+  static constexpr auto fields() {
+    return std::make_tuple(&TransferGrant::Entry_, &TransferGrant::NewHolder_);
+  }
+};
+
+/// Agent to entry: the receiver itself has been closed, by Holder_.
+struct YouAreClosed {
+  EntryId Holder_;
+  static constexpr auto fields() {
+    return std::make_tuple(&YouAreClosed::Holder_);
+  }
+};
+
+/// Agent to entry, with heartbeats: entry incarnations the agent hears.
+struct EntriesHeard {
+  std::vector<EntryId> Entries_;
+  static constexpr auto fields() {
+    return std::make_tuple(&EntriesHeard::Entries_);
+  }
+};
+
+/// Entry to entry: the sender is going to use this agent incarnation.
+struct AgentAnnounced {
+  AgentId Agent_;
+  ServiceName Service_;
+  static constexpr auto fields() {
+    return std::make_tuple(&AgentAnnounced::Agent_, &AgentAnnounced::Service_);
+  }
+};
+
+/// Entry to entry: the announced agent has been recorded.
+struct AgentAnnouncedAck {
+  AgentId Agent_;
+  static constexpr auto fields() {
+    return std::make_tuple(&AgentAnnouncedAck::Agent_);
+  }
+};
+
+/// Network address of an entry's listener for peers.
+struct EntryAddress {
+  EntryId Entry_;
+  RegionName Region_;
+  std::string Host_;
+  std::uint16_t Port_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&EntryAddress::Entry_, &EntryAddress::Region_,
+                           &EntryAddress::Host_, &EntryAddress::Port_);
+  }
+};
+
+/// Entry to entry and entry to agent: entries that the sender knows to live.
+struct KnownEntries {
+  std::vector<EntryAddress> Entries_;
+  static constexpr auto fields() {
+    return std::make_tuple(&KnownEntries::Entries_);
+  }
+};
+
+/// Entry to entry: a submission for the receiver's job; RelayId_ is the
+/// sender's own number for the answer.
+struct RelaySubmit {
+  std::uint64_t RelayId_ = 0;
+  JobSpec Spec_;
+  static constexpr auto fields() {
+    return std::make_tuple(&RelaySubmit::RelayId_, &RelaySubmit::Spec_);
+  }
+};
+
+/// Entry to entry: the whole answer to a relayed submission.
+struct RelayAnswer {
+  std::uint64_t RelayId_ = 0;
+  JobAnswer Answer_;
+  static constexpr auto fields() {
+    return std::make_tuple(&RelayAnswer::RelayId_, &RelayAnswer::Answer_);
+  }
+};
+
+/// Entry to entry: cancel a job of the receiver.
+struct RelayCancel {
+  JobId Job_;
+  static constexpr auto fields() { return std::make_tuple(&RelayCancel::Job_); }
+};
+
+/// Any to any, with heartbeats: accepted configuration version and hash.
+struct ConfigDigest {
+  ConfigVersion Version_;
+  std::uint64_t Hash_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfigDigest::Version_, &ConfigDigest::Hash_);
+  }
+};
+
+/// Any to any: send the configuration if it is newer than this version.
+struct ConfigRequest {
+  ConfigVersion Have_;
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfigRequest::Have_);
+  }
+};
+
+/// Any to any: an accepted configuration, whole.
+struct ConfigState {
+  ConfigVersion Version_;
+  std::string Toml_;
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfigState::Version_, &ConfigState::Toml_);
+  }
+};
+
+/// Running and waiting tasks of one team at the sender.
+struct TeamUsage {
+  TeamName Team_;
+  std::uint32_t Running_ = 0;
+  std::uint32_t Waiting_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&TeamUsage::Team_, &TeamUsage::Running_,
+                           &TeamUsage::Waiting_);
+  }
+};
+
+/// Entry to entry: usage per team, for quotas that several entries share.
+struct UsageSummary {
+  std::vector<TeamUsage> Teams_;
+  static constexpr auto fields() {
+    return std::make_tuple(&UsageSummary::Teams_);
+  }
+};
+
+/// Every message that `link` numbers and delivers in order, exactly once
+/// between two incarnations. The position in the list is the type number on the
+/// wire, so new messages go to the end.
+using Message =
+    std::variant<AnnounceEndpoint, StartTasks, TasksRejected, TaskFinished,
+                 CancelTasks, JobEnded, AgentReport, Demand, CloseIncarnation,
+                 IncarnationClosed, TransferGrant, YouAreClosed, EntriesHeard,
+                 AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
+                 RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
+                 ConfigState, UsageSummary>;
+
+/// Name of the message's type for logs.
+const char *messageName(const Message &M);
+
+enum class Role : std::uint8_t { Entry, Agent };
+
+/// First frame in each direction on a connection. LastReceived_ is the highest
+/// number received from the peer's incarnation Peer_, 0 if none.
+struct Hello {
+  std::uint32_t Protocol_ = ProtocolVersion;
+  Role Role_ = Role::Entry;
+  std::string Name_;
+  Incarnation Incarnation_;
+  ZoneName Zone_;
+  RegionName Region_;
+  std::string PeerName_;
+  Incarnation Peer_;
+  std::uint64_t LastReceived_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&Hello::Protocol_, &Hello::Role_, &Hello::Name_,
+                           &Hello::Incarnation_, &Hello::Zone_, &Hello::Region_,
+                           &Hello::PeerName_, &Hello::Peer_,
+                           &Hello::LastReceived_);
+  }
+};
+
+/// Sent on an idle connection; acknowledges every number up to Acknowledged_.
+struct Heartbeat {
+  std::uint64_t Acknowledged_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&Heartbeat::Acknowledged_);
+  }
+};
+
+/// Consecutive numbered messages; First_ is the number of the first. Also
+/// acknowledges like Heartbeat.
+struct Batch {
+  std::uint64_t First_ = 0;
+  std::uint64_t Acknowledged_ = 0;
+  std::vector<Message> Messages_;
+};
+
+using Frame = std::variant<Hello, Heartbeat, Batch>;
+
+/// CBOR text of a frame.
+std::string encodeFrame(const Frame &F);
+/// Error codes: bad_frame (not CBOR, wrong types, unknown type number, more
+/// than MaxBytes bytes).
+Result<Frame> decodeFrame(const std::string &Bytes, std::size_t MaxBytes);
+
+} // namespace chivelanding
+
+#endif
