Add checked TOML settings and the event catalogue

Cause: processes need their addresses and times from a file, and a wrong key must not leave a default in force unnoticed. Change: tables of member pointers name each key with its range and unit; all errors are reported at once with line and column; docs/settings.md and docs/events.md are made from the same tables and a test holds them equal.

--- a/src/cli.h
+++ b/src/cli.h
@@ -29,6 +29,10 @@
 
 /// Prints the version of the program and of its protocol.
 int runVersion(const Arguments &Args);
+/// Prints the page of all settings.
+int runSettings(const Arguments &Args);
+/// Prints the catalogue of log events.
+int runEvents(const Arguments &Args);
 
 } // namespace chivelanding
 
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -145,4 +145,21 @@
   return Line;
 }
 
+std::string eventsPage() {
+  static constexpr const char *Severities[] = {"debug", "info", "warning",
+                                               "error"};
+  std::string Page =
+      "# Log events\n\n"
+      "Each log line is `NUMBER NAME field=value ...`; numbers and names are "
+      "stable.\nThe field `job` is `TEAM/OWNER TOKEN/KEY`: searching for it in "
+      "the logs of all\nprocesses shows the whole course of one job. This page "
+      "is made by\n`chivelanding events`; a test holds it equal to the code.\n"
+      "\n| number | name | severity | meaning |\n| --- | --- | --- | --- |\n";
+  for (const EventType *Type : allEventTypes())
+    Page += "| " + std::to_string(Type->Number_) + " | `" + Type->Name_ +
+            "` | " + Severities[static_cast<std::size_t>(Type->Severity_)] +
+            " | " + Type->Meaning_ + " |\n";
+  return Page;
+}
+
 } // namespace chivelanding
--- a/src/events.h
+++ b/src/events.h
@@ -75,6 +75,9 @@
 /// Every event type, by number.
 const std::vector<const EventType *> &allEventTypes();
 
+/// The page docs/events.md, made from the list of all events.
+std::string eventsPage();
+
 } // namespace chivelanding
 
 #endif
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Command Commands[] = {
+    {"settings", "print the page of all settings", runSettings},
+    {"events", "print the catalogue of log events", runEvents},
     {"version", "print the version", runVersion},
 };
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -1,6 +1,7 @@
 #ifndef CHIVELANDING_SETTINGS_H
 #define CHIVELANDING_SETTINGS_H
 
+#include "result.h"
 #include "types.h"
 
 #include <cstdint>
@@ -32,7 +33,7 @@
   std::uint64_t MaxFrameBytes_ = 64u << 20;
   /// Longest time a drain waits for running work.
   Duration DrainLimit_ = std::chrono::seconds(30);
-  /// Base URL of the platform's log, empty if not used by this process.
+  /// The platform's log; port 0 if this process does not read it.
   SocketAddress Log_;
 };
 
@@ -67,6 +68,28 @@
   Duration Retention_ = std::chrono::minutes(10);
 };
 
+/// Every problem of a settings file, one line each with file, line and column.
+struct SettingsErrors {
+  std::vector<std::string> Lines_;
+};
+
+template <typename Settings>
+using LoadedSettings = std::variant<Settings, SettingsErrors>;
+
+/// Reads the [process] and [entry] tables of a TOML file. Every key is checked
+/// for its type and range; unknown keys are refused.
+LoadedSettings<EntrySettings> loadEntrySettings(const std::string &Path);
+/// Reads the [process] and [agent] tables of a TOML file.
+LoadedSettings<AgentSettings> loadAgentSettings(const std::string &Path);
+/// The same from text; File names it in errors.
+LoadedSettings<EntrySettings> parseEntrySettings(const std::string &Text,
+                                                 const std::string &File);
+LoadedSettings<AgentSettings> parseAgentSettings(const std::string &Text,
+                                                 const std::string &File);
+
+/// The page docs/settings.md, made from the tables that the parser uses.
+std::string settingsPage();
+
 } // namespace chivelanding
 
 #endif
