Add configuration objects and the check of a whole set

Cause: operators describe teams, quotas, services, kinds, priorities, limits and operators as named objects; nothing read or judged them.

--- /dev/null
+++ b/src/config_check.cpp
@@ -0,0 +1,228 @@
+#include "config_check.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace chivelanding {
+
+namespace {
+
+/// Checks that need the whole set.
+class SetChecker {
+public:
+  explicit SetChecker(ParsedConfig &Config) : Config_(Config) {}
+
+  void run();
+
+private:
+  using Object = ConfigObject;
+  void problem(const Object &O, const std::string &Key,
+               const std::string &Problem, const std::string &Remedy) {
+    Config_.Problems_.push_back(
+        {O.File_, O.line(Key), O.label(), Problem, Remedy});
+  }
+  const Object *target(const Object &O, const char *Key,
+                       ObjectType Type) const {
+    return Config_.Set_.find(Type, O.text(Key));
+  }
+  void checkReferences(const Object &O);
+  void checkCycle(const Object &O);
+  void checkQuota(const Object &O);
+  void checkLimit(const Object &O);
+  void checkKind(const Object &O);
+  void checkSums(ObjectType Type, const char *Part, const char *Whole);
+  void checkPriorities();
+  void checkTokens(ObjectType Type);
+  void checkNotAbove(const Object &Child, const Object &Parent,
+                     const char *ChildKey, const char *ParentKey,
+                     const char *Relation);
+
+  ParsedConfig &Config_;
+};
+
+void SetChecker::run() {
+  for (const auto &[Key, O] : Config_.Set_.Objects_) {
+    checkReferences(O);
+    checkCycle(O);
+  }
+  for (const Object *O : Config_.Set_.all(ObjectType::Quota))
+    checkQuota(*O);
+  for (const Object *O : Config_.Set_.all(ObjectType::Limit))
+    checkLimit(*O);
+  for (const Object *O : Config_.Set_.all(ObjectType::Kind))
+    checkKind(*O);
+  checkSums(ObjectType::Quota, "running", "running");
+  checkSums(ObjectType::Quota, "rate", "rate");
+  checkSums(ObjectType::Limit, "running_min", "running_max");
+  checkPriorities();
+  checkTokens(ObjectType::Team);
+  checkTokens(ObjectType::Operator);
+}
+
+void SetChecker::checkReferences(const Object &O) {
+  for (const FieldRule &Rule : fieldRules(O.Type_)) {
+    const std::string Name = O.text(Rule.Key_);
+    if (Rule.Form_ != FieldForm::Reference || Name.empty() ||
+        Config_.Set_.find(Rule.Target_, Name))
+      continue;
+    if (Config_.UnreadText_.find('"' + Name + '"') != std::string::npos)
+      continue;
+    const std::string Type = objectTypeName(Rule.Target_);
+    std::string Problem = Rule.Key_;
+    Problem.append(" refers to ").append(Type).append(" ").append(Name);
+    std::string Remedy = "declare [[" + Type;
+    Remedy.append("]] with name = \"").append(Name);
+    problem(O, Rule.Key_, Problem + ", which does not exist",
+            Remedy + "\", or correct the reference");
+  }
+}
+
+// Only quotas and limits refer to their own type. The walk ends at the first
+// object seen twice; each object on the circle reports it, so that every file
+// involved is named.
+void SetChecker::checkCycle(const Object &O) {
+  std::string Path = O.Name_;
+  std::set<std::string> Seen = {O.Name_};
+  for (const Object *At = target(O, "parent", O.Type_); At;
+       At = target(*At, "parent", O.Type_)) {
+    Path.append(" -> ").append(At->Name_);
+    if (At == &O)
+      return problem(O, "parent", "circular reference " + Path,
+                     "remove parent from one of them");
+    if (!Seen.insert(At->Name_).second)
+      return;
+  }
+}
+
+void SetChecker::checkNotAbove(const Object &Child, const Object &Parent,
+                               const char *ChildKey, const char *ParentKey,
+                               const char *Relation) {
+  const auto Part = Child.number(ChildKey);
+  const auto Whole = Parent.number(ParentKey);
+  if (Part && Whole && *Part > *Whole)
+    problem(Child, ChildKey,
+            std::string(ChildKey) + " " + Child.text(ChildKey) + " is above " +
+                ParentKey + " " + Parent.text(ParentKey) + " of " +
+                Parent.label() + ", " + Relation,
+            std::string("lower ") + ChildKey + " or raise " + ParentKey +
+                " of " + Parent.label());
+}
+
+void SetChecker::checkQuota(const Object &O) {
+  const Object *Parent = target(O, "parent", ObjectType::Quota);
+  if (!Parent || Parent == &O)
+    return;
+  for (const char *Key : {"running", "waiting", "rate"})
+    checkNotAbove(O, *Parent, Key, Key, "from which it is cut");
+}
+
+void SetChecker::checkLimit(const Object &O) {
+  const char *Relation = "which contradicts it";
+  checkNotAbove(O, O, "running_min", "running_max", Relation);
+  const Object *Parent = target(O, "parent", ObjectType::Limit);
+  if (!Parent || Parent == &O)
+    return;
+  for (const char *Key : {"running_max", "waiting_max", "wait_max", "rate"})
+    checkNotAbove(O, *Parent, Key, Key, "within which it applies");
+  checkNotAbove(O, *Parent, "running_min", "running_max",
+                "within which it applies");
+}
+
+// A kind runs within the limit of its service, so its own limit must leave room
+// inside that one.
+void SetChecker::checkKind(const Object &O) {
+  checkNotAbove(O, O, "time_hint", "deadline",
+                "so that every task would miss its deadline");
+  const Object *Service = target(O, "service", ObjectType::Service);
+  const Object *Own = target(O, "limit", ObjectType::Limit);
+  if (!Service || !Own)
+    return;
+  const Object *Outer = target(*Service, "limit", ObjectType::Limit);
+  if (!Outer || Outer == Own)
+    return;
+  const auto Min = Own->number("running_min");
+  const auto Max = Outer->number("running_max");
+  if (Min && Max && *Min > *Max)
+    problem(O, "limit",
+            "running_min " + Own->text("running_min") + " of " + Own->label() +
+                " is above running_max " + Outer->text("running_max") + " of " +
+                Outer->label() + " of its service",
+            "lower running_min or raise running_max");
+}
+
+// What is promised to the parts together must exist in the whole, unless the
+// whole is declared overcommitted.
+void SetChecker::checkSums(ObjectType Type, const char *Part,
+                           const char *Whole) {
+  std::map<std::string, std::int64_t> Sums;
+  for (const Object *O : Config_.Set_.all(Type))
+    if (O->text("parent") != O->Name_)
+      Sums[O->text("parent")] += O->number(Part).value_or(0);
+  for (const auto &[Name, Sum] : Sums) {
+    const Object *Parent = Config_.Set_.find(Type, Name);
+    if (!Parent || Parent->number("overcommit").value_or(0) != 0)
+      continue;
+    const auto Bound = Parent->number(Whole);
+    if (!Bound || Sum <= *Bound)
+      continue;
+    const bool PerMinute = std::string(Part) == "rate";
+    problem(*Parent, Whole,
+            std::string("the parts cut from it add up to ") + Part + " " +
+                std::to_string(Sum) + (PerMinute ? "/m" : "") + ", above its " +
+                Whole + " " + Parent->text(Whole),
+            Type == ObjectType::Quota
+                ? "lower the parts, raise it, or set overcommit = true"
+                : "lower running_min of the parts or raise running_max");
+  }
+}
+
+void SetChecker::checkPriorities() {
+  std::map<std::int64_t, const Object *> Classes;
+  std::int64_t Shares = 0;
+  for (const Object *O : Config_.Set_.all(ObjectType::Priority)) {
+    Shares += O->number("share_percent").value_or(0);
+    const auto Class = O->number("class");
+    if (!Class)
+      continue;
+    const auto [It, IsNew] = Classes.emplace(*Class, O);
+    if (!IsNew)
+      problem(*O, "class",
+              "class " + std::to_string(*Class) + " is also that of " +
+                  It->second->label(),
+              "give each priority a class of its own");
+    if (Shares > 100)
+      problem(*O, "share_percent",
+              "the shares of all priorities add up to " +
+                  std::to_string(Shares) + "%",
+              "lower share_percent so that the sum is at most 100");
+  }
+}
+
+void SetChecker::checkTokens(ObjectType Type) {
+  std::map<std::string, const Object *> Tokens;
+  for (const Object *O : Config_.Set_.all(Type)) {
+    if (O->text("token_sha256").empty())
+      continue;
+    const auto [It, IsNew] = Tokens.emplace(O->text("token_sha256"), O);
+    if (!IsNew)
+      problem(*O, "token_sha256",
+              "the token is also that of " + It->second->label(),
+              "draw a token of its own");
+  }
+}
+
+} // namespace
+
+ParsedConfig checkConfig(const std::vector<ConfigSource> &Sources) {
+  ParsedConfig Config = parseConfig(Sources);
+  SetChecker(Config).run();
+  std::stable_sort(Config.Problems_.begin(), Config.Problems_.end(),
+                   [](const ConfigProblem &A, const ConfigProblem &B) {
+                     return std::tie(A.File_, A.Line_) <
+                            std::tie(B.File_, B.Line_);
+                   });
+  return Config;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/config_objects.cpp
@@ -0,0 +1,183 @@
+#include "config_objects.h"
+
+#include <cctype>
+#include <iterator>
+
+namespace chivelanding {
+
+namespace {
+
+using Rules = std::vector<FieldRule>;
+
+constexpr bool Required = true;
+constexpr bool Optional = false;
+// Above any fleet in sight; a larger number is a typing error.
+constexpr std::int64_t MaxTasks = 100'000'000;
+// One hour: tasks last seconds, so a longer time is a unit mistaken.
+constexpr std::int64_t MaxTime = 3'600'000'000;
+// Per minute; 10 million starts a second.
+constexpr std::int64_t MaxRate = 600'000'000;
+constexpr std::int64_t MaxWeight = 1000;
+constexpr std::int64_t MaxClass = 15;
+
+FieldRule reference(const char *Key, bool Needed, ObjectType Target) {
+  return {Key, FieldForm::Reference, Needed, 0, 0, Target};
+}
+FieldRule bound(const char *Key, FieldForm Form, std::int64_t Max) {
+  return {
+      Key, Form, Optional, 1, Max, ObjectType::Team, Tightening::LowerBound};
+}
+
+const Rules TeamRules = {{"token_sha256", FieldForm::Digest},
+                         reference("quota", Required, ObjectType::Quota),
+                         reference("priority", Optional, ObjectType::Priority),
+                         {"weight", FieldForm::Count, Optional, 1, MaxWeight,
+                          ObjectType::Team, Tightening::LowerGuarantee},
+                         {"contact", FieldForm::Text}};
+const Rules QuotaRules = {bound("running", FieldForm::Count, MaxTasks),
+                          bound("waiting", FieldForm::Count, MaxTasks),
+                          bound("rate", FieldForm::Rate, MaxRate),
+                          reference("parent", Optional, ObjectType::Quota),
+                          {"overcommit", FieldForm::Flag}};
+const Rules ServiceRules = {{"home_region", FieldForm::PlainName, Required},
+                            reference("limit", Optional, ObjectType::Limit),
+                            {"retry_percent", FieldForm::Count, Optional, 0,
+                             100, ObjectType::Team, Tightening::LowerBound}};
+const Rules KindRules = {reference("service", Required, ObjectType::Service),
+                         reference("priority", Required, ObjectType::Priority),
+                         {"weight", FieldForm::Count, Optional, 1, MaxWeight,
+                          ObjectType::Team, Tightening::LowerGuarantee},
+                         reference("limit", Optional, ObjectType::Limit),
+                         {"time_hint", FieldForm::Time, Optional, 1, MaxTime},
+                         bound("deadline", FieldForm::Time, MaxTime)};
+const Rules PriorityRules = {{"class", FieldForm::Count, Required, 0, MaxClass},
+                             {"share_percent", FieldForm::Count, Optional, 0,
+                              100, ObjectType::Team,
+                              Tightening::LowerGuarantee}};
+const Rules LimitRules = {bound("running_max", FieldForm::Count, MaxTasks),
+                          {"running_min", FieldForm::Count, Optional, 0,
+                           MaxTasks, ObjectType::Team,
+                           Tightening::LowerGuarantee},
+                          bound("waiting_max", FieldForm::Count, MaxTasks),
+                          bound("wait_max", FieldForm::Time, MaxTime),
+                          bound("rate", FieldForm::Rate, MaxRate),
+                          reference("parent", Optional, ObjectType::Limit)};
+const Rules OperatorRules = {{"token_sha256", FieldForm::Digest, Required},
+                             {"role", FieldForm::OperatorRole, Required},
+                             {"contact", FieldForm::Text}};
+
+struct TypeEntry {
+  const char *Name_;
+  const Rules *Rules_;
+};
+
+// Indexed by ObjectType.
+const TypeEntry Types[] = {{"team", &TeamRules},         {"quota", &QuotaRules},
+                           {"service", &ServiceRules},   {"kind", &KindRules},
+                           {"priority", &PriorityRules}, {"limit", &LimitRules},
+                           {"operator", &OperatorRules}};
+
+std::string quoted(const std::string &Text) {
+  std::string Out = "\"";
+  for (const char C : Text) {
+    if (C == '"' || C == '\\')
+      Out += '\\';
+    Out += C;
+  }
+  return Out + "\"";
+}
+
+} // namespace
+
+const std::vector<FieldRule> &fieldRules(ObjectType Type) {
+  return *Types[static_cast<std::size_t>(Type)].Rules_;
+}
+
+const char *objectTypeName(ObjectType Type) {
+  return Types[static_cast<std::size_t>(Type)].Name_;
+}
+
+const std::vector<ObjectType> &allObjectTypes() {
+  static const std::vector<ObjectType> All = [] {
+    std::vector<ObjectType> List;
+    for (std::size_t I = 0; I < std::size(Types); ++I)
+      List.push_back(static_cast<ObjectType>(I));
+    return List;
+  }();
+  return All;
+}
+
+std::optional<ObjectType> objectTypeByName(const std::string &Name) {
+  for (const ObjectType Type : allObjectTypes())
+    if (Name == objectTypeName(Type))
+      return Type;
+  return std::nullopt;
+}
+
+std::optional<std::int64_t> ConfigObject::number(const std::string &Key) const {
+  const auto It = Fields_.find(Key);
+  if (It == Fields_.end())
+    return std::nullopt;
+  return It->second.Number_;
+}
+
+std::string ConfigObject::text(const std::string &Key) const {
+  const auto It = Fields_.find(Key);
+  return It == Fields_.end() ? std::string() : It->second.Text_;
+}
+
+std::uint32_t ConfigObject::line(const std::string &Key) const {
+  const auto It = Fields_.find(Key);
+  return It == Fields_.end() ? Line_ : It->second.Line_;
+}
+
+std::string ConfigObject::label() const {
+  return std::string(objectTypeName(Type_)) + " " + Name_;
+}
+
+std::string ConfigObject::toml() const {
+  std::string Out = "[[" + std::string(objectTypeName(Type_)) + "]]\n";
+  Out += "name = " + quoted(Name_) + "\n";
+  for (const FieldRule &Rule : fieldRules(Type_)) {
+    const auto It = Fields_.find(Rule.Key_);
+    if (It == Fields_.end())
+      continue;
+    const bool Bare =
+        Rule.Form_ == FieldForm::Count || Rule.Form_ == FieldForm::Flag;
+    Out += std::string(Rule.Key_) + " = ";
+    Out += Bare ? It->second.Text_ : quoted(It->second.Text_);
+    Out += '\n';
+  }
+  return Out;
+}
+
+const ConfigObject *ConfigSet::find(ObjectType Type,
+                                    const std::string &Name) const {
+  const auto It = Objects_.find({Type, Name});
+  return It == Objects_.end() ? nullptr : &It->second;
+}
+
+std::vector<const ConfigObject *> ConfigSet::all(ObjectType Type) const {
+  std::vector<const ConfigObject *> List;
+  for (auto It = Objects_.lower_bound({Type, ""});
+       It != Objects_.end() && It->first.first == Type; ++It)
+    List.push_back(&It->second);
+  return List;
+}
+
+std::string ConfigSet::toml() const {
+  std::string Out;
+  for (const auto &[Key, Object] : Objects_) {
+    if (!Out.empty())
+      Out += '\n';
+    Out += Object.toml();
+  }
+  return Out;
+}
+
+std::string ConfigProblem::str() const {
+  return File_ + ":" + std::to_string(Line_) + ": " + Object_ + ": " +
+         Problem_ + "; " + Remedy_;
+}
+
+} // namespace chivelanding
