--- /dev/null
+++ b/src/bench_capacity.cpp
@@ -0,0 +1,149 @@
+#include "agent_gate.h"
+#include "bench.h"
+#include "job_owner.h"
+#include "message.h"
+
+#include <chrono>
+
+namespace chivelanding {
+namespace {
+
+constexpr std::uint32_t TasksPerJob = 100;
+constexpr std::size_t PayloadBytes = 64;
+constexpr std::size_t MaxFrame = 64u << 20;
+
+JobId jobId(std::uint64_t N) {
+  const EntryId Owner{"entry-1", Incarnation(0x123456789abcdefULL)};
+  return {TeamName("team-1"),
+          {Owner, Epoch(1)},
+          JobKey("job-" + std::to_string(N))};
+}
+
+StartTasks startTasks(std::uint32_t Tasks) {
+  StartTasks Start;
+  Start.Job_ = jobId(1);
+  Start.Kind_ = KindName("kind-1");
+  for (std::uint32_t I = 0; I < Tasks; ++I) {
+    TaskStart Task;
+    Task.Index_ = TaskIndex(I);
+    Task.Payload_ = std::string(PayloadBytes, 'x');
+    Start.Tasks_.push_back(std::move(Task));
+  }
+  return Start;
+}
+
+double frameBytes(std::vector<Message> Messages) {
+  Batch B;
+  B.First_ = 1'000'000;
+  B.Acknowledged_ = 1'000'000;
+  B.Messages_ = std::move(Messages);
+  return static_cast<double>(encodeFrame(B).size());
+}
+
+// The slope between a message of one task and one of many separates the cost of
+// a task from the cost of the frame around it.
+void printMessageSizes() {
+  const double One = frameBytes({startTasks(1)});
+  const double Many = frameBytes({startTasks(TasksPerJob)});
+  printFigure("start_bytes_per_message", One, "B");
+  printFigure("start_bytes_per_task", (Many - One) / (TasksPerJob - 1), "B");
+  TaskFinished End;
+  End.Job_ = jobId(1);
+  End.Result_ = std::string(PayloadBytes, 'x');
+  printFigure("finished_bytes", frameBytes({End}), "B");
+  printFigure("report_bytes", frameBytes({AgentReport{}}), "B");
+  printFigure("heartbeat_bytes",
+              static_cast<double>(encodeFrame(Heartbeat{1000000}).size()), "B");
+  printFigure("config_digest_bytes", frameBytes({ConfigDigest{}}), "B");
+  UsageSummary One250;
+  for (int Team = 0; Team < 250; ++Team) {
+    TeamUsage Usage;
+    Usage.Team_ = TeamName("team-" + std::to_string(Team));
+    Usage.Running_ = 1000;
+    Usage.Waiting_ = 1000;
+    One250.Teams_.push_back(std::move(Usage));
+  }
+  printFigure("usage_summary_250_teams_bytes", frameBytes({One250}), "B");
+}
+
+double nanoseconds(std::chrono::steady_clock::duration D) {
+  return std::chrono::duration<double, std::nano>(D).count();
+}
+
+// Times the codec on a message of one task, the worst case per task.
+void printCodecCost() {
+  constexpr int Rounds = 20'000;
+  Batch B;
+  B.Messages_.push_back(startTasks(1));
+  const auto Begin = std::chrono::steady_clock::now();
+  std::size_t Bytes = 0;
+  for (int I = 0; I < Rounds; ++I)
+    Bytes += encodeFrame(B).size();
+  const auto Encoded = std::chrono::steady_clock::now();
+  const std::string Frame = encodeFrame(B);
+  for (int I = 0; I < Rounds; ++I)
+    Bytes += ok(decodeFrame(Frame, MaxFrame)) ? 1 : 0;
+  const auto Decoded = std::chrono::steady_clock::now();
+  printFigure("encode_start", nanoseconds(Encoded - Begin) / Rounds, "ns");
+  printFigure("decode_start", nanoseconds(Decoded - Encoded) / Rounds, "ns");
+  printFigure("codec_rounds_checked", static_cast<double>(Bytes > 0), "-");
+}
+
+// Memory of waiting jobs at an entry without agents, per task.
+void printOwnerMemory() {
+  constexpr int Jobs = 200;
+  const EntryId Self{"entry-1", Incarnation(0x123456789abcdefULL)};
+  Scheduler Sched;
+  JobOwner Owner(Self, {}, Sched, Time{});
+  const auto Before = allocatedBytes();
+  for (int N = 0; N < Jobs; ++N) {
+    JobSpec Spec;
+    Spec.Id_ = jobId(N);
+    Spec.Id_.Token_ = Owner.token(Time{});
+    Spec.Service_ = ServiceName("service-1");
+    Spec.Kind_ = KindName("kind-1");
+    for (std::uint32_t I = 0; I < TasksPerJob; ++I)
+      Spec.Tasks_.push_back(
+          {"task-" + std::to_string(I), std::string(PayloadBytes, 'x'), {}});
+    Owner.onSubmit(std::move(Spec), ReplyId(N), Time{});
+  }
+  const double Used = static_cast<double>(allocatedBytes() - Before);
+  printFigure("owner_bytes_per_waiting_task", Used / Jobs / TasksPerJob, "B");
+  printFigure("owner_bytes_per_1000_jobs_of_100", Used / Jobs * 1000, "B");
+}
+
+// Memory of the records an agent keeps of finished tasks.
+void printGateMemory() {
+  constexpr int Jobs = 1000;
+  constexpr std::uint32_t TasksHere = 4;
+  const EntryId Entry{"entry-1", Incarnation(0x123456789abcdefULL)};
+  AgentGate Gate({"agent-1", Incarnation(1)}, {});
+  EndpointInfo Info;
+  Info.Service_ = ServiceName("service-1");
+  Info.Slots_ = 8;
+  Gate.onEndpointAnnounced(Info, Time{});
+  Gate.onEntryConnected(Entry, Time{});
+  const auto Before = allocatedBytes();
+  for (int N = 0; N < Jobs; ++N) {
+    StartTasks Start = startTasks(TasksHere);
+    Start.Job_ = jobId(N);
+    for (const GateOutput &O : Gate.onMessage(Entry, Start, Time{}))
+      if (const auto *Run = std::get_if<RunTask>(&O))
+        Gate.onRunFinished(Run->Run_, RunOutcome::Success, "ok", {}, Time{});
+    Gate.onMessage(Entry, JobEnded{Start.Job_}, Time{});
+  }
+  const double Used = static_cast<double>(allocatedBytes() - Before);
+  printFigure("gate_bytes_per_ended_job", Used / Jobs, "B");
+}
+
+} // namespace
+
+int benchCapacity(std::uint64_t) {
+  printMessageSizes();
+  printCodecCost();
+  printOwnerMemory();
+  printGateMemory();
+  return ExitOk;
+}
+
+} // namespace chivelanding
--- a/src/cli.h
+++ b/src/cli.h
@@ -29,6 +29,8 @@
 
 /// Prints the version of the program and of its protocol.
 int runVersion(const Arguments &Args);
+/// Runs a built-in benchmark.
+int runBench(const Arguments &Args);
 /// Prints the page of all settings.
 int runSettings(const Arguments &Args);
 /// Prints the catalogue of log events.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Command Commands[] = {
+    {"bench", "run a built-in benchmark", runBench},
     {"settings", "print the page of all settings", runSettings},
     {"events", "print the catalogue of log events", runEvents},
     {"version", "print the version", runVersion},
