--- /dev/null
+++ b/src/config_runner.cpp
@@ -0,0 +1,98 @@
+#include "config_runner.h"
+
+#include <algorithm>
+
+namespace chivelanding {
+
+namespace {
+
+constexpr char ConfigStream[] = "config";
+// Shortest wait between two ticks, so that a timer that is due at once never
+// keeps the thread to itself.
+constexpr Duration MinTick = std::chrono::milliseconds(1);
+
+} // namespace
+
+Time steadyNow() {
+  return Time(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+ConfigRunner::ConfigRunner(boost::asio::io_context &Context,
+                           LogTransport &Transport, FollowerOptions Options,
+                           Callbacks Calls)
+    : Log_(Transport, ConfigStream), Follower_(std::move(Options)),
+      Calls_(std::move(Calls)), Timer_(Context) {}
+
+void ConfigRunner::start() { perform(Follower_.start(steadyNow())); }
+
+void ConfigRunner::publish(ChangeRecord Change) {
+  perform(Follower_.publish(std::move(Change), steadyNow()));
+}
+
+void ConfigRunner::setWriters(std::vector<std::string> Names) {
+  Follower_.setWriters(std::move(Names));
+}
+
+void ConfigRunner::perform(const ReadLog &Read) {
+  std::weak_ptr<int> Alive = Alive_;
+  Log_.read(Read, [this, Alive,
+                   Sequence = Read.Sequence_](const Result<LogBatch> &R) {
+    if (Alive.expired())
+      return;
+    perform(ok(R) ? Follower_.onRead(Sequence, value(R), steadyNow())
+                  : Follower_.onReadFailed(Sequence, error(R), steadyNow()));
+    if (!Alive.expired() && Calls_.Progress_)
+      Calls_.Progress_();
+  });
+}
+
+void ConfigRunner::perform(const AppendLog &Append) {
+  std::weak_ptr<int> Alive = Alive_;
+  Log_.append(Append, [this, Alive, Sequence = Append.Sequence_](
+                          const Result<std::uint64_t> &R) {
+    if (Alive.expired())
+      return;
+    if (ok(R))
+      return perform(Follower_.onAppended(Sequence, value(R), steadyNow()));
+    perform(Follower_.onAppendFailed(Sequence, error(R), isNotWritten(error(R)),
+                                     steadyNow()));
+  });
+}
+
+void ConfigRunner::perform(const FollowerOutputs &Outputs) {
+  const std::weak_ptr<int> Alive = Alive_;
+  for (const FollowerOutput &Output : Outputs) {
+    if (const auto *Read = std::get_if<ReadLog>(&Output))
+      perform(*Read);
+    else if (const auto *Append = std::get_if<AppendLog>(&Output))
+      perform(*Append);
+    else if (const auto *Judged = std::get_if<RecordJudged>(&Output))
+      Calls_.Judged_ ? Calls_.Judged_(Judged->Record_) : void();
+    else if (const auto *State = std::get_if<StateAccepted>(&Output))
+      Calls_.Accepted_ ? Calls_.Accepted_(State->State_) : void();
+    else if (const auto *End = std::get_if<PublishEnded>(&Output))
+      Calls_.Published_ ? Calls_.Published_(*End) : void();
+    else if (Calls_.Reachable_)
+      Calls_.Reachable_(std::get<LogReachable>(Output));
+    if (Alive.expired())
+      return;
+  }
+  schedule();
+}
+
+void ConfigRunner::schedule() {
+  const auto At = Follower_.nextTimer();
+  if (!At) {
+    Timer_.cancel();
+    return;
+  }
+  Timer_.expires_after(std::max(MinTick, *At - steadyNow()));
+  std::weak_ptr<int> Alive = Alive_;
+  Timer_.async_wait([this, Alive](const boost::system::error_code &E) {
+    if (!E && !Alive.expired())
+      perform(Follower_.tick(steadyNow()));
+  });
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/config_runner.h
@@ -0,0 +1,57 @@
+#ifndef CHIVELANDING_CONFIG_RUNNER_H
+#define CHIVELANDING_CONFIG_RUNNER_H
+
+#include "config_follower.h"
+#include "log_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace chivelanding {
+
+/// Carries out what a ConfigFollower decides: requests to the log and timers.
+/// Runs on one thread, that of the io_context. Destroying it ends its work;
+/// answers that arrive later are dropped.
+class ConfigRunner {
+public:
+  struct Callbacks {
+    std::function<void(const AcceptedPtr &)> Accepted_;
+    std::function<void(const JudgedRecord &)> Judged_;
+    std::function<void(const PublishEnded &)> Published_;
+    std::function<void(const LogReachable &)> Reachable_;
+    /// After each read that was carried out.
+    std::function<void()> Progress_;
+  };
+
+  ConfigRunner(boost::asio::io_context &Context, LogTransport &Transport,
+               FollowerOptions Options, Callbacks Calls);
+
+  void start();
+  /// Ends with Callbacks::Published_.
+  void publish(ChangeRecord Change);
+  void setWriters(std::vector<std::string> Names);
+  const ConfigFollower &follower() const { return Follower_; }
+
+private:
+  void perform(const FollowerOutputs &Outputs);
+  void perform(const ReadLog &Read);
+  void perform(const AppendLog &Append);
+  void schedule();
+
+  LogClient Log_;
+  ConfigFollower Follower_;
+  Callbacks Calls_;
+  boost::asio::steady_timer Timer_;
+  /// Expires with the runner; late answers check it.
+  std::shared_ptr<int> Alive_ = std::make_shared<int>();
+};
+
+/// The present time on this process's monotonic time line.
+Time steadyNow();
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/log_client.cpp
@@ -0,0 +1,106 @@
+#include "log_client.h"
+#include "base64.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chivelanding {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// An append is synced by the log and takes milliseconds; a slow log takes up to
+// seconds. Longer than this, reading back is the quicker way to the outcome.
+constexpr Duration AnswerTimeout = std::chrono::seconds(5);
+
+Error logError(const std::string &Code, const std::string &Step,
+               const std::string &Detail) {
+  return {Code, Step, "log", Detail};
+}
+
+// The answer as JSON, or the error that its status stands for.
+Result<Json> parseAnswer(const Result<LogResponse> &R,
+                         const std::string &Step) {
+  if (!ok(R))
+    return error(R);
+  const LogResponse &Response = value(R);
+  if (Response.Status_ == 429)
+    return logError("rate_limited", Step, "the log limits the rate");
+  if (Response.Status_ < 200 || Response.Status_ > 299)
+    return logError("log_error", Step,
+                    "status " + std::to_string(Response.Status_));
+  Json Body = Json::parse(Response.Body_, nullptr, false);
+  if (!Body.is_object())
+    return logError("bad_answer", Step, "the answer is not a JSON object");
+  return Body;
+}
+
+LogBatch readBatch(const Json &Body, std::uint64_t From) {
+  LogBatch Batch;
+  Batch.First_ = Body.at("first").get<std::uint64_t>();
+  Batch.Next_ = Body.at("next").get<std::uint64_t>();
+  Batch.From_ = std::max(From, Batch.First_);
+  std::uint64_t Offset = Batch.From_;
+  for (const Json &Record : Body.at("records")) {
+    if (Record.at("offset").get<std::uint64_t>() != Offset++)
+      throw std::invalid_argument("an offset is missing");
+    auto Data = decodeBase64(Record.at("data").get_ref<const std::string &>());
+    if (!Data)
+      throw std::invalid_argument("a record is not base64");
+    Batch.Records_.push_back(std::move(*Data));
+  }
+  return Batch;
+}
+
+} // namespace
+
+bool isNotWritten(const Error &E) {
+  return E.Code_ == "not_sent" || E.Code_ == "rate_limited";
+}
+
+void LogClient::read(const ReadLog &Request,
+                     const std::function<void(Result<LogBatch>)> &Done) {
+  const auto WaitMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Request.Wait_)
+          .count();
+  LogRequest Http;
+  Http.Method_ = "GET";
+  Http.Target_ = "/streams/" + Stream_ +
+                 "?from=" + std::to_string(Request.From_) +
+                 "&max=" + std::to_string(Request.Max_) +
+                 "&wait_ms=" + std::to_string(WaitMs);
+  Http.Timeout_ = Request.Wait_ + AnswerTimeout;
+  Transport_.send(std::move(Http),
+                  [Done, From = Request.From_](const Result<LogResponse> &R) {
+                    const Result<Json> Body = parseAnswer(R, "read log");
+                    if (!ok(Body))
+                      return Done(error(Body));
+                    Result<LogBatch> Batch = LogBatch();
+                    try {
+                      Batch = readBatch(value(Body), From);
+                    } catch (const std::exception &E) {
+                      Batch = logError("bad_answer", "read log", E.what());
+                    }
+                    Done(std::move(Batch));
+                  });
+}
+
+void LogClient::append(const AppendLog &Request,
+                       const std::function<void(Result<std::uint64_t>)> &Done) {
+  LogRequest Http;
+  Http.Method_ = "POST";
+  Http.Target_ = "/streams/" + Stream_;
+  Http.Body_ = Request.Data_;
+  Http.Timeout_ = AnswerTimeout;
+  Transport_.send(std::move(Http), [Done](const Result<LogResponse> &R) {
+    const Result<Json> Body = parseAnswer(R, "append to log");
+    if (!ok(Body))
+      return Done(error(Body));
+    const auto Offset = value(Body).find("offset");
+    if (Offset == value(Body).end() || !Offset->is_number_unsigned())
+      return Done(logError("bad_answer", "append to log", "no offset"));
+    Done(Offset->get<std::uint64_t>());
+  });
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/log_client.h
@@ -0,0 +1,61 @@
+#ifndef CHIVELANDING_LOG_CLIENT_H
+#define CHIVELANDING_LOG_CLIENT_H
+
+#include "config_follower.h"
+#include "result.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace chivelanding {
+
+/// One HTTP request to the log.
+struct LogRequest {
+  std::string Method_;
+  std::string Target_;
+  std::string Body_;
+  /// Time after which the request is given up.
+  Duration Timeout_{0};
+};
+
+struct LogResponse {
+  unsigned Status_ = 0;
+  std::string Body_;
+};
+
+/// Sends requests to one address. The callback is called exactly once, later
+/// than send returns. Error codes: not_sent (no connection; nothing of the
+/// request has left), timeout, connection_lost.
+class LogTransport {
+public:
+  virtual ~LogTransport() = default;
+  using Callback = std::function<void(Result<LogResponse>)>;
+  virtual void send(LogRequest Request, Callback Done) = 0;
+};
+
+/// True if the failed append has certainly not been written and will not be.
+bool isNotWritten(const Error &E);
+
+/// Reads and appends records of one stream of the platform's log.
+class LogClient {
+public:
+  LogClient(LogTransport &Transport, std::string Stream)
+      : Transport_(Transport), Stream_(std::move(Stream)) {}
+
+  /// Error codes: those of the transport, rate_limited, log_error (status 4xx
+  /// or 5xx), bad_answer.
+  void read(const ReadLog &Request,
+            const std::function<void(Result<LogBatch>)> &Done);
+  /// Gives the offset of the record. Error codes as for read.
+  void append(const AppendLog &Request,
+              const std::function<void(Result<std::uint64_t>)> &Done);
+
+private:
+  LogTransport &Transport_;
+  std::string Stream_;
+};
+
+} // namespace chivelanding
+
+#endif
