Spread accepted configurations between processes

Change: config_sync decides what to send to which peer; config_delta computes and applies the objects that changed (new message ConfigDelta at the end of the list); bench config compares three strategies in virtual time. Conclusion: push on change, digests every 10 s to one entry in turn.

--- a/src/cli_bench.cpp
+++ b/src/cli_bench.cpp
@@ -8,6 +8,7 @@
 
 constexpr Bench Benches[] = {
     {"capacity", "size and cost of messages and records", benchCapacity},
+    {"config", "spreading of configuration changes", benchConfig},
 };
 
 constexpr std::uint64_t DefaultSeed = 1;
--- /dev/null
+++ b/src/config_sync.h
@@ -0,0 +1,141 @@
+#ifndef CHIVELANDING_CONFIG_SYNC_H
+#define CHIVELANDING_CONFIG_SYNC_H
+
+#include "message.h"
+#include "publication.h"
+#include "types.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chivelanding {
+
+/// How an accepted version reaches the peers that do not have it.
+enum class SpreadStrategy : std::uint8_t {
+  /// Digests to every peer at a fixed period; a peer that is behind asks.
+  Periodic,
+  /// The change is sent to every peer at once.
+  Push,
+  /// The change is sent after a random delay, and only to peers whose digest
+  /// does not show it by then.
+  Suppressed
+};
+/// "periodic", "push" or "suppressed".
+const char *spreadStrategyName(SpreadStrategy S);
+
+struct SyncOptions {
+  SpreadStrategy Strategy_ = SpreadStrategy::Push;
+  Role Role_ = Role::Entry;
+  std::uint64_t Seed_ = 0;
+  /// Period of digests: to every peer with Periodic, to one peer in turn
+  /// otherwise, which repairs what was lost.
+  Duration DigestPeriod_ = std::chrono::seconds(10);
+  /// Longest random delay before the change is sent with Suppressed, and before
+  /// a process that is behind asks a peer.
+  Duration MaxDelay_ = std::chrono::milliseconds(100);
+  /// Sends only the objects that changed to peers that have a recent version.
+  bool Deltas_ = true;
+};
+
+/// Output: send to a peer, named by its process name.
+struct SyncSend {
+  std::string Peer_;
+  Message Message_;
+};
+/// Output: this version is in force in this process from now on.
+struct SyncInForce {
+  AcceptedPtr State_;
+};
+/// Output: a state that a peer sent was not used.
+struct SyncRefused {
+  std::string Peer_;
+  std::string Detail_;
+};
+using SyncOutput = std::variant<SyncSend, SyncInForce, SyncRefused>;
+using SyncOutputs = std::vector<SyncOutput>;
+
+/// Spreads the accepted configuration between processes over existing links.
+/// The version in force never decreases, wherever a state comes from.
+class ConfigSync {
+public:
+  explicit ConfigSync(SyncOptions Options);
+
+  SyncOutputs onPeerUp(const std::string &Peer, Role Role, Time Now);
+  void onPeerDown(const std::string &Peer);
+  /// A state that follows from the log.
+  SyncOutputs onAccepted(const AcceptedPtr &State, Time Now);
+  SyncOutputs onDigest(const std::string &Peer, const ConfigDigest &M,
+                       Time Now);
+  SyncOutputs onRequest(const std::string &Peer, const ConfigRequest &M,
+                        Time Now);
+  SyncOutputs onState(const std::string &Peer, const ConfigState &M, Time Now);
+  SyncOutputs onDelta(const std::string &Peer, const ConfigDelta &M, Time Now);
+  SyncOutputs tick(Time Now);
+  std::optional<Time> nextTimer() const;
+
+  const AcceptedPtr &state() const { return State_; }
+  ConfigVersion version() const { return State_->Version_; }
+  /// Version of each connected peer by its last message; 0 if it has none.
+  std::map<std::string, ConfigVersion> peerVersions() const;
+
+private:
+  /// Repeated attempts for one version, with a growing time between them.
+  struct Attempt {
+    ConfigVersion Version_;
+    Time NextAt_;
+    Duration Backoff_{0};
+
+    /// True if an attempt is due; the next one is then due later.
+    bool begin(ConfigVersion Version, Time Now);
+  };
+  struct PeerState {
+    Role Role_ = Role::Agent;
+    ConfigVersion Version_;
+    /// Version last sent to the peer, so that it is not sent again at once.
+    Attempt Sent_;
+    /// When the last digest was sent to the peer.
+    std::optional<Time> DigestAt_;
+  };
+
+  void adopt(const AcceptedPtr &State, const std::string &From, Time Now,
+             SyncOutputs &Out);
+  void noteVersion(const std::string &Peer, ConfigVersion Version);
+  void sendDigest(const std::string &Peer, Time Now, SyncOutputs &Out);
+  void answerKnown(const std::string &Peer, Time Now, SyncOutputs &Out);
+  void sendState(const std::string &Peer, PeerState &P, Time Now,
+                 SyncOutputs &Out);
+  void noteAhead(const std::string &Peer, Time Now, SyncOutputs &Out);
+  void ask(Time Now, SyncOutputs &Out);
+  void sendDigests(Time Now, SyncOutputs &Out);
+  Duration randomUpTo(Duration Limit);
+  void spread(Time Now, SyncOutputs &Out);
+  Message stateMessage(ConfigVersion Have);
+  ConfigDigest digest() const;
+
+  SyncOptions Options_;
+  std::mt19937_64 Random_;
+  AcceptedPtr State_ = std::make_shared<AcceptedConfig>();
+  std::map<std::string, PeerState> Peers_;
+  /// Earlier states, from which changes are computed.
+  std::deque<AcceptedPtr> Recent_;
+  /// The last computed change, by its base.
+  std::optional<ConfigDelta> LastDelta_;
+  std::optional<Time> SpreadAt_;
+  /// Zero until the present version has been sent once.
+  Duration SpreadBackoff_{0};
+  std::optional<Time> AskAt_;
+  std::uint32_t Asks_ = 0;
+  /// A version whose set this program cannot use; it is not asked for again.
+  ConfigVersion Refused_;
+  std::optional<Time> DigestAt_;
+  std::string LastDigestTo_;
+};
+
+} // namespace chivelanding
+
+#endif
--- a/src/message.h
+++ b/src/message.h
@@ -324,6 +324,21 @@
   }
 };
 
+/// Any to any: the objects in which an accepted configuration differs from
+/// version Base_. Removed_ lists "TYPE NAME"; Hash_ is that of the result.
+struct ConfigDelta {
+  ConfigVersion Base_;
+  ConfigVersion Version_;
+  std::uint64_t Hash_ = 0;
+  std::string Toml_;
+  std::vector<std::string> Removed_;
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfigDelta::Base_, &ConfigDelta::Version_,
+                           &ConfigDelta::Hash_, &ConfigDelta::Toml_,
+                           &ConfigDelta::Removed_);
+  }
+};
+
 /// Running and waiting tasks of one team at the sender.
 struct TeamUsage {
   TeamName Team_;
@@ -352,7 +367,7 @@
                  IncarnationClosed, TransferGrant, YouAreClosed, EntriesHeard,
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
-                 ConfigState, UsageSummary>;
+                 ConfigState, UsageSummary, ConfigDelta>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
