Extend the task path's interfaces for recovery, retries and drain

Cause: the processes and the fuzzer are written against the decision modules while these still grow. Change: StartTasks and TasksRejected carry an attempt number, HeldTask says whether its result was dropped, EpochsExpired lets agents drop records, and LogEvent is an output. checkSpec and RetryBudget are new.

--- a/src/agent_gate.h
+++ b/src/agent_gate.h
@@ -1,6 +1,7 @@
 #ifndef CHIVELANDING_AGENT_GATE_H
 #define CHIVELANDING_AGENT_GATE_H
 
+#include "events.h"
 #include "job.h"
 #include "message.h"
 
@@ -37,7 +38,7 @@
   RunId Run_;
 };
 
-using GateOutput = std::variant<SendToEntry, RunTask, StopTask>;
+using GateOutput = std::variant<SendToEntry, RunTask, StopTask, LogEvent>;
 using GateOutputs = std::vector<GateOutput>;
 
 /// Limits of a gate.
@@ -64,6 +65,9 @@
                             Duration RunTime, Time Now);
   /// The endpoint announced itself, or changed its attributes.
   GateOutputs onEndpointAnnounced(const EndpointInfo &Info, Time Now);
+  /// The endpoint no longer responds: its runs end as failures, and it has no
+  /// slots until it is announced again.
+  GateOutputs onEndpointFailed(Time Now);
   /// No new work from now on; tasks that have not started are returned.
   GateOutputs onLeaving(Time Now);
   GateOutputs onTimer(Time Now);
--- a/src/events.h
+++ b/src/events.h
@@ -31,6 +31,11 @@
   std::string str() const;
 };
 
+/// Output of a decision module: write this event to the log.
+struct LogEvent {
+  Event Event_;
+};
+
 namespace events {
 // 100-199: process.
 extern const EventType ProcessStarted;
--- a/src/job.cpp
+++ b/src/job.cpp
@@ -1,6 +1,7 @@
 #include "job.h"
 
 #include <charconv>
+#include <unordered_set>
 
 namespace chivelanding {
 
@@ -36,6 +37,30 @@
   return Team_.str() + "/" + Token_.str() + "/" + Key_.str();
 }
 
+Result<Done> checkSpec(const JobSpec &Spec, std::uint32_t MaxTasks) {
+  const auto Bad = [](const char *Code, std::string Detail) {
+    return Error{Code, "check submission", "", std::move(Detail)};
+  };
+  if (Spec.Id_.Key_.empty() || Spec.Service_.empty() || Spec.Kind_.empty())
+    return Bad("bad_request", "key, service and kind must not be empty");
+  if (Spec.Deadline_ && Spec.Deadline_->count() <= 0)
+    return Bad("bad_request", "the deadline must be positive");
+  if (Spec.Tasks_.empty())
+    return Bad("empty_job", "a job needs at least one task");
+  if (Spec.Tasks_.size() > MaxTasks)
+    return Bad("too_many_tasks", std::to_string(Spec.Tasks_.size()) +
+                                     " tasks exceed the limit of " +
+                                     std::to_string(MaxTasks));
+  std::unordered_set<std::string> Ids;
+  for (const TaskSpec &Task : Spec.Tasks_) {
+    if (Task.Id_.empty())
+      return Bad("bad_request", "a task id must not be empty");
+    if (!Ids.insert(Task.Id_).second)
+      return Bad("duplicate_task_id", "task id " + Task.Id_ + " occurs twice");
+  }
+  return Done();
+}
+
 const char *outcomeName(Outcome O) {
   switch (O) {
   case Outcome::Completed:
--- a/src/job.h
+++ b/src/job.h
@@ -67,6 +67,14 @@
   std::vector<TaskSpec> Tasks_;
 };
 
+/// Most tasks of one job unless the settings say otherwise.
+constexpr std::uint32_t DefaultMaxTasks = 1700;
+
+/// Checks what can be known of a submission without its history. Error codes:
+/// empty_job, too_many_tasks, duplicate_task_id, bad_request (no key, service
+/// or kind, an empty task id, or a deadline that is not positive).
+Result<Done> checkSpec(const JobSpec &Spec, std::uint32_t MaxTasks);
+
 /// What is true of a job when its answer is given.
 enum class Outcome { Completed, NotRun, PartlyRun, Unknown };
 
--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -5,8 +5,18 @@
 namespace chivelanding {
 
 JobOwner::JobOwner(EntryId Self, OwnerLimits Limits, Scheduler &Sched,
-                   Time Start)
-    : Self_(std::move(Self)), Limits_(Limits), Sched_(Sched), Start_(Start) {}
+                   Time Start, std::uint64_t Seed)
+    : Self_(std::move(Self)), Limits_(Limits), Sched_(Sched), Start_(Start),
+      Random_(Seed) {}
+
+Event placementEvent(const LogPlacement &Log) {
+  const Placement &P = Log.Placement_;
+  return {&events::TaskPlaced,
+          {{"job", P.Task_.Job_.str()},
+           {"task", std::to_string(P.Task_.Index_.value())},
+           {"agent", P.Agent_.str()},
+           {"reason", P.Reason_}}};
+}
 
 OwnerToken JobOwner::token(Time Now) const {
   const auto Steps = (Now - Start_) / Limits_.TokenEpoch_;
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -1,8 +1,10 @@
 #ifndef CHIVELANDING_JOB_OWNER_H
 #define CHIVELANDING_JOB_OWNER_H
 
+#include "events.h"
 #include "job.h"
 #include "message.h"
+#include "retry_budget.h"
 #include "scheduler.h"
 
 #include <cstdint>
@@ -34,7 +36,20 @@
   Placement Placement_;
 };
 
-using OwnerOutput = std::variant<SendToAgent, GiveAnswer, LogPlacement>;
+/// The log event of a placement.
+Event placementEvent(const LogPlacement &Log);
+
+/// Output: relay this submission to another entry, and give its answer to
+/// Reply_. If that entry does not respond, the answer is
+/// "owner_unreachable".
+struct RelayToEntry {
+  EntryId To_;
+  ReplyId Reply_;
+  JobSpec Spec_;
+};
+
+using OwnerOutput =
+    std::variant<SendToAgent, GiveAnswer, LogPlacement, RelayToEntry, LogEvent>;
 using OwnerOutputs = std::vector<OwnerOutput>;
 
 /// Limits of the jobs an owner holds.
@@ -48,12 +63,29 @@
   std::uint64_t ResultBytes_ = 256u << 20;
 };
 
+/// What is known of one task of an adopted job. State_ is NotStarted only if
+/// every agent has proved it.
+struct AdoptedTask {
+  TaskState State_ = TaskState::Unknown;
+  /// Agent that holds the task, if it is running, finished or failed.
+  AgentId Agent_;
+  std::string Result_;
+};
+
+/// A job of a closed entry incarnation that is resumed here.
+struct AdoptedJob {
+  JobSpec Spec_;
+  std::vector<AdoptedTask> Tasks_;
+};
+
 /// The jobs that one entry incarnation owns, from submission to the end of
 /// their retention. Decides without I/O.
 class JobOwner {
 public:
   /// Start is the time from which epochs are counted.
-  JobOwner(EntryId Self, OwnerLimits Limits, Scheduler &Sched, Time Start);
+  /// Seed is that of the retry delays.
+  JobOwner(EntryId Self, OwnerLimits Limits, Scheduler &Sched, Time Start,
+           std::uint64_t Seed = 0);
 
   /// Token for new jobs.
   OwnerToken token(Time Now) const;
@@ -63,7 +95,23 @@
   OwnerOutputs onSubmit(JobSpec Spec, ReplyId Reply, Time Now);
   /// The caller of Reply is gone; its job goes on.
   void onReplyGone(ReplyId Reply);
+  /// Cancels a job, for its caller or a relaying peer. Its answer goes to the
+  /// waiting submissions.
   OwnerOutputs onCancel(const JobId &Job, Time Now);
+  /// Takes over a job of a closed owner. This entry must hold the grants of
+  /// the agents in Job.
+  OwnerOutputs onAdopt(AdoptedJob Job, ReplyId Reply, Time Now);
+  /// True if a submission of this id attaches or is answered here, whoever
+  /// owns the id's token.
+  bool knows(const JobId &Job) const { return Jobs_.count(Job) != 0; }
+
+  /// No new jobs from now on; openJobs() falls to 0 as the others end.
+  OwnerOutputs onDrain(Time Now);
+  /// This incarnation was closed by Holder: nothing is placed any more, and
+  /// each waiting submission is relayed to Holder.
+  OwnerOutputs onSelfClosed(const EntryId &Holder, Time Now);
+  /// Replaces the retry limits of a service.
+  void setRetryLimits(const ServiceName &Service, const RetryLimits &Limits);
 
   OwnerOutputs onAgentUp(const AgentId &Agent, const EndpointInfo &Info,
                          Time Now);
@@ -114,6 +162,7 @@
   OwnerLimits Limits_;
   Scheduler &Sched_;
   Time Start_;
+  std::mt19937_64 Random_;
   std::unordered_map<JobId, Job> Jobs_;
   std::size_t OpenJobs_ = 0;
 };
--- a/src/message.h
+++ b/src/message.h
@@ -54,8 +54,12 @@
 struct TaskStart {
   TaskIndex Index_;
   std::string Payload_;
+  /// Counts the sender's starts of this task, so that a late copy of a refused
+  /// start is told from a new one.
+  std::uint32_t Attempt_ = 1;
   static constexpr auto fields() {
-    return std::make_tuple(&TaskStart::Index_, &TaskStart::Payload_);
+    return std::make_tuple(&TaskStart::Index_, &TaskStart::Payload_,
+                           &TaskStart::Attempt_);
   }
 };
 
@@ -95,9 +99,10 @@
   JobId Job_;
   std::vector<TaskIndex> Tasks_;
   RejectReason Reason_ = RejectReason::NoRoom;
+  std::uint32_t Attempt_ = 1;
   static constexpr auto fields() {
     return std::make_tuple(&TasksRejected::Job_, &TasksRejected::Tasks_,
-                           &TasksRejected::Reason_);
+                           &TasksRejected::Reason_, &TasksRejected::Attempt_);
   }
 };
 
@@ -181,9 +186,12 @@
   bool Finished_ = false;
   RunOutcome Outcome_ = RunOutcome::Failure;
   std::string Result_;
+  /// True if the agent has dropped the result to stay within its bound.
+  bool Evicted_ = false;
   static constexpr auto fields() {
     return std::make_tuple(&HeldTask::Index_, &HeldTask::Finished_,
-                           &HeldTask::Outcome_, &HeldTask::Result_);
+                           &HeldTask::Outcome_, &HeldTask::Result_,
+                           &HeldTask::Evicted_);
   }
 };
 
@@ -343,6 +351,16 @@
   }
 };
 
+/// Entry to agent: the sender's jobs of token epochs before Oldest_ are all
+/// answered and no new key is accepted under them, so the agent may drop its
+/// records of them; it refuses late starts of such jobs.
+struct EpochsExpired {
+  Epoch Oldest_;
+  static constexpr auto fields() {
+    return std::make_tuple(&EpochsExpired::Oldest_);
+  }
+};
+
 /// Every message that `link` numbers and delivers in order, exactly once
 /// between two incarnations. The position in the list is the type number on the
 /// wire, so new messages go to the end.
@@ -352,7 +370,7 @@
                  IncarnationClosed, TransferGrant, YouAreClosed, EntriesHeard,
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
-                 ConfigState, UsageSummary>;
+                 ConfigState, UsageSummary, EpochsExpired>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
