Add link and membership decisions

link numbers, acknowledges and resends messages per session of two incarnations, detects silence, and replaces silent connections. membership holds back an agent until every required peer acknowledged it, and judges entries lost by what the agents hear. Hello gains a session number and a third step; AgentsSynchronized is a new message.

--- /dev/null
+++ b/src/link.cpp
@@ -0,0 +1,374 @@
+#include "link.h"
+
+#include <algorithm>
+
+namespace chivelanding {
+namespace {
+
+// An acknowledgement is sent at once after this many received messages, so that
+// a one-way stream does not fill the sender's buffer between heartbeats.
+constexpr std::uint64_t AcknowledgeEvery = 256;
+
+} // namespace
+
+Links::Links(PeerId Self, ZoneName Zone, RegionName Region, LinkLimits Limits)
+    : Self_(std::move(Self)), Zone_(std::move(Zone)),
+      Region_(std::move(Region)), Limits_(Limits) {}
+
+Links::PeerState *Links::peerOf(const PeerId &Id) {
+  const auto It = Peers_.find({Id.Role_, Id.Name_});
+  return It != Peers_.end() && It->second.Id_ == Id ? &It->second : nullptr;
+}
+
+const Links::PeerState *Links::peerOf(const PeerId &Id) const {
+  return const_cast<Links *>(this)->peerOf(Id);
+}
+
+bool Links::isUp(const PeerId &P) const {
+  const PeerState *State = peerOf(P);
+  return State && State->Session_;
+}
+
+bool Links::isHeard(const PeerId &P) const {
+  const PeerState *State = peerOf(P);
+  return State && State->Session_ && !State->Suspected_;
+}
+
+std::vector<EntryId> Links::entriesHeard() const {
+  std::vector<EntryId> Heard;
+  for (const auto &[Key, P] : Peers_)
+    if (Key.first == Role::Entry && P.Session_ && !P.Suspected_)
+      Heard.push_back(P.Id_.entry());
+  return Heard;
+}
+
+Hello Links::makeHello(const PeerId &To) const {
+  Hello H;
+  H.Role_ = Self_.Role_;
+  H.Name_ = Self_.Name_;
+  H.Incarnation_ = Self_.Incarnation_;
+  H.Zone_ = Zone_;
+  H.Region_ = Region_;
+  H.PeerName_ = To.Name_;
+  H.Peer_ = To.Incarnation_;
+  if (To.Name_.empty())
+    return H;
+  const PeerState *P = peerOf(To);
+  H.Session_ = P ? P->SessionNumber_ : 1;
+  H.LastReceived_ = P && P->Session_ ? P->Session_->lastReceived() : 0;
+  return H;
+}
+
+// The dialling side does not know which process answers at the address, so its
+// first Hello names no peer; it states its view of the pair once it knows.
+LinkOutputs Links::onDialled(ConnectionId C, Time Now) {
+  Connection &New = Connections_[C];
+  New.Dialled_ = true;
+  New.Opened_ = Now;
+  return {SendFrame{C, makeHello({})}};
+}
+
+void Links::onAccepted(ConnectionId C, Time Now) {
+  Connections_[C].Opened_ = Now;
+}
+
+void Links::close(ConnectionId C, const char *Code, std::string Detail,
+                  LinkOutputs &Out) {
+  std::string Name;
+  const auto It = Connections_.find(C);
+  if (It == Connections_.end())
+    return;
+  if (It->second.Peer_) {
+    PeerState &P = Peers_[*It->second.Peer_];
+    Name = P.Id_.str();
+    if (P.Active_ == C)
+      P.Active_.reset();
+  }
+  Connections_.erase(It);
+  Out.push_back(CloseConnection{
+      C, Error{Code, "link", std::move(Name), std::move(Detail)}});
+}
+
+// The next session gets a higher number, so that a peer that did not notice the
+// end learns of it from the next Hello. Every connection of the ended session
+// is closed; its late frames therefore cannot enter the next session.
+void Links::endSession(PeerState &P, const char *Code, std::string Detail,
+                       LinkOutputs &Out) {
+  std::vector<ConnectionId> Old;
+  for (const auto &[Id, Conn] : Connections_)
+    if (Conn.Peer_ == PeerKey(P.Id_.Role_, P.Id_.Name_))
+      Old.push_back(Id);
+  for (const ConnectionId Id : Old)
+    close(Id, Code, Detail, Out);
+  if (!P.Session_)
+    return;
+  P.Session_.reset();
+  P.Suspected_ = false;
+  ++P.SessionNumber_;
+  Out.push_back(
+      PeerLost{P.Id_, Error{Code, "link", P.Id_.str(), std::move(Detail)}});
+}
+
+// Incarnations are random and have no order, so a superseded one is remembered:
+// without that, a delayed Hello of the old process would end the new one.
+bool Links::acceptIdentity(ConnectionId C, const Hello &H, LinkOutputs &Out) {
+  if (H.Protocol_ != ProtocolVersion) {
+    close(C, "protocol_version", "peer speaks " + std::to_string(H.Protocol_),
+          Out);
+    return false;
+  }
+  const bool IsSelf = H.Role_ == Self_.Role_ && H.Name_ == Self_.Name_;
+  if (H.Name_.empty() || H.Incarnation_ == Incarnation(0) || IsSelf) {
+    close(C, "bad_hello", "name or incarnation is not valid", Out);
+    return false;
+  }
+  if (Connections_[C].Dialled_ && H.Peer_ != Self_.Incarnation_) {
+    Out.push_back(SelfSuperseded{H.Peer_});
+    close(C, "superseded", "the peer knows a later process of this name", Out);
+    return false;
+  }
+  const auto It = Peers_.find({H.Role_, H.Name_});
+  if (It == Peers_.end() || It->second.Ended_.count(H.Incarnation_) == 0)
+    return true;
+  if (!Connections_[C].Dialled_)
+    Out.push_back(SendFrame{C, makeHello(It->second.Id_)});
+  close(C, "superseded", "a later process of this name is known", Out);
+  return false;
+}
+
+void Links::answerHello(ConnectionId C, const Hello &H, LinkOutputs &Out) {
+  const PeerId Claimed{H.Role_, H.Name_, H.Incarnation_};
+  Connections_[C].Claimed_ = Claimed;
+  Out.push_back(SendFrame{C, makeHello(Claimed)});
+}
+
+// A new incarnation of a name ends the session with the one before.
+Links::PeerState &Links::statePeer(const PeerId &Id, LinkOutputs &Out) {
+  PeerState &P = Peers_[{Id.Role_, Id.Name_}];
+  if (P.Id_.Name_.empty()) {
+    P.Id_ = Id;
+  } else if (P.Id_.Incarnation_ != Id.Incarnation_) {
+    endSession(P, "superseded", "a new incarnation is up", Out);
+    P.Ended_.insert(P.Id_.Incarnation_);
+    P.Id_ = Id;
+    P.SessionNumber_ = 1;
+  }
+  return P;
+}
+
+// Both ends move to the higher session number of the two. An end that is still
+// in a lower one gives it up first.
+void Links::alignSession(PeerState &P, const Hello &H, Time Now,
+                         LinkOutputs &Out) {
+  if (H.Session_ > P.SessionNumber_) {
+    endSession(P, "session_ended", "the peer had given up the session", Out);
+    P.SessionNumber_ = H.Session_;
+  }
+  if (P.Session_)
+    return;
+  P.Session_.emplace(Limits_.Session_);
+  P.Suspected_ = false;
+  P.LastHeard_ = Now;
+  Out.push_back(PeerUp{P.Id_, H.Zone_, H.Region_});
+}
+
+void Links::activate(PeerState &P, ConnectionId C, Time Now, LinkOutputs &Out) {
+  const auto Old = P.Active_;
+  P.Active_ = C;
+  P.LastSent_ = Now;
+  if (Old && *Old != C)
+    close(*Old, "replaced", "a newer connection is up", Out);
+  P.Session_->restartTransmission();
+}
+
+void Links::heard(PeerState &P, Time Now, LinkOutputs &Out) {
+  P.LastHeard_ = Now;
+  if (!P.Suspected_)
+    return;
+  P.Suspected_ = false;
+  Out.push_back(PeerHeard{P.Id_});
+}
+
+// The dialled side takes the connection into use only when the dialling side
+// has confirmed, that is, when both directions of it have carried a frame.
+void Links::onHello(ConnectionId C, const Hello &H, Time Now,
+                    LinkOutputs &Out) {
+  Connection &Conn = Connections_[C];
+  const PeerId Id{H.Role_, H.Name_, H.Incarnation_};
+  const bool IsFirst = !Conn.Dialled_ && !Conn.Claimed_;
+  const bool Unexpected =
+      Conn.Peer_ || (Conn.Claimed_ && !(*Conn.Claimed_ == Id));
+  if (Unexpected || (IsFirst ? H.Session_ != 0 : H.Session_ == 0)) {
+    close(C, "bad_hello", "a Hello out of turn", Out);
+    return;
+  }
+  if (!acceptIdentity(C, H, Out))
+    return;
+  if (IsFirst) {
+    answerHello(C, H, Out);
+    return;
+  }
+  PeerState &P = statePeer(Id, Out);
+  if (!Conn.Dialled_ && H.Session_ < P.SessionNumber_) {
+    close(C, "session_ended", "the session ended while connecting", Out);
+    return;
+  }
+  alignSession(P, H, Now, Out);
+  const std::uint64_t Received =
+      H.Session_ == P.SessionNumber_ ? H.LastReceived_ : 0;
+  if (!P.Session_->acknowledge(Received)) {
+    close(C, "bad_acknowledgement", "Hello acknowledges unsent messages", Out);
+    return;
+  }
+  Conn.Peer_ = PeerKey(Id.Role_, Id.Name_);
+  P.Dialler_ = Conn.Dialled_;
+  heard(P, Now, Out);
+  if (Conn.Dialled_)
+    Out.push_back(SendFrame{C, makeHello(Id)});
+  activate(P, C, Now, Out);
+  flushPeer(P, Now, Out);
+}
+
+LinkOutputs Links::onFrame(ConnectionId C, const Frame &F, Time Now) {
+  LinkOutputs Out;
+  const auto It = Connections_.find(C);
+  if (It == Connections_.end())
+    return Out;
+  if (const auto *H = std::get_if<Hello>(&F)) {
+    onHello(C, *H, Now, Out);
+    return Out;
+  }
+  if (!It->second.Peer_) {
+    close(C, "bad_hello", "the first frame is not a Hello", Out);
+    return Out;
+  }
+  PeerState &P = Peers_[*It->second.Peer_];
+  if (const auto *Beat = std::get_if<Heartbeat>(&F)) {
+    if (!P.Session_->acknowledge(Beat->Acknowledged_)) {
+      close(C, "bad_acknowledgement", "acknowledges unsent messages", Out);
+      return Out;
+    }
+    heard(P, Now, Out);
+    return Out;
+  }
+  auto Fresh = P.Session_->receive(std::get<Batch>(F));
+  if (!ok(Fresh)) {
+    close(C, error(Fresh).Code_.c_str(), error(Fresh).Detail_, Out);
+    return Out;
+  }
+  heard(P, Now, Out);
+  for (Message &M : value(Fresh))
+    Out.push_back(Deliver{P.Id_, std::move(M)});
+  return Out;
+}
+
+LinkOutputs Links::onClosed(ConnectionId C, Time Now) {
+  LinkOutputs Out;
+  const auto It = Connections_.find(C);
+  if (It == Connections_.end())
+    return Out;
+  const auto Key = It->second.Peer_;
+  Connections_.erase(It);
+  if (!Key)
+    return Out;
+  PeerState &P = Peers_[*Key];
+  if (P.Active_ != C)
+    return Out;
+  P.Active_.reset();
+  if (P.Dialler_)
+    dial(P, Now, Out);
+  return Out;
+}
+
+// A full buffer means that the peer has not acknowledged anything for long
+// while much was sent to it; keeping the session would need unbounded memory.
+LinkOutputs Links::send(const PeerId &To, Message M, Time) {
+  LinkOutputs Out;
+  PeerState *P = peerOf(To);
+  if (P && P->Session_ && !P->Session_->push(std::move(M)))
+    endSession(*P, "buffer_full", "too much is unacknowledged", Out);
+  return Out;
+}
+
+void Links::flushPeer(PeerState &P, Time Now, LinkOutputs &Out) {
+  if (!P.Session_ || !P.Active_)
+    return;
+  while (auto B = P.Session_->nextBatch()) {
+    Out.push_back(SendFrame{*P.Active_, std::move(*B)});
+    P.LastSent_ = Now;
+  }
+  if (P.Session_->unreported() < AcknowledgeEvery)
+    return;
+  Out.push_back(SendFrame{*P.Active_, Heartbeat{P.Session_->lastReceived()}});
+  P.Session_->markReported();
+  P.LastSent_ = Now;
+}
+
+LinkOutputs Links::flush(Time Now) {
+  LinkOutputs Out;
+  for (auto &[Key, P] : Peers_)
+    flushPeer(P, Now, Out);
+  return Out;
+}
+
+void Links::dial(PeerState &P, Time Now, LinkOutputs &Out) {
+  P.LastDial_ = Now;
+  Out.push_back(DialPeer{P.Id_});
+}
+
+// The end that dials opens a second connection beside the silent one. The other
+// end cannot dial; it closes the silent connection, which the dialler notices
+// if only the direction from it is cut.
+void Links::checkSilence(PeerState &P, Time Now, LinkOutputs &Out) {
+  if (!P.Session_)
+    return;
+  const Duration Silence = Now - P.LastHeard_;
+  if (Silence >= Limits_.LostAfter_) {
+    endSession(P, "silent",
+               "nothing heard for " + std::to_string(Silence.count()) + " us",
+               Out);
+    return;
+  }
+  const bool Newly = Silence >= Limits_.SuspectAfter_ && !P.Suspected_;
+  if (Newly) {
+    P.Suspected_ = true;
+    Out.push_back(PeerSuspected{P.Id_});
+    if (!P.Dialler_ && P.Active_)
+      close(*P.Active_, "silent", "the peer is to dial again", Out);
+  }
+  const bool Due = Now - P.LastDial_ >= Limits_.SuspectAfter_;
+  if (P.Dialler_ && (Newly || ((P.Suspected_ || !P.Active_) && Due)))
+    dial(P, Now, Out);
+}
+
+// Time in which this process did not run is not silence of its peers: their
+// frames may still wait in the socket buffers. Such a pause shows as a gap
+// between two timer calls.
+LinkOutputs Links::onTimer(Time Now) {
+  LinkOutputs Out;
+  const Duration Gap = LastTimer_ ? Now - *LastTimer_ : Duration(0);
+  LastTimer_ = Now;
+  std::vector<ConnectionId> Late;
+  for (auto &[Id, Conn] : Connections_) {
+    if (Gap >= Limits_.SuspectAfter_)
+      Conn.Opened_ += Gap;
+    if (!Conn.Peer_ && Now - Conn.Opened_ >= Limits_.SuspectAfter_)
+      Late.push_back(Id);
+  }
+  for (const ConnectionId Id : Late)
+    close(Id, "no_hello", "no Hello in time", Out);
+  for (auto &[Key, P] : Peers_) {
+    if (Gap >= Limits_.SuspectAfter_)
+      P.LastHeard_ = std::min(Now, P.LastHeard_ + Gap);
+    checkSilence(P, Now, Out);
+    flushPeer(P, Now, Out);
+    if (!P.Session_ || !P.Active_ || Now - P.LastSent_ < Limits_.Heartbeat_)
+      continue;
+    Out.push_back(SendFrame{*P.Active_, Heartbeat{P.Session_->lastReceived()}});
+    P.Session_->markReported();
+    P.LastSent_ = Now;
+  }
+  return Out;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/link_session.cpp
@@ -0,0 +1,117 @@
+#include "link_session.h"
+
+namespace chivelanding {
+namespace {
+
+// Encoded size of a message without payload, from measured frames of 60 to 90
+// bytes, rounded up.
+constexpr std::size_t FixedBytes = 128;
+
+std::size_t payloadBytes(const StartTasks &M) {
+  std::size_t Bytes = 0;
+  for (const TaskStart &T : M.Tasks_)
+    Bytes += T.Payload_.size() + 16;
+  return Bytes;
+}
+std::size_t payloadBytes(const TaskFinished &M) { return M.Result_.size(); }
+std::size_t payloadBytes(const IncarnationClosed &M) {
+  std::size_t Bytes = 0;
+  for (const HeldJob &Job : M.Jobs_) {
+    Bytes += FixedBytes;
+    for (const HeldTask &T : Job.Tasks_)
+      Bytes += T.Result_.size() + 16;
+  }
+  return Bytes;
+}
+std::size_t payloadBytes(const RelaySubmit &M) {
+  std::size_t Bytes = 0;
+  for (const TaskSpec &T : M.Spec_.Tasks_)
+    Bytes += T.Id_.size() + T.Payload_.size() + 16;
+  return Bytes;
+}
+std::size_t payloadBytes(const RelayAnswer &M) {
+  std::size_t Bytes = M.Answer_.Detail_.size();
+  for (const TaskAnswer &T : M.Answer_.Tasks_)
+    Bytes += T.Id_.size() + T.Result_.size() + 16;
+  return Bytes;
+}
+std::size_t payloadBytes(const ConfigState &M) { return M.Toml_.size(); }
+template <typename T> std::size_t payloadBytes(const T &) { return 0; }
+
+} // namespace
+
+std::size_t approximateBytes(const Message &M) {
+  return FixedBytes +
+         std::visit([](const auto &Body) { return payloadBytes(Body); }, M);
+}
+
+// A message larger than the whole buffer is taken when the buffer is empty, so
+// that the byte bound never makes a permitted message impossible to send.
+bool LinkSession::push(Message M) {
+  const std::size_t Bytes = approximateBytes(M);
+  if (Unacknowledged_.size() >= Limits_.MaxUnacknowledged_)
+    return false;
+  if (!Unacknowledged_.empty() &&
+      Bytes_ + Bytes > Limits_.MaxUnacknowledgedBytes_)
+    return false;
+  Bytes_ += Bytes;
+  Unacknowledged_.push_back({std::move(M), Bytes});
+  return true;
+}
+
+// An older acknowledgement than the last one is possible: frames of two
+// connections of the same session may overtake each other.
+bool LinkSession::acknowledge(std::uint64_t Number) {
+  if (Number > sent())
+    return false;
+  while (Acknowledged_ < Number) {
+    Bytes_ -= Unacknowledged_.front().Bytes_;
+    Unacknowledged_.pop_front();
+    ++Acknowledged_;
+  }
+  if (Transmitted_ < Acknowledged_)
+    Transmitted_ = Acknowledged_;
+  return true;
+}
+
+// A batch that starts beyond the next expected number shows that the sender
+// skipped messages; taking it would lose them without notice.
+Result<std::vector<Message>> LinkSession::receive(const Batch &B) {
+  if (B.First_ == 0 || B.First_ > LastReceived_ + 1)
+    return Error{"gap", "receive batch", "",
+                 "first number " + std::to_string(B.First_) + " after " +
+                     std::to_string(LastReceived_)};
+  if (!acknowledge(B.Acknowledged_))
+    return Error{"bad_acknowledgement", "receive batch", "",
+                 "acknowledges " + std::to_string(B.Acknowledged_) + " of " +
+                     std::to_string(sent()) + " sent"};
+  std::vector<Message> Fresh;
+  for (std::size_t I = 0; I < B.Messages_.size(); ++I) {
+    if (B.First_ + I <= LastReceived_)
+      continue;
+    Fresh.push_back(B.Messages_[I]);
+    LastReceived_ = B.First_ + I;
+  }
+  return Fresh;
+}
+
+std::optional<Batch> LinkSession::nextBatch() {
+  if (Transmitted_ == sent())
+    return std::nullopt;
+  Batch B;
+  B.First_ = Transmitted_ + 1;
+  B.Acknowledged_ = LastReceived_;
+  std::size_t Bytes = 0;
+  while (Transmitted_ < sent() && B.Messages_.size() < Limits_.MaxBatch_) {
+    const Kept &Next = Unacknowledged_[Transmitted_ - Acknowledged_];
+    if (Bytes > 0 && Bytes + Next.Bytes_ > Limits_.MaxBatchBytes_)
+      break;
+    Bytes += Next.Bytes_;
+    B.Messages_.push_back(Next.Message_);
+    ++Transmitted_;
+  }
+  markReported();
+  return B;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,314 @@
+#include "membership.h"
+
+#include <algorithm>
+
+namespace chivelanding {
+namespace {
+
+// An address is dialled for this long after its entry was last known to live;
+// a replaced VM usually returns under another address.
+constexpr Duration ForgetAddressAfter = std::chrono::minutes(10);
+
+} // namespace
+
+EntryDirectory::EntryDirectory(EntryId Self, RegionName Region, bool DialsAll)
+    : Self_(std::move(Self)), Region_(std::move(Region)), DialsAll_(DialsAll) {}
+
+// An address of an entry that is up here is better known than by report, and a
+// report of another incarnation of it may be old.
+void EntryDirectory::learn(const KnownEntries &Known, Time Now) {
+  for (const EntryAddress &Address : Known.Entries_) {
+    if (Address.Entry_.Name_.empty() || Address.Region_ != Region_ ||
+        (!DialsAll_ && Address.Entry_.Name_ == Self_.Name_))
+      continue;
+    auto &Entry = Entries_[Address.Entry_.Name_];
+    if (Entry.Up_ && Entry.Address_.Entry_ != Address.Entry_)
+      continue;
+    Entry.Address_ = Address;
+    Entry.LastKnown_ = Now;
+  }
+}
+
+void EntryDirectory::onUp(const EntryId &Entry, Time Now) {
+  auto &Known = Entries_[Entry.Name_];
+  Known.Address_.Entry_ = Entry;
+  Known.Up_ = true;
+  Known.LastKnown_ = Now;
+}
+
+void EntryDirectory::onDown(const EntryId &Entry, Time Now) {
+  const auto It = Entries_.find(Entry.Name_);
+  if (It == Entries_.end() || It->second.Address_.Entry_ != Entry)
+    return;
+  It->second.Up_ = false;
+  It->second.LastKnown_ = Now;
+}
+
+std::vector<EntryAddress> EntryDirectory::toDial(Time Now) const {
+  std::vector<EntryAddress> List;
+  for (const auto &[Name, Known] : Entries_) {
+    const bool Ours = DialsAll_ || Self_.Name_ < Name;
+    const bool Recent = Now - Known.LastKnown_ < ForgetAddressAfter;
+    if (Ours && Recent && !Known.Up_ && !Known.Address_.Host_.empty())
+      List.push_back(Known.Address_);
+  }
+  return List;
+}
+
+KnownEntries EntryDirectory::known() const {
+  KnownEntries List;
+  for (const auto &[Name, Known] : Entries_)
+    if (Known.Up_ && !Known.Address_.Host_.empty())
+      List.Entries_.push_back(Known.Address_);
+  return List;
+}
+
+bool EntryDirectory::covers(const std::string &Host, std::uint16_t Port) const {
+  return std::any_of(Entries_.begin(), Entries_.end(), [&](const auto &Item) {
+    const Known &K = Item.second;
+    return K.Up_ && K.Address_.Host_ == Host && K.Address_.Port_ == Port;
+  });
+}
+
+Membership::Membership(EntryId Self) : Self_(std::move(Self)) {}
+
+// A session that begins has lost what the one before did not deliver, so every
+// agent is announced again that the peer has not acknowledged.
+MembershipOutputs Membership::onEntryUp(const EntryId &Entry, Time) {
+  MembershipOutputs Out;
+  EntryState &Peer = Entries_[Entry];
+  Peer.Up_ = true;
+  Peer.Told_ = false;
+  const bool WasLost = Peer.Status_ == EntryStatus::Lost;
+  if (!WasLost || !Peer.Closed_)
+    Peer.Status_ = EntryStatus::Heard;
+  if (WasLost && !Peer.Closed_)
+    Out.push_back(EntryReturned{Entry});
+  std::map<AgentId, ServiceName> Wanted = Used_;
+  for (const auto &[Id, Agent] : Agents_)
+    if (Agent.Up_ && Agent.Info_)
+      Wanted.emplace(Id, Agent.Info_->Service_);
+  for (const auto &[Id, Service] : Wanted)
+    if (Peer.Acknowledged_.count(Id) == 0)
+      Out.push_back(SendToPeer{Entry, AgentAnnounced{Id, Service}});
+  synchronize(Entry, Peer, Out);
+  return Out;
+}
+
+MembershipOutputs Membership::onEntrySuspected(const EntryId &Entry, Time) {
+  MembershipOutputs Out;
+  EntryState &Peer = Entries_[Entry];
+  if (Peer.Status_ == EntryStatus::Heard)
+    Peer.Status_ = EntryStatus::Suspected;
+  reconsider(Out);
+  return Out;
+}
+
+MembershipOutputs Membership::onEntryHeard(const EntryId &Entry, Time) {
+  EntryState &Peer = Entries_[Entry];
+  if (Peer.Status_ == EntryStatus::Suspected)
+    Peer.Status_ = EntryStatus::Heard;
+  return {};
+}
+
+MembershipOutputs Membership::onEntryDown(const EntryId &Entry, Time) {
+  MembershipOutputs Out;
+  EntryState &Peer = Entries_[Entry];
+  Peer.Up_ = false;
+  if (Peer.Status_ != EntryStatus::Lost)
+    Peer.Status_ = EntryStatus::Suspected;
+  judgeEntries(Out);
+  reconsider(Out);
+  return Out;
+}
+
+MembershipOutputs Membership::onEntryMessage(const EntryId &From,
+                                             const Message &M, Time) {
+  MembershipOutputs Out;
+  EntryState &Peer = Entries_[From];
+  if (const auto *Announced = std::get_if<AgentAnnounced>(&M)) {
+    Peer.Announced_.insert(Announced->Agent_);
+    Out.push_back(SendToPeer{From, AgentAnnouncedAck{Announced->Agent_}});
+  } else if (const auto *Ack = std::get_if<AgentAnnouncedAck>(&M)) {
+    Peer.Acknowledged_.insert(Ack->Agent_);
+    reconsider(Out);
+    synchronize(From, Peer, Out);
+  } else if (std::holds_alternative<AgentsSynchronized>(M)) {
+    Peer.SynchronizedHere_ = true;
+  }
+  return Out;
+}
+
+void Membership::onAgentUp(const AgentId &Agent, Time) {
+  AgentState &State = Agents_[Agent];
+  State = AgentState();
+  State.Up_ = true;
+}
+
+MembershipOutputs Membership::onAgentDown(const AgentId &Agent, Time) {
+  MembershipOutputs Out;
+  const auto It = Agents_.find(Agent);
+  if (It == Agents_.end())
+    return Out;
+  const bool WasUsable = It->second.Usable_;
+  Agents_.erase(It);
+  if (WasUsable)
+    Out.push_back(AgentGone{Agent});
+  judgeEntries(Out);
+  return Out;
+}
+
+MembershipOutputs Membership::onAgentSuspected(const AgentId &Agent, Time) {
+  MembershipOutputs Out;
+  const auto It = Agents_.find(Agent);
+  if (It != Agents_.end())
+    It->second.Suspected_ = true;
+  judgeEntries(Out);
+  return Out;
+}
+
+// What a suspected agent last said of the entries it hears is old, so it counts
+// again only with its next EntriesHeard.
+MembershipOutputs Membership::onAgentHeard(const AgentId &Agent, Time) {
+  const auto It = Agents_.find(Agent);
+  if (It != Agents_.end()) {
+    It->second.Suspected_ = false;
+    It->second.Hears_.reset();
+  }
+  return {};
+}
+
+MembershipOutputs Membership::onAgentMessage(const AgentId &From,
+                                             const Message &M, Time) {
+  MembershipOutputs Out;
+  const auto It = Agents_.find(From);
+  if (It == Agents_.end())
+    return Out;
+  AgentState &Agent = It->second;
+  if (const auto *Announce = std::get_if<AnnounceEndpoint>(&M)) {
+    const bool First = !Agent.Info_;
+    Agent.Info_ = Announce->Info_;
+    if (First)
+      for (const auto &[Id, Peer] : Entries_)
+        if (Peer.Up_ && Peer.Acknowledged_.count(From) == 0)
+          Out.push_back(
+              SendToPeer{Id, AgentAnnounced{From, Agent.Info_->Service_}});
+    offer(From, Out);
+  } else if (const auto *Report = std::get_if<AgentReport>(&M)) {
+    Agent.Report_ = *Report;
+  } else if (const auto *Heard = std::get_if<EntriesHeard>(&M)) {
+    Agent.Hears_.emplace(Heard->Entries_.begin(), Heard->Entries_.end());
+    judgeEntries(Out);
+  } else if (const auto *Closed = std::get_if<IncarnationClosed>(&M)) {
+    onClosed(From, Closed->Entry_, Out);
+  }
+  return Out;
+}
+
+// A peer that is heard but not synchronized is waited for as well, so that it
+// becomes able to recover; once it is silent it is left behind, since it never
+// claims to know all agents.
+bool Membership::mayUse(const AgentId &Agent) const {
+  return std::all_of(Entries_.begin(), Entries_.end(), [&](const auto &Item) {
+    const EntryState &Peer = Item.second;
+    if (Peer.Exempt_ || Peer.Acknowledged_.count(Agent) != 0)
+      return true;
+    return !Peer.Required_ && Peer.Status_ != EntryStatus::Heard;
+  });
+}
+
+void Membership::offer(const AgentId &Id, MembershipOutputs &Out) {
+  AgentState &Agent = Agents_[Id];
+  if (!Agent.Up_ || !Agent.Info_ || (!Agent.Usable_ && !mayUse(Id)))
+    return;
+  Agent.Usable_ = true;
+  Used_.emplace(Id, Agent.Info_->Service_);
+  Out.push_back(AgentUsable{Id, *Agent.Info_, Agent.Report_});
+}
+
+void Membership::reconsider(MembershipOutputs &Out) {
+  for (auto &[Id, Agent] : Agents_)
+    if (!Agent.Usable_)
+      offer(Id, Out);
+}
+
+// With no acknowledged agent there would be none whose close of the peer could
+// end its being required, so a peer is synchronized with one at least.
+void Membership::synchronize(const EntryId &Entry, EntryState &Peer,
+                             MembershipOutputs &Out) {
+  const auto Acknowledged = [&](const auto &Item) {
+    return Peer.Acknowledged_.count(Item.first) != 0;
+  };
+  if (!Peer.Up_ || Peer.Told_ || Peer.Exempt_ || Used_.empty() ||
+      !std::all_of(Used_.begin(), Used_.end(), Acknowledged))
+    return;
+  Peer.Required_ = true;
+  Peer.Told_ = true;
+  Out.push_back(SendToPeer{Entry, AgentsSynchronized{}});
+}
+
+bool Membership::stillHeard(const EntryId &Entry) const {
+  return std::any_of(Agents_.begin(), Agents_.end(), [&](const auto &Item) {
+    const AgentState &Agent = Item.second;
+    return Agent.Up_ && !Agent.Suspected_ &&
+           (!Agent.Hears_ || Agent.Hears_->count(Entry) != 0);
+  });
+}
+
+// An agent that is heard but has not yet said which entries it hears may hear
+// the silent one. An entry that hears no agent at all is itself cut off and
+// concludes nothing.
+void Membership::judgeEntries(MembershipOutputs &Out) {
+  const bool HearsAgent =
+      std::any_of(Agents_.begin(), Agents_.end(), [](const auto &Item) {
+        return Item.second.Up_ && !Item.second.Suspected_;
+      });
+  if (!HearsAgent)
+    return;
+  for (auto &[Id, Peer] : Entries_) {
+    if (Peer.Up_ || Peer.Status_ != EntryStatus::Suspected || stillHeard(Id))
+      continue;
+    Peer.Status_ = EntryStatus::Lost;
+    Out.push_back(EntryLost{Id, agentsOf(Id)});
+  }
+}
+
+// Only an agent that the closed peer knows from us counts: the peer asks it
+// before it claims anything about our jobs, and learns there that it is closed.
+void Membership::onClosed(const AgentId &By, const EntryId &Entry,
+                          MembershipOutputs &Out) {
+  const auto It = Entries_.find(Entry);
+  if (It == Entries_.end())
+    return;
+  EntryState &Peer = It->second;
+  Peer.Closed_ = true;
+  Peer.Status_ = EntryStatus::Lost;
+  if (Peer.Acknowledged_.count(By) == 0)
+    return;
+  Peer.Exempt_ = true;
+  reconsider(Out);
+}
+
+EntryStatus Membership::status(const EntryId &Entry) const {
+  const auto It = Entries_.find(Entry);
+  return It == Entries_.end() ? EntryStatus::Unknown : It->second.Status_;
+}
+
+bool Membership::isUsable(const AgentId &Agent) const {
+  const auto It = Agents_.find(Agent);
+  return It != Agents_.end() && It->second.Usable_;
+}
+
+std::vector<AgentId> Membership::agentsOf(const EntryId &Entry) const {
+  const auto It = Entries_.find(Entry);
+  if (It == Entries_.end())
+    return {};
+  return {It->second.Announced_.begin(), It->second.Announced_.end()};
+}
+
+bool Membership::knowsAllAgentsOf(const EntryId &Entry) const {
+  const auto It = Entries_.find(Entry);
+  return It != Entries_.end() && It->second.SynchronizedHere_;
+}
+
+} // namespace chivelanding
--- a/src/message.cpp
+++ b/src/message.cpp
@@ -229,7 +229,7 @@
       "EntriesHeard",      "AgentAnnounced", "AgentAnnouncedAck",
       "KnownEntries",      "RelaySubmit",    "RelayAnswer",
       "RelayCancel",       "ConfigDigest",   "ConfigRequest",
-      "ConfigState",       "UsageSummary"};
+      "ConfigState",       "UsageSummary",   "AgentsSynchronized"};
   static_assert(std::size(Names) == std::variant_size_v<Message>);
   return Names[M.index()];
 }
--- a/src/message.h
+++ b/src/message.h
@@ -343,6 +343,13 @@
   }
 };
 
+/// Entry to entry: the receiver has acknowledged every agent that the sender
+/// uses, and the sender uses no further agent without its acknowledgement,
+/// until an agent of those confirms that it closed the receiver.
+struct AgentsSynchronized {
+  static constexpr auto fields() { return std::make_tuple(); }
+};
+
 /// Every message that `link` numbers and delivers in order, exactly once
 /// between two incarnations. The position in the list is the type number on the
 /// wire, so new messages go to the end.
@@ -352,15 +359,18 @@
                  IncarnationClosed, TransferGrant, YouAreClosed, EntriesHeard,
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
-                 ConfigState, UsageSummary>;
+                 ConfigState, UsageSummary, AgentsSynchronized>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
 
 enum class Role : std::uint8_t { Entry, Agent };
 
-/// First frame in each direction on a connection. LastReceived_ is the highest
-/// number received from the peer's incarnation Peer_, 0 if none.
+/// Opens a connection in three steps: the dialling side names itself (Peer_ and
+/// Session_ 0), the dialled side answers with its state of the pair, and the
+/// dialling side confirms with its own state. LastReceived_ is the highest
+/// number received from Peer_ in session Session_. In the answer, a Peer_ other
+/// than the dialling incarnation states that this incarnation supersedes it.
 struct Hello {
   std::uint32_t Protocol_ = ProtocolVersion;
   Role Role_ = Role::Entry;
@@ -371,11 +381,14 @@
   std::string PeerName_;
   Incarnation Peer_;
   std::uint64_t LastReceived_ = 0;
+  /// Counts the sessions between two incarnations, from 1. Each starts with
+  /// empty numbering after the one before was given up.
+  std::uint64_t Session_ = 0;
   static constexpr auto fields() {
     return std::make_tuple(&Hello::Protocol_, &Hello::Role_, &Hello::Name_,
                            &Hello::Incarnation_, &Hello::Zone_, &Hello::Region_,
                            &Hello::PeerName_, &Hello::Peer_,
-                           &Hello::LastReceived_);
+                           &Hello::LastReceived_, &Hello::Session_);
   }
 };
 
--- /dev/null
+++ b/tests/link_test.cpp
@@ -0,0 +1,203 @@
+#include "link.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivelanding;
+
+namespace {
+
+const PeerId AgentPeer{Role::Agent, "agent", Incarnation(1)};
+const PeerId EntryPeer{Role::Entry, "entry", Incarnation(2)};
+const Time Start{};
+
+Time at(std::int64_t Milliseconds) {
+  return Start + std::chrono::milliseconds(Milliseconds);
+}
+
+// An agent and an entry whose frames pass directly, on one connection at a
+// time. The agent dials.
+struct Pair {
+  Links Agent_{AgentPeer, ZoneName("z"), RegionName("r"), {}};
+  Links Entry_{EntryPeer, ZoneName("z"), RegionName("r"), {}};
+  Time Now_ = at(0);
+  ConnectionId Current_;
+  bool Cut_ = false;
+  std::vector<LinkOutput> AtAgent_;
+  std::vector<LinkOutput> AtEntry_;
+
+  void connect() {
+    ++Current_;
+    Entry_.onAccepted(Current_, Now_);
+    fromAgent(Agent_.onDialled(Current_, Now_));
+  }
+  void disconnect() {
+    fromAgent(Agent_.onClosed(Current_, Now_));
+    fromEntry(Entry_.onClosed(Current_, Now_));
+  }
+  void fromAgent(const LinkOutputs &Out) {
+    for (const LinkOutput &O : Out) {
+      AtAgent_.push_back(O);
+      const auto *Send = std::get_if<SendFrame>(&O);
+      if (Send && !Cut_)
+        fromEntry(Entry_.onFrame(Send->Connection_, Send->Frame_, Now_));
+    }
+  }
+  void fromEntry(const LinkOutputs &Out) {
+    for (const LinkOutput &O : Out) {
+      AtEntry_.push_back(O);
+      const auto *Send = std::get_if<SendFrame>(&O);
+      if (Send && !Cut_)
+        fromAgent(Agent_.onFrame(Send->Connection_, Send->Frame_, Now_));
+    }
+  }
+  void sendFromEntry(std::uint64_t Version) {
+    fromEntry(
+        Entry_.send(AgentPeer, ConfigRequest{ConfigVersion(Version)}, Now_));
+    fromEntry(Entry_.flush(Now_));
+  }
+  void run(std::int64_t Milliseconds) {
+    for (std::int64_t I = 0; I < Milliseconds; I += 100) {
+      Now_ += std::chrono::milliseconds(100);
+      fromAgent(Agent_.onTimer(Now_));
+      fromEntry(Entry_.onTimer(Now_));
+    }
+  }
+  std::vector<std::uint64_t> deliveredAtAgent() const {
+    std::vector<std::uint64_t> List;
+    for (const LinkOutput &O : AtAgent_)
+      if (const auto *D = std::get_if<Deliver>(&O))
+        List.push_back(std::get<ConfigRequest>(D->Message_).Have_.value());
+    return List;
+  }
+};
+
+template <typename T> int count(const std::vector<LinkOutput> &Out) {
+  int N = 0;
+  for (const LinkOutput &O : Out)
+    N += std::holds_alternative<T>(O) ? 1 : 0;
+  return N;
+}
+
+} // namespace
+
+// Guards against messages lost or repeated when a connection breaks with
+// frames under way.
+TEST_CASE("A reconnect resends what was not received, once", "[link]") {
+  Pair P;
+  P.connect();
+  P.sendFromEntry(1);
+  P.Cut_ = true;
+  P.sendFromEntry(2);
+  P.sendFromEntry(3);
+  P.Cut_ = false;
+  P.disconnect();
+  P.sendFromEntry(4);
+  P.connect();
+  CHECK(P.deliveredAtAgent() == std::vector<std::uint64_t>{1, 2, 3, 4});
+  CHECK(count<PeerUp>(P.AtAgent_) == 1);
+  CHECK(count<PeerLost>(P.AtAgent_) == 0);
+}
+
+// Guards against a duplicate that passes when the same frame arrives again, and
+// against a gap that is taken as if nothing were missing.
+TEST_CASE("Repeated frames are dropped and gaps refused", "[link]") {
+  Pair P;
+  P.connect();
+  P.sendFromEntry(1);
+  Batch Again{1, 0, {ConfigRequest{ConfigVersion(1)}}};
+  P.fromAgent(P.Agent_.onFrame(P.Current_, Again, P.Now_));
+  CHECK(P.deliveredAtAgent().size() == 1);
+  Batch Gap{3, 0, {ConfigRequest{ConfigVersion(3)}}};
+  P.fromAgent(P.Agent_.onFrame(P.Current_, Gap, P.Now_));
+  CHECK(P.deliveredAtAgent().size() == 1);
+  CHECK(count<CloseConnection>(P.AtAgent_) == 1);
+}
+
+// Guards against a silent connection that holds up its link while a new one
+// would work.
+TEST_CASE("A silent connection is replaced by a second one", "[link]") {
+  Pair P;
+  P.connect();
+  P.Cut_ = true;
+  P.sendFromEntry(1);
+  P.run(1200);
+  CHECK(count<PeerSuspected>(P.AtAgent_) == 1);
+  CHECK(count<DialPeer>(P.AtAgent_) >= 1);
+  P.Cut_ = false;
+  P.connect();
+  CHECK(P.deliveredAtAgent() == std::vector<std::uint64_t>{1});
+  CHECK(count<PeerHeard>(P.AtAgent_) == 1);
+  CHECK(P.Agent_.isHeard(EntryPeer));
+}
+
+// Guards against messages of a session that was given up reaching the next one,
+// and against one end that goes on in a session the other has ended.
+TEST_CASE("A session given up by one end is over at both", "[link]") {
+  Pair P;
+  P.connect();
+  P.Cut_ = true;
+  P.sendFromEntry(1);
+  while (count<PeerLost>(P.AtEntry_) == 0) {
+    P.Now_ += std::chrono::milliseconds(100);
+    P.fromEntry(P.Entry_.onTimer(P.Now_));
+  }
+  CHECK(count<PeerLost>(P.AtAgent_) == 0);
+  P.Cut_ = false;
+  P.connect();
+  P.sendFromEntry(2);
+  CHECK(count<PeerLost>(P.AtAgent_) == 1);
+  CHECK(count<PeerUp>(P.AtAgent_) == 2);
+  CHECK(P.deliveredAtAgent() == std::vector<std::uint64_t>{2});
+}
+
+// Guards against a delayed Hello of an old process that ends the session of the
+// process that replaced it.
+TEST_CASE("A superseded incarnation is refused", "[link]") {
+  Pair P;
+  P.connect();
+  Links Later({Role::Agent, "agent", Incarnation(9)}, {}, {}, {});
+  const auto Dial = [&](Links &From, ConnectionId C) {
+    P.Entry_.onAccepted(C, P.Now_);
+    LinkOutputs ToEntry = From.onDialled(C, P.Now_);
+    std::vector<LinkOutput> Seen;
+    while (!ToEntry.empty()) {
+      LinkOutputs Next;
+      for (const LinkOutput &O : ToEntry)
+        if (const auto *S = std::get_if<SendFrame>(&O))
+          for (const LinkOutput &R : P.Entry_.onFrame(C, S->Frame_, P.Now_))
+            if (const auto *Back = std::get_if<SendFrame>(&R))
+              for (const LinkOutput &F : From.onFrame(C, Back->Frame_, P.Now_))
+                Next.push_back(F);
+      Seen.insert(Seen.end(), Next.begin(), Next.end());
+      ToEntry = Next;
+    }
+    return Seen;
+  };
+  CHECK(count<PeerUp>(Dial(Later, ConnectionId(50))) == 1);
+  CHECK_FALSE(P.Entry_.isUp(AgentPeer));
+  CHECK(count<SelfSuperseded>(Dial(P.Agent_, ConnectionId(51))) == 1);
+  CHECK(P.Entry_.isUp({Role::Agent, "agent", Incarnation(9)}));
+}
+
+// Guards against a process that was paused and gives up every peer although
+// their frames wait in its socket buffers.
+TEST_CASE("A pause of the process is not silence of its peers", "[link]") {
+  Pair P;
+  P.connect();
+  P.run(500);
+  P.Now_ += std::chrono::seconds(20);
+  P.fromEntry(P.Entry_.onTimer(P.Now_));
+  CHECK(count<PeerLost>(P.AtEntry_) == 0);
+}
+
+// Guards against unbounded memory for a peer that does not acknowledge.
+TEST_CASE("A full buffer ends the session", "[link]") {
+  Pair P;
+  P.connect();
+  P.Cut_ = true;
+  const std::size_t Limit = SessionLimits().MaxUnacknowledged_;
+  for (std::size_t I = 0; I <= Limit; ++I)
+    P.fromEntry(P.Entry_.send(AgentPeer, ConfigRequest{}, P.Now_));
+  CHECK(count<PeerLost>(P.AtEntry_) == 1);
+  CHECK_FALSE(P.Entry_.isUp(AgentPeer));
+}
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,132 @@
+#include "membership.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivelanding;
+
+namespace {
+
+const EntryId Self{"a", Incarnation(1)};
+const EntryId Other{"b", Incarnation(2)};
+const AgentId First{"agent.1", Incarnation(3)};
+const AgentId Second{"agent.2", Incarnation(4)};
+const Time Now{};
+
+template <typename T> int count(const MembershipOutputs &Out) {
+  int N = 0;
+  for (const auto &O : Out)
+    N += std::holds_alternative<T>(O) ? 1 : 0;
+  return N;
+}
+
+MembershipOutputs announce(Membership &M, const AgentId &Agent) {
+  M.onAgentUp(Agent, Now);
+  return M.onAgentMessage(Agent, AnnounceEndpoint{}, Now);
+}
+
+MembershipOutputs hears(Membership &M, const AgentId &Agent,
+                        std::vector<EntryId> Entries) {
+  return M.onAgentMessage(Agent, EntriesHeard{std::move(Entries)}, Now);
+}
+
+// An entry with one agent and one synchronized peer.
+void synchronize(Membership &M) {
+  M.onEntryUp(Other, Now);
+  announce(M, First);
+  M.onEntryMessage(Other, AgentAnnouncedAck{First}, Now);
+}
+
+} // namespace
+
+// Guards against starts on an agent that a recovering peer does not know of.
+TEST_CASE("An agent is used after every peer acknowledged it", "[membership]") {
+  Membership M(Self);
+  M.onEntryUp(Other, Now);
+  CHECK(count<AgentUsable>(announce(M, First)) == 0);
+  const auto Out = M.onEntryMessage(Other, AgentAnnouncedAck{First}, Now);
+  CHECK(count<AgentUsable>(Out) == 1);
+  CHECK(M.isUsable(First));
+}
+
+// Guards against exempting a silent peer that may still take over our jobs.
+TEST_CASE("A synchronized peer is exempted by a confirmed close",
+          "[membership]") {
+  Membership M(Self);
+  synchronize(M);
+  M.onEntryDown(Other, Now);
+  announce(M, Second);
+  CHECK_FALSE(M.isUsable(Second));
+  // The peer does not ask the second agent, so its close there is no proof.
+  M.onAgentMessage(Second, IncarnationClosed{Other, Self, true, {}}, Now);
+  CHECK_FALSE(M.isUsable(Second));
+  M.onAgentMessage(First, IncarnationClosed{Other, Self, true, {}}, Now);
+  CHECK(M.isUsable(Second));
+}
+
+// Guards against an entry without any peer left that cannot use new agents
+// because a peer died before it acknowledged anything.
+TEST_CASE("A peer that never acknowledged is left behind", "[membership]") {
+  Membership M(Self);
+  M.onEntryUp(Other, Now);
+  announce(M, First);
+  CHECK_FALSE(M.isUsable(First));
+  M.onEntrySuspected(Other, Now);
+  CHECK(M.isUsable(First));
+}
+
+// Guards against two live entries that close each other when only the link
+// between them is cut.
+TEST_CASE("An entry that an agent hears is not lost", "[membership]") {
+  Membership M(Self);
+  synchronize(M);
+  hears(M, First, {Self, Other});
+  CHECK(count<EntryLost>(M.onEntryDown(Other, Now)) == 0);
+  CHECK(M.status(Other) == EntryStatus::Suspected);
+  CHECK(count<EntryLost>(hears(M, First, {Self})) == 1);
+  CHECK(M.status(Other) == EntryStatus::Lost);
+}
+
+// Guards against a cut-off entry that declares its peers lost.
+TEST_CASE("An entry that hears no agent concludes nothing", "[membership]") {
+  Membership M(Self);
+  synchronize(M);
+  hears(M, First, {Self});
+  M.onAgentSuspected(First, Now);
+  M.onEntryDown(Other, Now);
+  CHECK(M.status(Other) == EntryStatus::Suspected);
+}
+
+// Guards against a claim to know all agents of an entry before it said so, and
+// against losing what was announced in an earlier session.
+TEST_CASE("Announced agents outlive the session", "[membership]") {
+  Membership M(Self);
+  M.onEntryUp(Other, Now);
+  M.onEntryMessage(Other, AgentAnnounced{First, ServiceName("s")}, Now);
+  CHECK_FALSE(M.knowsAllAgentsOf(Other));
+  M.onEntryMessage(Other, AgentsSynchronized{}, Now);
+  M.onEntryDown(Other, Now);
+  CHECK(M.knowsAllAgentsOf(Other));
+  CHECK(M.agentsOf(Other) == std::vector<AgentId>{First});
+}
+
+// Guards against two entries that both wait for the other to dial, and against
+// dialling another region.
+TEST_CASE("Of two entries the one with the smaller name dials",
+          "[membership]") {
+  const RegionName Here("here");
+  KnownEntries Known;
+  Known.Entries_ = {
+      {Self, Here, "127.0.0.1", 1},
+      {Other, Here, "127.0.0.1", 2},
+      {{"c", Incarnation(7)}, RegionName("there"), "127.0.0.1", 3}};
+  EntryDirectory BySelf(Self, Here, false);
+  EntryDirectory ByOther(Other, Here, false);
+  BySelf.learn(Known, Now);
+  ByOther.learn(Known, Now);
+  REQUIRE_FALSE(BySelf.toDial(Now).empty());
+  CHECK(BySelf.toDial(Now).back().Entry_ == Other);
+  CHECK(ByOther.toDial(Now).empty());
+  BySelf.onUp(Other, Now);
+  CHECK(BySelf.toDial(Now).empty());
+  CHECK(BySelf.covers("127.0.0.1", 2));
+}
