Judge entries that are only named, and ask one agent to close a lost peer

A token can name an entry that this one has never heard; it counts as lost no sooner than the lost time after it was named. A lost peer that is required is closed at one agent, so that new agents become usable again.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -9,6 +9,10 @@
 // a replaced VM usually returns under another address.
 constexpr Duration ForgetAddressAfter = std::chrono::minutes(10);
 
+// Entries that callers named in tokens and that were never heard; callers may
+// send any number of made-up tokens.
+constexpr std::size_t MaxEntries = 4096;
+
 } // namespace
 
 EntryDirectory::EntryDirectory(EntryId Self, RegionName Region, bool DialsAll)
@@ -70,13 +74,39 @@
   });
 }
 
-Membership::Membership(EntryId Self) : Self_(std::move(Self)) {}
+Membership::Membership(EntryId Self, Duration LostAfter)
+    : Self_(std::move(Self)), LostAfter_(LostAfter) {}
+
+MembershipOutputs Membership::onEntryNamed(const EntryId &Entry, Time Now) {
+  MembershipOutputs Out;
+  if (Entry != Self_ && Entries_.count(Entry) == 0 &&
+      Entries_.size() < MaxEntries) {
+    EntryState &State = Entries_[Entry];
+    State.Status_ = EntryStatus::Suspected;
+    State.NamedAt_ = Now;
+  }
+  return onTimer(Now);
+}
+
+MembershipOutputs Membership::onTimer(Time Now) {
+  MembershipOutputs Out;
+  Now_ = Now;
+  judgeEntries(Out);
+  return Out;
+}
+
+bool Membership::isHeard(const AgentId &Agent) const {
+  const auto It = Agents_.find(Agent);
+  return It != Agents_.end() && It->second.Up_ && !It->second.Suspected_;
+}
 
 // A session that begins has lost what the one before did not deliver, so every
 // agent is announced again that the peer has not acknowledged.
-MembershipOutputs Membership::onEntryUp(const EntryId &Entry, Time) {
+MembershipOutputs Membership::onEntryUp(const EntryId &Entry, Time Now) {
   MembershipOutputs Out;
+  Now_ = Now;
   EntryState &Peer = Entries_[Entry];
+  Peer.CloseAsked_.reset();
   Peer.Up_ = true;
   Peer.Told_ = false;
   const bool WasLost = Peer.Status_ == EntryStatus::Lost;
@@ -95,8 +125,9 @@
   return Out;
 }
 
-MembershipOutputs Membership::onEntrySuspected(const EntryId &Entry, Time) {
+MembershipOutputs Membership::onEntrySuspected(const EntryId &Entry, Time Now) {
   MembershipOutputs Out;
+  Now_ = Now;
   EntryState &Peer = Entries_[Entry];
   if (Peer.Status_ == EntryStatus::Heard)
     Peer.Status_ = EntryStatus::Suspected;
@@ -111,8 +142,9 @@
   return {};
 }
 
-MembershipOutputs Membership::onEntryDown(const EntryId &Entry, Time) {
+MembershipOutputs Membership::onEntryDown(const EntryId &Entry, Time Now) {
   MembershipOutputs Out;
+  Now_ = Now;
   EntryState &Peer = Entries_[Entry];
   Peer.Up_ = false;
   if (Peer.Status_ != EntryStatus::Lost)
@@ -127,7 +159,7 @@
   MembershipOutputs Out;
   EntryState &Peer = Entries_[From];
   if (const auto *Announced = std::get_if<AgentAnnounced>(&M)) {
-    Peer.Announced_.insert(Announced->Agent_);
+    Peer.Announced_.insert({Announced->Agent_, Announced->Service_});
     Out.push_back(SendToPeer{From, AgentAnnouncedAck{Announced->Agent_}});
   } else if (const auto *Ack = std::get_if<AgentAnnouncedAck>(&M)) {
     Peer.Acknowledged_.insert(Ack->Agent_);
@@ -145,8 +177,9 @@
   State.Up_ = true;
 }
 
-MembershipOutputs Membership::onAgentDown(const AgentId &Agent, Time) {
+MembershipOutputs Membership::onAgentDown(const AgentId &Agent, Time Now) {
   MembershipOutputs Out;
+  Now_ = Now;
   const auto It = Agents_.find(Agent);
   if (It == Agents_.end())
     return Out;
@@ -158,8 +191,9 @@
   return Out;
 }
 
-MembershipOutputs Membership::onAgentSuspected(const AgentId &Agent, Time) {
+MembershipOutputs Membership::onAgentSuspected(const AgentId &Agent, Time Now) {
   MembershipOutputs Out;
+  Now_ = Now;
   const auto It = Agents_.find(Agent);
   if (It != Agents_.end())
     It->second.Suspected_ = true;
@@ -178,15 +212,20 @@
   return {};
 }
 
+// A peer was told one service of the agent, so an endpoint of another service
+// is not used until the agent starts anew.
 MembershipOutputs Membership::onAgentMessage(const AgentId &From,
-                                             const Message &M, Time) {
+                                             const Message &M, Time Now) {
   MembershipOutputs Out;
+  Now_ = Now;
   const auto It = Agents_.find(From);
   if (It == Agents_.end())
     return Out;
   AgentState &Agent = It->second;
   if (const auto *Announce = std::get_if<AnnounceEndpoint>(&M)) {
     const bool First = !Agent.Info_;
+    if (!First && Agent.Info_->Service_ != Announce->Info_.Service_)
+      return Out;
     Agent.Info_ = Announce->Info_;
     if (First)
       for (const auto &[Id, Peer] : Entries_)
@@ -266,13 +305,33 @@
   if (!HearsAgent)
     return;
   for (auto &[Id, Peer] : Entries_) {
-    if (Peer.Up_ || Peer.Status_ != EntryStatus::Suspected || stillHeard(Id))
+    if (Peer.Status_ == EntryStatus::Lost)
+      askClose(Id, Peer, Out);
+    if (Peer.Up_ || Peer.Status_ != EntryStatus::Suspected || stillHeard(Id) ||
+        Now_ - Peer.NamedAt_ < LostAfter_)
       continue;
     Peer.Status_ = EntryStatus::Lost;
-    Out.push_back(EntryLost{Id, agentsOf(Id)});
+    Out.push_back(EntryLost{Id});
+    askClose(Id, Peer, Out);
   }
 }
 
+// One agent is asked, the same one by every peer that hears it, so that the
+// grants for a lost entry's jobs are seldom divided.
+void Membership::askClose(const EntryId &Entry, EntryState &Peer,
+                          MembershipOutputs &Out) {
+  if (!Peer.Required_ || Peer.Exempt_ ||
+      (Peer.CloseAsked_ && isHeard(*Peer.CloseAsked_)))
+    return;
+  const auto It =
+      std::find_if(Peer.Acknowledged_.begin(), Peer.Acknowledged_.end(),
+                   [&](const AgentId &Agent) { return isHeard(Agent); });
+  if (It == Peer.Acknowledged_.end())
+    return;
+  Peer.CloseAsked_ = *It;
+  Out.push_back(CloseAtAgent{*It, Entry});
+}
+
 // Only an agent that the closed peer knows from us counts: the peer asks it
 // before it claims anything about our jobs, and learns there that it is closed.
 void Membership::onClosed(const AgentId &By, const EntryId &Entry,
@@ -299,11 +358,16 @@
   return It != Agents_.end() && It->second.Usable_;
 }
 
-std::vector<AgentId> Membership::agentsOf(const EntryId &Entry) const {
+std::vector<AnnouncedAgent> Membership::agentsOf(const EntryId &Entry) const {
+  std::set<AnnouncedAgent> List;
   const auto It = Entries_.find(Entry);
-  if (It == Entries_.end())
-    return {};
-  return {It->second.Announced_.begin(), It->second.Announced_.end()};
+  if (It != Entries_.end())
+    List = It->second.Announced_;
+  if (!knowsAllAgentsOf(Entry))
+    for (const auto &[Id, Agent] : Agents_)
+      if (Agent.Info_)
+        List.insert({Id, Agent.Info_->Service_});
+  return {List.begin(), List.end()};
 }
 
 bool Membership::knowsAllAgentsOf(const EntryId &Entry) const {
--- a/src/membership.h
+++ b/src/membership.h
@@ -67,11 +67,9 @@
   AgentId Agent_;
 };
 
-/// Output: the entry counts as lost. Recovery must close it at Agents_, which
-/// are the agents that this entry knows it to have used.
+/// Output: the entry counts as lost; its jobs may be recovered.
 struct EntryLost {
   EntryId Entry_;
-  std::vector<AgentId> Agents_;
 };
 
 /// Output: an entry that counted as lost is heard again and was closed by no
@@ -80,8 +78,28 @@
   EntryId Entry_;
 };
 
-using MembershipOutput =
-    std::variant<SendToPeer, AgentUsable, AgentGone, EntryLost, EntryReturned>;
+/// Output: send CloseIncarnation for the lost entry to this agent, so that the
+/// entry need not be waited for any more.
+struct CloseAtAgent {
+  AgentId Agent_;
+  EntryId Entry_;
+};
+
+/// An agent that an entry announced, and its service.
+struct AnnouncedAgent {
+  AgentId Agent_;
+  ServiceName Service_;
+
+  friend bool operator==(const AnnouncedAgent &A, const AnnouncedAgent &B) {
+    return A.Agent_ == B.Agent_ && A.Service_ == B.Service_;
+  }
+  friend bool operator<(const AnnouncedAgent &A, const AnnouncedAgent &B) {
+    return std::tie(A.Agent_, A.Service_) < std::tie(B.Agent_, B.Service_);
+  }
+};
+
+using MembershipOutput = std::variant<SendToPeer, AgentUsable, AgentGone,
+                                      EntryLost, EntryReturned, CloseAtAgent>;
 using MembershipOutputs = std::vector<MembershipOutput>;
 
 /// What is known of a peer entry.
@@ -105,7 +123,9 @@
 /// not, until an agent that it acknowledged confirms its close.
 class Membership {
 public:
-  explicit Membership(EntryId Self);
+  /// An entry that was named to this one without ever being heard counts as
+  /// lost no sooner than LostAfter after it was first named.
+  Membership(EntryId Self, Duration LostAfter);
 
   MembershipOutputs onEntryUp(const EntryId &Entry, Time Now);
   MembershipOutputs onEntrySuspected(const EntryId &Entry, Time Now);
@@ -117,6 +137,9 @@
   MembershipOutputs onEntryMessage(const EntryId &From, const Message &M,
                                    Time Now);
 
+  /// A token names this entry, which need not be known here.
+  MembershipOutputs onEntryNamed(const EntryId &Entry, Time Now);
+
   void onAgentUp(const AgentId &Agent, Time Now);
   MembershipOutputs onAgentDown(const AgentId &Agent, Time Now);
   MembershipOutputs onAgentSuspected(const AgentId &Agent, Time Now);
@@ -127,11 +150,14 @@
   MembershipOutputs onAgentMessage(const AgentId &From, const Message &M,
                                    Time Now);
 
+  MembershipOutputs onTimer(Time Now);
+
   EntryStatus status(const EntryId &Entry) const;
   /// True if the agent may be used.
   bool isUsable(const AgentId &Agent) const;
-  /// Agents that the entry announced here.
-  std::vector<AgentId> agentsOf(const EntryId &Entry) const;
+  /// Agents that the entry announced here; if knowsAllAgentsOf is false, those
+  /// and every agent known here.
+  std::vector<AnnouncedAgent> agentsOf(const EntryId &Entry) const;
   /// True if agentsOf names every agent that the entry may have used.
   bool knowsAllAgentsOf(const EntryId &Entry) const;
 
@@ -143,13 +169,16 @@
     bool Closed_ = false;
     /// The entry said that it uses no agent without our acknowledgement.
     bool SynchronizedHere_ = false;
-    std::set<AgentId> Announced_;
+    std::set<AnnouncedAgent> Announced_;
     /// We may use no agent without its acknowledgement.
     bool Required_ = false;
     /// AgentsSynchronized was sent in this session.
     bool Told_ = false;
     bool Exempt_ = false;
     std::set<AgentId> Acknowledged_;
+    /// The agent that was asked to close this entry.
+    std::optional<AgentId> CloseAsked_;
+    Time NamedAt_;
   };
   struct AgentState {
     std::optional<EndpointInfo> Info_;
@@ -167,11 +196,15 @@
   void synchronize(const EntryId &Entry, EntryState &Peer,
                    MembershipOutputs &Out);
   void judgeEntries(MembershipOutputs &Out);
+  void askClose(const EntryId &Entry, EntryState &Peer, MembershipOutputs &Out);
+  bool isHeard(const AgentId &Agent) const;
   bool stillHeard(const EntryId &Entry) const;
   void onClosed(const AgentId &By, const EntryId &Entry,
                 MembershipOutputs &Out);
 
   EntryId Self_;
+  Duration LostAfter_;
+  Time Now_;
   std::map<EntryId, EntryState> Entries_;
   std::map<AgentId, AgentState> Agents_;
   /// Every agent that was usable at some time in this incarnation.
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -10,7 +10,7 @@
 const EntryId Other{"b", Incarnation(2)};
 const AgentId First{"agent.1", Incarnation(3)};
 const AgentId Second{"agent.2", Incarnation(4)};
-const Time Now{};
+const Time Now{std::chrono::hours(1)};
 
 template <typename T> int count(const MembershipOutputs &Out) {
   int N = 0;
@@ -40,7 +40,7 @@
 
 // Guards against starts on an agent that a recovering peer does not know of.
 TEST_CASE("An agent is used after every peer acknowledged it", "[membership]") {
-  Membership M(Self);
+  Membership M(Self, std::chrono::seconds(5));
   M.onEntryUp(Other, Now);
   CHECK(count<AgentUsable>(announce(M, First)) == 0);
   const auto Out = M.onEntryMessage(Other, AgentAnnouncedAck{First}, Now);
@@ -51,7 +51,7 @@
 // Guards against exempting a silent peer that may still take over our jobs.
 TEST_CASE("A synchronized peer is exempted by a confirmed close",
           "[membership]") {
-  Membership M(Self);
+  Membership M(Self, std::chrono::seconds(5));
   synchronize(M);
   M.onEntryDown(Other, Now);
   announce(M, Second);
@@ -66,7 +66,7 @@
 // Guards against an entry without any peer left that cannot use new agents
 // because a peer died before it acknowledged anything.
 TEST_CASE("A peer that never acknowledged is left behind", "[membership]") {
-  Membership M(Self);
+  Membership M(Self, std::chrono::seconds(5));
   M.onEntryUp(Other, Now);
   announce(M, First);
   CHECK_FALSE(M.isUsable(First));
@@ -77,7 +77,7 @@
 // Guards against two live entries that close each other when only the link
 // between them is cut.
 TEST_CASE("An entry that an agent hears is not lost", "[membership]") {
-  Membership M(Self);
+  Membership M(Self, std::chrono::seconds(5));
   synchronize(M);
   hears(M, First, {Self, Other});
   CHECK(count<EntryLost>(M.onEntryDown(Other, Now)) == 0);
@@ -88,7 +88,7 @@
 
 // Guards against a cut-off entry that declares its peers lost.
 TEST_CASE("An entry that hears no agent concludes nothing", "[membership]") {
-  Membership M(Self);
+  Membership M(Self, std::chrono::seconds(5));
   synchronize(M);
   hears(M, First, {Self});
   M.onAgentSuspected(First, Now);
@@ -99,14 +99,15 @@
 // Guards against a claim to know all agents of an entry before it said so, and
 // against losing what was announced in an earlier session.
 TEST_CASE("Announced agents outlive the session", "[membership]") {
-  Membership M(Self);
+  Membership M(Self, std::chrono::seconds(5));
   M.onEntryUp(Other, Now);
   M.onEntryMessage(Other, AgentAnnounced{First, ServiceName("s")}, Now);
   CHECK_FALSE(M.knowsAllAgentsOf(Other));
   M.onEntryMessage(Other, AgentsSynchronized{}, Now);
   M.onEntryDown(Other, Now);
   CHECK(M.knowsAllAgentsOf(Other));
-  CHECK(M.agentsOf(Other) == std::vector<AgentId>{First});
+  CHECK(M.agentsOf(Other) ==
+        std::vector<AnnouncedAgent>{{First, ServiceName("s")}});
 }
 
 // Guards against two entries that both wait for the other to dial, and against
