--- a/src/message.cpp
+++ b/src/message.cpp
@@ -229,7 +229,8 @@
       "EntriesHeard",      "AgentAnnounced", "AgentAnnouncedAck",
       "KnownEntries",      "RelaySubmit",    "RelayAnswer",
       "RelayCancel",       "ConfigDigest",   "ConfigRequest",
-      "ConfigState",       "UsageSummary",   "EpochsExpired"};
+      "ConfigState",       "UsageSummary",   "EpochsExpired",
+      "AgentsSynchronized"};
   static_assert(std::size(Names) == std::variant_size_v<Message>);
   return Names[M.index()];
 }
