--- /dev/null
+++ b/src/membership.h
@@ -0,0 +1,216 @@
+#ifndef CHIVELANDING_MEMBERSHIP_H
+#define CHIVELANDING_MEMBERSHIP_H
+
+#include "message.h"
+#include "types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chivelanding {
+
+/// Entries that a process knows of by address, and which of them to dial. Used
+/// by entries and agents.
+class EntryDirectory {
+public:
+  /// DialsAll is true for agents, which dial every entry of their region; an
+  /// entry dials the entries of its region with a greater name than its own.
+  EntryDirectory(EntryId Self, RegionName Region, bool DialsAll);
+
+  /// Takes addresses from a peer that says these entries live.
+  void learn(const KnownEntries &Known, Time Now);
+  void onUp(const EntryId &Entry, Time Now);
+  void onDown(const EntryId &Entry, Time Now);
+
+  /// Entries to open a connection to, by name.
+  std::vector<EntryAddress> toDial(Time Now) const;
+  /// Addresses of the entries that are up, to tell others.
+  KnownEntries known() const;
+  /// True if an entry that is up listens at this address, so that a seed with
+  /// the same address need not be dialled.
+  bool covers(const std::string &Host, std::uint16_t Port) const;
+
+private:
+  struct Known {
+    EntryAddress Address_;
+    bool Up_ = false;
+    Time LastKnown_;
+  };
+
+  EntryId Self_;
+  RegionName Region_;
+  bool DialsAll_;
+  std::map<std::string, Known> Entries_;
+};
+
+/// Output: deliver a message to a peer entry.
+struct SendToPeer {
+  EntryId To_;
+  Message Message_;
+};
+
+/// Output: the agent may be used from now on, or its attributes have changed.
+/// Report_ is the last one received, if any.
+struct AgentUsable {
+  AgentId Agent_;
+  EndpointInfo Info_;
+  std::optional<AgentReport> Report_;
+};
+
+/// Output: nothing more will be heard of this agent; it was usable before.
+struct AgentGone {
+  AgentId Agent_;
+};
+
+/// Output: the entry counts as lost; its jobs may be recovered.
+struct EntryLost {
+  EntryId Entry_;
+};
+
+/// Output: an entry that counted as lost is heard again and was closed by no
+/// agent known here.
+struct EntryReturned {
+  EntryId Entry_;
+};
+
+/// Output: send CloseIncarnation for the lost entry to this agent, so that the
+/// entry need not be waited for any more.
+struct CloseAtAgent {
+  AgentId Agent_;
+  EntryId Entry_;
+};
+
+/// An agent that an entry announced, and its service.
+struct AnnouncedAgent {
+  AgentId Agent_;
+  ServiceName Service_;
+
+  friend bool operator==(const AnnouncedAgent &A, const AnnouncedAgent &B) {
+    return A.Agent_ == B.Agent_ && A.Service_ == B.Service_;
+  }
+  friend bool operator<(const AnnouncedAgent &A, const AnnouncedAgent &B) {
+    return std::tie(A.Agent_, A.Service_) < std::tie(B.Agent_, B.Service_);
+  }
+};
+
+using MembershipOutput = std::variant<SendToPeer, AgentUsable, AgentGone,
+                                      EntryLost, EntryReturned, CloseAtAgent>;
+using MembershipOutputs = std::vector<MembershipOutput>;
+
+/// What is known of a peer entry.
+enum class EntryStatus : std::uint8_t {
+  /// Never heard of.
+  Unknown,
+  Heard,
+  /// Silent, but not given up, or an agent still hears it.
+  Suspected,
+  /// May be recovered from.
+  Lost
+};
+
+/// Entries and agents of the region as one entry knows them, and which agents
+/// it may use. Decides without I/O; silence is judged by `link`.
+///
+/// An agent is used only once every peer entry that is heard or synchronized
+/// has acknowledged AgentAnnounced. A peer is synchronized once it was told so
+/// by AgentsSynchronized, which is sent when it has acknowledged every agent
+/// that may be used, at least one. From then on it stays required, heard or
+/// not, until an agent that it acknowledged confirms its close.
+class Membership {
+public:
+  /// An entry that was named to this one without ever being heard counts as
+  /// lost no sooner than LostAfter after it was first named.
+  Membership(EntryId Self, Duration LostAfter);
+
+  MembershipOutputs onEntryUp(const EntryId &Entry, Time Now);
+  MembershipOutputs onEntrySuspected(const EntryId &Entry, Time Now);
+  MembershipOutputs onEntryHeard(const EntryId &Entry, Time Now);
+  /// The session with the entry is over.
+  MembershipOutputs onEntryDown(const EntryId &Entry, Time Now);
+  /// Takes AgentAnnounced, AgentAnnouncedAck and AgentsSynchronized; ignores
+  /// other messages.
+  MembershipOutputs onEntryMessage(const EntryId &From, const Message &M,
+                                   Time Now);
+
+  /// A token names this entry, which need not be known here.
+  MembershipOutputs onEntryNamed(const EntryId &Entry, Time Now);
+
+  void onAgentUp(const AgentId &Agent, Time Now);
+  MembershipOutputs onAgentDown(const AgentId &Agent, Time Now);
+  MembershipOutputs onAgentSuspected(const AgentId &Agent, Time Now);
+  MembershipOutputs onAgentHeard(const AgentId &Agent, Time Now);
+  /// Takes AnnounceEndpoint, AgentReport, EntriesHeard and IncarnationClosed;
+  /// ignores other messages. AnnounceEndpoint and AgentReport of an agent that
+  /// is not usable must not reach the scheduler by another way.
+  MembershipOutputs onAgentMessage(const AgentId &From, const Message &M,
+                                   Time Now);
+
+  MembershipOutputs onTimer(Time Now);
+
+  EntryStatus status(const EntryId &Entry) const;
+  /// True if the agent may be used.
+  bool isUsable(const AgentId &Agent) const;
+  /// Agents that the entry announced here; if knowsAllAgentsOf is false, those
+  /// and every agent known here.
+  std::vector<AnnouncedAgent> agentsOf(const EntryId &Entry) const;
+  /// True if agentsOf names every agent that the entry may have used.
+  bool knowsAllAgentsOf(const EntryId &Entry) const;
+
+private:
+  struct EntryState {
+    EntryStatus Status_ = EntryStatus::Unknown;
+    bool Up_ = false;
+    /// Some agent confirmed that it closed this incarnation.
+    bool Closed_ = false;
+    /// The entry said that it uses no agent without our acknowledgement.
+    bool SynchronizedHere_ = false;
+    std::set<AnnouncedAgent> Announced_;
+    /// We may use no agent without its acknowledgement.
+    bool Required_ = false;
+    /// AgentsSynchronized was sent in this session.
+    bool Told_ = false;
+    bool Exempt_ = false;
+    std::set<AgentId> Acknowledged_;
+    /// The agent that was asked to close this entry.
+    std::optional<AgentId> CloseAsked_;
+    Time NamedAt_;
+  };
+  struct AgentState {
+    std::optional<EndpointInfo> Info_;
+    std::optional<AgentReport> Report_;
+    /// Unset until the first EntriesHeard of the session.
+    std::optional<std::set<EntryId>> Hears_;
+    bool Up_ = false;
+    bool Suspected_ = false;
+    bool Usable_ = false;
+  };
+
+  bool mayUse(const AgentId &Agent) const;
+  void offer(const AgentId &Agent, MembershipOutputs &Out);
+  void reconsider(MembershipOutputs &Out);
+  void synchronize(const EntryId &Entry, EntryState &Peer,
+                   MembershipOutputs &Out);
+  void judgeEntries(MembershipOutputs &Out);
+  void askClose(const EntryId &Entry, EntryState &Peer, MembershipOutputs &Out);
+  bool isHeard(const AgentId &Agent) const;
+  bool stillHeard(const EntryId &Entry) const;
+  void onClosed(const AgentId &By, const EntryId &Entry,
+                MembershipOutputs &Out);
+
+  EntryId Self_;
+  Duration LostAfter_;
+  Time Now_;
+  std::map<EntryId, EntryState> Entries_;
+  std::map<AgentId, AgentState> Agents_;
+  /// Every agent that was usable at some time in this incarnation.
+  std::map<AgentId, ServiceName> Used_;
+};
+
+} // namespace chivelanding
+
+#endif
--- a/src/message.h
+++ b/src/message.h
@@ -54,8 +54,12 @@
 struct TaskStart {
   TaskIndex Index_;
   std::string Payload_;
+  /// Counts the sender's starts of this task, so that a late copy of a refused
+  /// start is told from a new one.
+  std::uint32_t Attempt_ = 1;
   static constexpr auto fields() {
-    return std::make_tuple(&TaskStart::Index_, &TaskStart::Payload_);
+    return std::make_tuple(&TaskStart::Index_, &TaskStart::Payload_,
+                           &TaskStart::Attempt_);
   }
 };
 
@@ -95,9 +99,10 @@
   JobId Job_;
   std::vector<TaskIndex> Tasks_;
   RejectReason Reason_ = RejectReason::NoRoom;
+  std::uint32_t Attempt_ = 1;
   static constexpr auto fields() {
     return std::make_tuple(&TasksRejected::Job_, &TasksRejected::Tasks_,
-                           &TasksRejected::Reason_);
+                           &TasksRejected::Reason_, &TasksRejected::Attempt_);
   }
 };
 
@@ -181,9 +186,12 @@
   bool Finished_ = false;
   RunOutcome Outcome_ = RunOutcome::Failure;
   std::string Result_;
+  /// True if the agent has dropped the result to stay within its bound.
+  bool Evicted_ = false;
   static constexpr auto fields() {
     return std::make_tuple(&HeldTask::Index_, &HeldTask::Finished_,
-                           &HeldTask::Outcome_, &HeldTask::Result_);
+                           &HeldTask::Outcome_, &HeldTask::Result_,
+                           &HeldTask::Evicted_);
   }
 };
 
@@ -358,6 +366,23 @@
   }
 };
 
+/// Entry to agent: the sender's jobs of token epochs before Oldest_ are all
+/// answered and no new key is accepted under them, so the agent may drop its
+/// records of them; it refuses late starts of such jobs.
+struct EpochsExpired {
+  Epoch Oldest_;
+  static constexpr auto fields() {
+    return std::make_tuple(&EpochsExpired::Oldest_);
+  }
+};
+
+/// Entry to entry: the receiver has acknowledged every agent that the sender
+/// uses, and the sender uses no further agent without its acknowledgement,
+/// until an agent of those confirms that it closed the receiver.
+struct AgentsSynchronized {
+  static constexpr auto fields() { return std::make_tuple(); }
+};
+
 /// Every message that `link` numbers and delivers in order, exactly once
 /// between two incarnations. The position in the list is the type number on the
 /// wire, so new messages go to the end.
@@ -367,15 +392,19 @@
                  IncarnationClosed, TransferGrant, YouAreClosed, EntriesHeard,
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
-                 ConfigState, UsageSummary, ConfigDelta>;
+                 ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized,
+                 ConfigDelta>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
 
 enum class Role : std::uint8_t { Entry, Agent };
 
-/// First frame in each direction on a connection. LastReceived_ is the highest
-/// number received from the peer's incarnation Peer_, 0 if none.
+/// Opens a connection in three steps: the dialling side names itself (Peer_ and
+/// Session_ 0), the dialled side answers with its state of the pair, and the
+/// dialling side confirms with its own state. LastReceived_ is the highest
+/// number received from Peer_ in session Session_. In the answer, a Peer_ other
+/// than the dialling incarnation states that this incarnation supersedes it.
 struct Hello {
   std::uint32_t Protocol_ = ProtocolVersion;
   Role Role_ = Role::Entry;
@@ -386,11 +415,14 @@
   std::string PeerName_;
   Incarnation Peer_;
   std::uint64_t LastReceived_ = 0;
+  /// Counts the sessions between two incarnations, from 1. Each starts with
+  /// empty numbering after the one before was given up.
+  std::uint64_t Session_ = 0;
   static constexpr auto fields() {
     return std::make_tuple(&Hello::Protocol_, &Hello::Role_, &Hello::Name_,
                            &Hello::Incarnation_, &Hello::Zone_, &Hello::Region_,
                            &Hello::PeerName_, &Hello::Peer_,
-                           &Hello::LastReceived_);
+                           &Hello::LastReceived_, &Hello::Session_);
   }
 };
 
