--- a/standin/log.cpp
+++ b/standin/log.cpp
@@ -15,7 +15,7 @@
 #include <random>
 #include <thread>
 
-namespace chivelanding::standin {
+namespace chivelanding {
 
 namespace {
 
@@ -241,7 +241,7 @@
 
 } // namespace
 
-int runLog(const Arguments &Args) {
+int runLogStandin(const Arguments &Args) {
   std::uint16_t Port = 0;
   std::uint64_t Seed = 1;
   for (std::size_t I = 0; I < Args.size(); I += 2) {
@@ -274,4 +274,4 @@
   }
 }
 
-} // namespace chivelanding::standin
+} // namespace chivelanding
