Add the commands check, diff, publish, history and show

Cause: operators had no way to validate, preview and publish a set. Change: the commands read the log themselves, so that they work without an entry; publish previews what changes and which limits tighten, refuses a stale base with the changes since, and resolves a lost answer by reading back.

--- a/src/cli.h
+++ b/src/cli.h
@@ -36,6 +36,17 @@
 /// Prints the catalogue of log events.
 int runEvents(const Arguments &Args);
 
+/// Checks files with configuration objects.
+int runCheck(const Arguments &Args);
+/// Shows how files differ from the version in force.
+int runDiff(const Arguments &Args);
+/// Publishes a change of the configuration.
+int runPublish(const Arguments &Args);
+/// Lists the changes in the log.
+int runHistory(const Arguments &Args);
+/// Prints a version of the configuration.
+int runShow(const Arguments &Args);
+
 } // namespace chivelanding
 
 #endif
--- /dev/null
+++ b/src/cli_config.h
@@ -0,0 +1,22 @@
+#ifndef CHIVELANDING_CLI_CONFIG_H
+#define CHIVELANDING_CLI_CONFIG_H
+
+#include "cli_support.h"
+#include "config_delta.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chivelanding {
+
+/// The sources as a checked configuration. Prints every problem and gives the
+/// exit code if there is one.
+std::variant<AcceptedPtr, int>
+loadChecked(const std::vector<std::string> &Files, bool AsJson);
+
+/// Prints what changes, and marks what tightens.
+void printChanges(const std::vector<ObjectChange> &Changes, FILE *Stream);
+nlohmann::json changesJson(const std::vector<ObjectChange> &Changes);
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/cli_support.h
@@ -0,0 +1,66 @@
+#ifndef CHIVELANDING_CLI_SUPPORT_H
+#define CHIVELANDING_CLI_SUPPORT_H
+
+#include "cli.h"
+#include "config_objects.h"
+#include "result.h"
+#include "settings.h"
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// Options of one subcommand. Every subcommand has --json and --help.
+class CommandOptions {
+public:
+  /// Positional is the placeholder of file arguments, empty if there are none.
+  CommandOptions(const char *Name, const char *Purpose, const char *Positional);
+
+  boost::program_options::options_description_easy_init add() {
+    return Description_.add_options();
+  }
+  /// The exit code if the command ends here: after --help or a wrong option.
+  std::optional<int> parse(const Arguments &Args);
+
+  bool has(const char *Name) const { return Values_.count(Name) > 0; }
+  std::string text(const char *Name) const;
+  std::optional<std::uint64_t> number(const char *Name) const;
+  std::vector<std::string> files() const;
+  bool json() const { return has("json"); }
+
+private:
+  std::string usage() const;
+
+  const char *Name_;
+  const char *Purpose_;
+  const char *Positional_;
+  boost::program_options::options_description Description_;
+  boost::program_options::variables_map Values_;
+};
+
+/// Prints a table with a header; columns are as wide as their longest cell.
+void printTable(const std::vector<std::vector<std::string>> &Rows);
+/// Prints a value on one line.
+void printJson(const nlohmann::json &Value);
+/// Prints an error as text on the error stream, or as JSON, and returns Exit.
+int reportError(const Error &E, bool AsJson, int Exit);
+
+/// An address "IP:PORT". Error code: bad_address.
+Result<SocketAddress> parseAddress(const std::string &Text);
+/// The address of an option or of an environment variable. Error codes:
+/// no_address, bad_address.
+Result<SocketAddress> addressOption(const CommandOptions &Options,
+                                    const char *Name, const char *Variable);
+
+/// Reads files; "-" is the standard input. Error code: unreadable.
+Result<std::vector<ConfigSource>>
+readSources(const std::vector<std::string> &Files);
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/config_session.cpp
@@ -0,0 +1,59 @@
+#include "config_session.h"
+
+#include <random>
+
+namespace chivelanding {
+
+ConfigSession::ConfigSession(SocketAddress Log)
+    : Transport_(Context_, std::move(Log)) {
+  FollowerOptions Options;
+  Options.Name_ = "command";
+  Options.Seed_ = std::random_device()();
+  Options.WritesSnapshots_ = false;
+  ConfigRunner::Callbacks Calls;
+  Calls.Accepted_ = [this](const AcceptedPtr &State) {
+    States_[State->Version_] = State;
+  };
+  Calls.Judged_ = [this](const JudgedRecord &Judged) {
+    if (Judged.Judgement_ <= Judgement::RefusedInvalid)
+      History_.push_back(Judged);
+  };
+  Calls.Published_ = [this](const PublishEnded &End) { Ended_ = End; };
+  Calls.Reachable_ = [this](const LogReachable &R) {
+    LogProblem_ = R.Reachable_ ? "" : R.Detail_;
+  };
+  Runner_ = std::make_unique<ConfigRunner>(Context_, Transport_,
+                                           std::move(Options), Calls);
+}
+
+Result<Done> ConfigSession::readToEnd(Duration Limit) {
+  const Time Deadline = steadyNow() + Limit;
+  Runner_->start();
+  const ConfigFollower &F = Runner_->follower();
+  while (!F.caughtUp() && !F.publication().stalled() && steadyNow() < Deadline)
+    Context_.run_one_for(Deadline - steadyNow());
+  const std::string Step = "read configuration";
+  if (F.publication().stalled())
+    return Error{"newer_rules", Step, "log",
+                 "the log has a change that this program is too old to judge; "
+                 "update chivelanding"};
+  if (!F.caughtUp())
+    return Error{"log_unavailable", Step, "log",
+                 (LogProblem_.empty() ? "no answer in time" : LogProblem_) +
+                     "; the configuration in force stays, try again later"};
+  if (!F.publication().known())
+    return Error{"no_state", Step, "log",
+                 "the oldest records have expired and no snapshot is usable; "
+                 "an entry that has the configuration writes one within a "
+                 "minute"};
+  return Done();
+}
+
+PublishEnded ConfigSession::publish(ChangeRecord Change) {
+  Runner_->publish(std::move(Change));
+  while (!Ended_)
+    Context_.run_one();
+  return *Ended_;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/config_session.h
@@ -0,0 +1,48 @@
+#ifndef CHIVELANDING_CONFIG_SESSION_H
+#define CHIVELANDING_CONFIG_SESSION_H
+
+#include "config_runner.h"
+#include "log_transport.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace chivelanding {
+
+/// One command's view of the configuration in the log. Blocks its thread.
+class ConfigSession {
+public:
+  explicit ConfigSession(SocketAddress Log);
+
+  /// Reads until the end of the log. Error codes: log_unavailable, no_state
+  /// (the oldest records have expired and no snapshot is usable), newer_rules.
+  Result<Done> readToEnd(Duration Limit);
+  /// Publishes and waits for the end, which comes within the limit of the
+  /// follower (30 s).
+  PublishEnded publish(ChangeRecord Change);
+
+  const AcceptedPtr &state() const {
+    return Runner_->follower().publication().state();
+  }
+  /// States that follow from the retained records, by version.
+  const std::map<ConfigVersion, AcceptedPtr> &states() const { return States_; }
+  /// Judged changes, oldest first.
+  const std::vector<JudgedRecord> &history() const { return History_; }
+  PublicationCounts counts() const {
+    return Runner_->follower().publication().counts();
+  }
+
+private:
+  boost::asio::io_context Context_;
+  BeastLogTransport Transport_;
+  std::unique_ptr<ConfigRunner> Runner_;
+  std::map<ConfigVersion, AcceptedPtr> States_;
+  std::vector<JudgedRecord> History_;
+  std::optional<PublishEnded> Ended_;
+  std::string LogProblem_;
+};
+
+} // namespace chivelanding
+
+#endif
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr Command Commands[] = {
+    {"check", "check configuration files", runCheck},
+    {"diff", "compare files with the version in force", runDiff},
+    {"publish", "publish a change of the configuration", runPublish},
+    {"history", "list the changes in the log", runHistory},
+    {"show", "print a version of the configuration", runShow},
     {"bench", "run a built-in benchmark", runBench},
     {"settings", "print the page of all settings", runSettings},
     {"events", "print the catalogue of log events", runEvents},
