--- a/src/agent_gate.cpp
+++ b/src/agent_gate.cpp
@@ -4,156 +4,275 @@
 
 namespace chivelanding {
 
+using State = TaskRecord::State;
+
 AgentGate::AgentGate(AgentId Self, GateLimits Limits)
-    : Self_(std::move(Self)), Limits_(Limits) {}
+    : Self_(std::move(Self)), Limits_(Limits), Records_(Limits.ResultBytes_) {}
+
+bool AgentGate::isLeaving() const {
+  return Leaving_ || (Endpoint_ && Endpoint_->Leaving_);
+}
+
+std::uint32_t AgentGate::slots() const {
+  if (!Endpoint_ || isLeaving())
+    return 0;
+  if (Endpoint_->Connections_ == 0)
+    return Endpoint_->Slots_;
+  return std::min(Endpoint_->Slots_, Endpoint_->Connections_);
+}
+
+// A message to an entry that is not connected would be lost; what it says
+// stays in the records, from which the entry or its recoverer gets it later.
+void AgentGate::send(const EntryId &To, Message M, GateOutputs &Out) const {
+  if (Entries_.count(To) != 0)
+    Out.push_back(SendToEntry{To, std::move(M)});
+}
 
-void AgentGate::announce(const EntryId &To, GateOutputs &Out) {
+void AgentGate::announce(const EntryId &To, GateOutputs &Out) const {
   if (!Endpoint_)
     return;
   EndpointInfo Info = *Endpoint_;
-  Info.Leaving_ = Info.Leaving_ || Leaving_;
-  Out.push_back(SendToEntry{To, AnnounceEndpoint{Info}});
+  Info.Leaving_ = isLeaving();
+  send(To, AnnounceEndpoint{Info}, Out);
 }
 
-// Room is offered to every connected entry at once; the queue absorbs the
-// starts of entries that use the same room.
+// Tells an entry who holds the grant for a closed owner, and the holder itself
+// what is held of the owner's jobs.
+void AgentGate::sendHoldings(const EntryId &Owner, const EntryId &To,
+                             GateOutputs &Out) const {
+  for (IncarnationClosed &Part : Records_.holdings(Owner, To))
+    send(To, std::move(Part), Out);
+}
+
+// A report is left out if it would not change what the entry may send: starts
+// of its own that have arrived are taken off its credit on both sides.
 void AgentGate::report(GateOutputs &Out) {
   if (!Endpoint_)
     return;
-  const auto Slots = Leaving_ ? 0 : Endpoint_->Slots_;
   const auto Busy = static_cast<std::uint32_t>(Runs_.size());
   const auto Waiting = static_cast<std::uint32_t>(Queue_.size());
-  const std::uint32_t Free = Slots > Busy ? Slots - Busy : 0;
-  const std::uint32_t Capacity = Leaving_ ? 0 : Slots + Limits_.QueueRoom_;
+  const std::uint32_t Slots = slots();
+  const std::uint32_t Capacity = Slots == 0 ? 0 : Slots + Limits_.QueueRoom_;
   const std::uint32_t Used = Busy + Waiting;
-  const std::uint32_t Credit = Capacity > Used ? Capacity - Used : 0;
-  for (const auto &[Id, Entry] : Entries_)
-    Out.push_back(
-        SendToEntry{Id, AgentReport{Free, Waiting, Credit, Entry.StartsSeen_}});
+  Credit_.divide(Capacity > Used ? Capacity - Used : 0);
+  for (auto &[Id, Entry] : Entries_) {
+    const AgentReport R{Slots > Busy ? Slots - Busy : 0, Waiting,
+                        Credit_.credit(Id), Entry.StartsSeen_};
+    const auto &Old = Entry.Reported_;
+    if (Old && Old->QueueLength_ == R.QueueLength_ &&
+        Old->Credit_ + Old->StartsSeen_ == R.Credit_ + R.StartsSeen_)
+      continue;
+    Entry.Reported_ = R;
+    Out.push_back(SendToEntry{Id, R});
+  }
 }
 
-GateOutputs AgentGate::onEntryConnected(const EntryId &Entry, Time) {
+// Every input ends here, so that its effects on the queue, the rejections and
+// the room go out once.
+void AgentGate::finish(Time Now, GateOutputs &Out) {
+  startQueued(Now, Out);
+  for (auto &[To, Rejected] : Rejects_)
+    send(To, std::move(Rejected), Out);
+  Rejects_.clear();
+  report(Out);
+}
+
+void AgentGate::connect(const EntryId &Entry, Time Now) {
+  Entries_[Entry].Reported_.reset();
+  Credit_.addEntry(Entry);
+  Records_.owner(Entry, Now).GoneSince_.reset();
+}
+
+// A holder that was away gets its holdings again, since ends that it missed are
+// in them; an owner that was away gets the ends of its tasks.
+GateOutputs AgentGate::onEntryConnected(const EntryId &Entry, Time Now) {
   GateOutputs Out;
-  const auto Closed = Closed_.find(Entry);
-  if (Closed != Closed_.end()) {
-    Out.push_back(SendToEntry{Entry, YouAreClosed{Closed->second}});
+  if (Records_.isClosed(Entry)) {
+    Out.push_back(SendToEntry{Entry, YouAreClosed{Records_.receiverOf(Entry)}});
     return Out;
   }
-  Entries_[Entry];
+  connect(Entry, Now);
   announce(Entry, Out);
-  report(Out);
+  for (const auto &[Id, Job] : Records_.owner(Entry, Now).Jobs_)
+    for (const auto &[Index, Task] : Job.Tasks_)
+      if (Task.State_ == State::Finished && !Task.Evicted_ && !Job.Ended_)
+        send(Entry, TaskFinished{Id, Index, Task.Outcome_, Task.Result_, {}},
+             Out);
+  for (const auto &[Id, Owner] : Records_.owners())
+    if (Owner.Closed_ && Owner.Holder_ == Entry)
+      sendHoldings(Id, Entry, Out);
+  finish(Now, Out);
   return Out;
 }
 
 // The records of a lost entry stay, so that a recoverer can collect them.
-GateOutputs AgentGate::onEntryLost(const EntryId &Entry, Time) {
-  Entries_.erase(Entry);
-  return {};
+GateOutputs AgentGate::onEntryLost(const EntryId &Entry, Time Now) {
+  GateOutputs Out;
+  if (Entries_.erase(Entry) == 0)
+    return Out;
+  Credit_.removeEntry(Entry);
+  Records_.owner(Entry, Now).GoneSince_ = Now;
+  finish(Now, Out);
+  return Out;
 }
 
 GateOutputs AgentGate::onMessage(const EntryId &From, const Message &M,
                                  Time Now) {
   GateOutputs Out;
-  const auto Closed = Closed_.find(From);
-  if (Closed != Closed_.end()) {
-    Out.push_back(SendToEntry{From, YouAreClosed{Closed->second}});
+  if (Records_.isClosed(From)) {
+    Out.push_back(SendToEntry{From, YouAreClosed{Records_.receiverOf(From)}});
     return Out;
   }
-  if (const auto *Start = std::get_if<StartTasks>(&M)) {
-    onStart(From, *Start, Now, Out);
-  } else if (const auto *Cancel = std::get_if<CancelTasks>(&M)) {
-    onCancel(From, *Cancel, Out);
-  } else if (const auto *Ended = std::get_if<JobEnded>(&M)) {
-    const auto It = Jobs_.find(Ended->Job_);
-    if (It != Jobs_.end() && mayStart(From, Ended->Job_)) {
-      It->second.Ended_ = true;
-      for (auto &[Index, Task] : It->second.Tasks_)
-        Task.Result_.clear();
-    }
-  } else if (const auto *Close = std::get_if<CloseIncarnation>(&M)) {
-    onClose(From, *Close, Now, Out);
-  } else if (const auto *Transfer = std::get_if<TransferGrant>(&M)) {
-    onTransfer(From, *Transfer);
-  }
+  if (const auto *Start = std::get_if<StartTasks>(&M))
+    onStarts(From, *Start, Now, Out);
+  else if (const auto *Cancel = std::get_if<CancelTasks>(&M))
+    onCancel(From, *Cancel, Now, Out);
+  else if (const auto *Ended = std::get_if<JobEnded>(&M))
+    onEnded(From, *Ended);
+  else if (const auto *Expired = std::get_if<EpochsExpired>(&M))
+    onExpired(From, *Expired);
+  else if (const auto *Close = std::get_if<CloseIncarnation>(&M))
+    onClose(From, Close->Entry_, Now, Out);
+  else if (const auto *Transfer = std::get_if<TransferGrant>(&M))
+    onTransfer(From, *Transfer, Now, Out);
+  else if (const auto *D = std::get_if<Demand>(&M))
+    Credit_.onDemand(From, *D);
+  finish(Now, Out);
   return Out;
 }
 
+void AgentGate::onStarts(const EntryId &From, const StartTasks &Start, Time Now,
+                         GateOutputs &Out) {
+  const auto Entry = Entries_.find(From);
+  if (Entry != Entries_.end())
+    Entry->second.StartsSeen_ += Start.Tasks_.size();
+  Credit_.onStarts(From, Start.Class_,
+                   static_cast<std::uint32_t>(Start.Tasks_.size()));
+  for (const TaskStart &Task : Start.Tasks_)
+    startOne(From, Start, Task, Now, Out);
+}
+
 // Only the owner named in the job's token may start its tasks, or, after the
-// owner was closed here, the entry that this agent granted the resumption.
-bool AgentGate::mayStart(const EntryId &From, const JobId &Job) const {
+// owner was closed here, the entry that this agent granted the resumption; and
+// only while that entry is connected.
+std::optional<RejectReason> AgentGate::refusalOf(const EntryId &From,
+                                                 const JobId &Job) const {
   const EntryId &Owner = Job.Token_.Owner_;
-  const auto Closed = Closed_.find(Owner);
-  if (Closed == Closed_.end())
-    return From == Owner;
-  return Closed->second == From;
+  if (Records_.receiverOf(Owner) != From || Entries_.count(From) == 0)
+    return RejectReason::NotOwner;
+  const OwnerRecord *Record = Records_.find(Owner);
+  if (Record && Job.Token_.Epoch_ < Record->Oldest_)
+    return RejectReason::Closed;
+  if (isLeaving())
+    return RejectReason::Leaving;
+  if (slots() == 0)
+    return RejectReason::NoEndpoint;
+  if (Runs_.size() + Queue_.size() >= slots() + Limits_.QueueRoom_)
+    return RejectReason::NoRoom;
+  return std::nullopt;
 }
 
-void AgentGate::reject(const EntryId &To, const JobId &Job, TaskIndex Index,
-                       RejectReason Reason, GateOutputs &Out) {
-  Out.push_back(SendToEntry{To, TasksRejected{Job, {Index}, Reason}});
+// A task that this agent has a record of is never started again: a started one
+// is answered with what is known, and a refused attempt stays refused. A start
+// of an ended job gets no answer, since its task records are gone and a
+// rejection would claim that the task never ran.
+bool AgentGate::answerKnown(const EntryId &From, const JobId &Job,
+                            const TaskStart &Task, GateOutputs &Out) {
+  const JobRecord *Record = Records_.find(Job);
+  if (!Record)
+    return false;
+  if (Record->Ended_)
+    return true;
+  const auto Known = Record->Tasks_.find(Task.Index_);
+  if (Known == Record->Tasks_.end())
+    return false;
+  if (const Refusal *Old =
+          Records_.refusal(Job, Task.Index_, From, Task.Attempt_)) {
+    reject(From, Job, Task.Index_, Task.Attempt_, Old->Reason_);
+    return true;
+  }
+  const TaskRecord &R = Known->second;
+  if (R.State_ == State::Finished && !R.Evicted_ &&
+      Records_.receiverOf(Job.Token_.Owner_) == From)
+    send(From, TaskFinished{Job, Task.Index_, R.Outcome_, R.Result_, {}}, Out);
+  return R.State_ != State::Refused;
 }
 
-// A task that this agent has a record of is never started again: a started one
-// is answered with what is known, a refused one stays refused.
-void AgentGate::onStart(const EntryId &From, const StartTasks &Start, Time Now,
-                        GateOutputs &Out) {
-  Entries_[From].StartsSeen_ += Start.Tasks_.size();
-  if (!mayStart(From, Start.Job_)) {
-    for (const TaskStart &T : Start.Tasks_)
-      reject(From, Start.Job_, T.Index_, RejectReason::NotOwner, Out);
+void AgentGate::startOne(const EntryId &From, const StartTasks &Start,
+                         const TaskStart &Task, Time Now, GateOutputs &Out) {
+  if (answerKnown(From, Start.Job_, Task, Out))
+    return;
+  if (const auto Reason = refusalOf(From, Start.Job_)) {
+    refuse(From, Start.Job_, Task.Index_, Task.Attempt_, *Reason, Now);
     return;
   }
+  JobRecord &Job =
+      Records_.owner(Start.Job_.Token_.Owner_, Now).Jobs_[Start.Job_];
+  TaskRecord &Record = Job.Tasks_[Task.Index_];
+  Record.State_ = State::Queued;
+  Record.Queue_ = {Start.Class_, NextArrival_++};
+  Job.Live_.insert(Task.Index_);
   std::optional<Time> Deadline;
   if (Start.Deadline_)
     Deadline = Now + *Start.Deadline_;
-  for (const TaskStart &T : Start.Tasks_) {
-    JobRecord &Job = Jobs_[Start.Job_];
-    Job.Sender_ = From;
-    const auto Known = Job.Tasks_.find(T.Index_);
-    if (Known != Job.Tasks_.end() && Known->second.State_ != State::Refused) {
-      const TaskRecord &R = Known->second;
-      if (R.State_ == State::Finished)
-        Out.push_back(SendToEntry{
-            From,
-            TaskFinished{Start.Job_, T.Index_, R.Outcome_, R.Result_, {}}});
-      continue;
+  Queue_[Record.Queue_] = {Start.Job_,    Task.Index_, Start.Kind_,  Deadline,
+                           Task.Payload_, From,        Task.Attempt_};
+}
+
+void AgentGate::reject(const EntryId &To, const JobId &Job, TaskIndex Index,
+                       std::uint32_t Attempt, RejectReason Reason) {
+  if (!Rejects_.empty()) {
+    auto &[LastTo, Last] = Rejects_.back();
+    if (LastTo == To && Last.Job_ == Job && Last.Reason_ == Reason &&
+        Last.Attempt_ == Attempt) {
+      Last.Tasks_.push_back(Index);
+      return;
     }
-    const auto Capacity =
-        Endpoint_ ? Endpoint_->Slots_ + Limits_.QueueRoom_ : 0;
-    const auto Refuse = [&](RejectReason Reason) {
-      Job.Tasks_[T.Index_].State_ = State::Refused;
-      reject(From, Start.Job_, T.Index_, Reason, Out);
-    };
-    if (Leaving_) {
-      Refuse(RejectReason::Leaving);
-    } else if (!Endpoint_) {
-      Refuse(RejectReason::NoEndpoint);
-    } else if (Runs_.size() + Queue_.size() >= Capacity) {
-      Refuse(RejectReason::NoRoom);
-    } else {
-      Job.Tasks_[T.Index_].State_ = State::Queued;
-      Queue_.push_back({Start.Job_, T.Index_, Start.Kind_, Start.Class_,
-                        Deadline, T.Payload_});
+  }
+  Rejects_.push_back({To, TasksRejected{Job, {Index}, Reason, Attempt}});
+}
+
+// The refusal is recorded before it is sent, so that a copy of the same start
+// is refused even if the entry has the task started elsewhere by then.
+void AgentGate::refuse(const EntryId &From, const JobId &Job, TaskIndex Index,
+                       std::uint32_t Attempt, RejectReason Reason, Time Now) {
+  reject(From, Job, Index, Attempt, Reason);
+  Records_.addRefusal(Job, Index, {From, Attempt, Reason}, Now);
+}
+
+// Takes tasks from the queue and returns them with proof of not started. To an
+// entry that is closed the proof is not sent, since it is no longer connected.
+void AgentGate::returnQueued(
+    const std::function<bool(const QueuedTask &)> &Wanted, RejectReason Reason,
+    Time Now) {
+  for (auto It = Queue_.begin(); It != Queue_.end();) {
+    const QueuedTask &Q = It->second;
+    if (!Wanted(Q)) {
+      ++It;
+      continue;
     }
+    JobRecord &Job = *Records_.find(Q.Job_);
+    Job.Tasks_[Q.Index_].State_ = State::Refused;
+    Job.Live_.erase(Q.Index_);
+    refuse(Q.Sender_, Q.Job_, Q.Index_, Q.Attempt_, Reason, Now);
+    It = Queue_.erase(It);
   }
-  startQueued(Now, Out);
-  report(Out);
 }
 
 // Starts queued tasks while slots are free, the most urgent class first and in
-// order of arrival within a class.
+// order of arrival within a class. The deadline is checked last, because the
+// task may have waited here.
 void AgentGate::startQueued(Time Now, GateOutputs &Out) {
-  while (Endpoint_ && !Queue_.empty() && Runs_.size() < Endpoint_->Slots_) {
-    const auto It = std::min_element(
-        Queue_.begin(), Queue_.end(),
-        [](const auto &A, const auto &B) { return A.Class_ < B.Class_; });
-    QueuedTask Task = std::move(*It);
-    Queue_.erase(It);
-    JobRecord &Job = Jobs_[Task.Job_];
+  while (!Queue_.empty() && Runs_.size() < slots()) {
+    QueuedTask Task = std::move(Queue_.begin()->second);
+    Queue_.erase(Queue_.begin());
+    JobRecord &Job = *Records_.find(Task.Job_);
     TaskRecord &Record = Job.Tasks_[Task.Index_];
     if (Task.Deadline_ && *Task.Deadline_ <= Now) {
       Record.State_ = State::Refused;
-      reject(Job.Sender_, Task.Job_, Task.Index_, RejectReason::Deadline, Out);
+      Job.Live_.erase(Task.Index_);
+      refuse(Task.Sender_, Task.Job_, Task.Index_, Task.Attempt_,
+             RejectReason::Deadline, Now);
       continue;
     }
     const RunId Run(NextRun_++);
@@ -165,112 +284,128 @@
   }
 }
 
-GateOutputs AgentGate::onRunFinished(RunId Run, RunOutcome Outcome,
-                                     std::string Result, Duration RunTime,
-                                     Time Now) {
-  GateOutputs Out;
+// The end goes to whoever may act on the job now: the owner, or the holder of
+// the grant if the owner was closed while the task ran.
+void AgentGate::endRun(RunId Run, RunOutcome Outcome, std::string Result,
+                       Duration RunTime, GateOutputs &Out) {
   const auto It = Runs_.find(Run);
   if (It == Runs_.end())
-    return Out;
-  const auto Ended = It->second;
+    return;
+  const auto Ended = std::move(It->second);
   Runs_.erase(It);
-  JobRecord &Job = Jobs_[Ended.Job_];
+  JobRecord &Job = *Records_.find(Ended.Job_);
   TaskRecord &Task = Job.Tasks_[Ended.Index_];
+  Job.Live_.erase(Ended.Index_);
   Task.State_ = State::Finished;
   Task.Outcome_ = Outcome;
-  if (!Job.Ended_)
-    Task.Result_ = Result;
-  Out.push_back(
-      SendToEntry{Job.Sender_, TaskFinished{Ended.Job_, Ended.Index_, Outcome,
-                                            std::move(Result), RunTime}});
-  startQueued(Now, Out);
-  report(Out);
+  send(Records_.receiverOf(Ended.Job_.Token_.Owner_),
+       TaskFinished{Ended.Job_, Ended.Index_, Outcome, Result, RunTime}, Out);
+  if (Job.Ended_)
+    Records_.end(Job);
+  else
+    Records_.keepResult(Ended.Job_, Ended.Index_, Task, std::move(Result));
+}
+
+GateOutputs AgentGate::onRunFinished(RunId Run, RunOutcome Outcome,
+                                     std::string Result, Duration RunTime,
+                                     Time Now) {
+  GateOutputs Out;
+  endRun(Run, Outcome, std::move(Result), RunTime, Out);
+  finish(Now, Out);
   return Out;
 }
 
+void AgentGate::onEnded(const EntryId &From, const JobEnded &Ended) {
+  JobRecord *Job = Records_.find(Ended.Job_);
+  if (Job && Records_.receiverOf(Ended.Job_.Token_.Owner_) == From)
+    Records_.end(*Job);
+}
+
+void AgentGate::onExpired(const EntryId &From, const EpochsExpired &Expired) {
+  const auto It = Records_.owners().find(From);
+  if (It != Records_.owners().end())
+    Records_.forget(It->second, Expired.Oldest_);
+}
+
+// Looks only at the tasks that are queued or running, so its cost is that of
+// the tasks that it cancels.
 void AgentGate::onCancel(const EntryId &From, const CancelTasks &Cancel,
-                         GateOutputs &Out) {
-  if (!mayStart(From, Cancel.Job_))
+                         Time Now, GateOutputs &Out) {
+  JobRecord *Job = Records_.find(Cancel.Job_);
+  if (!Job || Records_.receiverOf(Cancel.Job_.Token_.Owner_) != From)
     return;
-  const auto It = Jobs_.find(Cancel.Job_);
-  if (It == Jobs_.end())
-    return;
-  const auto Wanted = [&](TaskIndex Index) {
-    return Cancel.Tasks_.empty() ||
-           std::find(Cancel.Tasks_.begin(), Cancel.Tasks_.end(), Index) !=
-               Cancel.Tasks_.end();
-  };
-  TasksRejected Rejected{Cancel.Job_, {}, RejectReason::Cancelled};
-  for (auto &[Index, Task] : It->second.Tasks_) {
-    if (!Wanted(Index))
+  std::vector<TaskIndex> Indices = Cancel.Tasks_;
+  if (Indices.empty())
+    Indices.assign(Job->Live_.begin(), Job->Live_.end());
+  for (const TaskIndex Index : Indices) {
+    if (Job->Live_.count(Index) == 0)
       continue;
+    TaskRecord &Task = Job->Tasks_[Index];
     if (Task.State_ == State::Running) {
       Out.push_back(StopTask{Task.Run_});
-    } else if (Task.State_ == State::Queued) {
-      Task.State_ = State::Refused;
-      Rejected.Tasks_.push_back(Index);
+      continue;
     }
+    const auto Queued = Queue_.find(Task.Queue_);
+    Task.State_ = State::Refused;
+    Job->Live_.erase(Index);
+    refuse(Queued->second.Sender_, Cancel.Job_, Index, Queued->second.Attempt_,
+           RejectReason::Cancelled, Now);
+    Queue_.erase(Queued);
   }
-  Queue_.erase(std::remove_if(Queue_.begin(), Queue_.end(),
-                              [&](const QueuedTask &Q) {
-                                return Q.Job_ == Cancel.Job_ &&
-                                       Wanted(Q.Index_);
-                              }),
-               Queue_.end());
-  if (!Rejected.Tasks_.empty())
-    Out.push_back(SendToEntry{From, std::move(Rejected)});
-  report(Out);
 }
 
-void AgentGate::dropQueued(const EntryId &Sender) {
-  const auto IsOfSender = [&](const QueuedTask &Q) {
-    JobRecord &Job = Jobs_[Q.Job_];
-    if (Job.Sender_ != Sender)
-      return false;
-    Job.Tasks_[Q.Index_].State_ = State::Refused;
-    return true;
-  };
-  Queue_.erase(std::remove_if(Queue_.begin(), Queue_.end(), IsOfSender),
-               Queue_.end());
-}
-
-// The first entry that asks gets the grant; it keeps it until it is closed
-// itself. Grants that the closed entry held pass to the entry that closed it.
-void AgentGate::onClose(const EntryId &From, const CloseIncarnation &Close,
-                        Time Now, GateOutputs &Out) {
-  const bool IsNew = Closed_.emplace(Close.Entry_, From).second;
-  if (IsNew) {
-    dropQueued(Close.Entry_);
-    Entries_.erase(Close.Entry_);
-    for (auto &[Entry, Holder] : Closed_)
-      if (Holder == Close.Entry_)
-        Holder = From;
-  }
-  IncarnationClosed Reply{Close.Entry_, Closed_[Close.Entry_], true, {}};
-  if (Reply.Holder_ == From) {
-    for (auto &[Id, Job] : Jobs_) {
-      if (!(Id.Token_.Owner_ == Close.Entry_))
-        continue;
-      HeldJob Held{Id, {}};
-      for (const auto &[Index, Task] : Job.Tasks_)
-        if (Task.State_ == State::Running || Task.State_ == State::Finished)
-          Held.Tasks_.push_back({Index, Task.State_ == State::Finished,
-                                 Task.Outcome_, Task.Result_});
-      Job.Sender_ = From;
-      if (!Held.Tasks_.empty())
-        Reply.Jobs_.push_back(std::move(Held));
-    }
+// The first entry that asks gets the grant and keeps it until it is closed or
+// transfers it.
+void AgentGate::onClose(const EntryId &From, const EntryId &Entry, Time Now,
+                        GateOutputs &Out) {
+  if (Entry == From)
+    return;
+  if (Entries_.count(From) == 0)
+    connect(From, Now);
+  if (!Records_.isClosed(Entry))
+    fence(From, Entry, Now, Out);
+  sendHoldings(Entry, From, Out);
+}
+
+// Drops what the entry has queued, for its own jobs and those it resumed.
+// Grants that it held pass to the entry that closes it, with their holdings.
+void AgentGate::fence(const EntryId &From, const EntryId &Entry, Time Now,
+                      GateOutputs &Out) {
+  send(Entry, YouAreClosed{From}, Out);
+  Entries_.erase(Entry);
+  Credit_.removeEntry(Entry);
+  returnQueued([&](const QueuedTask &Q) { return Q.Sender_ == Entry; },
+               RejectReason::Closed, Now);
+  OwnerRecord &Record = Records_.owner(Entry, Now);
+  Record.Closed_ = true;
+  Record.Holder_ = From;
+  Record.GoneSince_ = Now;
+  Out.push_back(LogEvent{{&events::IncarnationClosedHere,
+                          {{"entry", Entry.str()}, {"by", From.str()}}}});
+  for (auto &[Id, Other] : Records_.owners()) {
+    if (!Other.Closed_ || Other.Holder_ != Entry)
+      continue;
+    Other.Holder_ = From;
+    sendHoldings(Id, From, Out);
   }
-  Out.push_back(SendToEntry{From, std::move(Reply)});
-  startQueued(Now, Out);
-  report(Out);
 }
 
-void AgentGate::onTransfer(const EntryId &From, const TransferGrant &Transfer) {
-  const auto It = Closed_.find(Transfer.Entry_);
-  if (It != Closed_.end() && It->second == From &&
-      Closed_.count(Transfer.NewHolder_) == 0)
-    It->second = Transfer.NewHolder_;
+// Tasks that the former holder has queued here are returned to it with proof;
+// the running ones are part of what the new holder receives.
+void AgentGate::onTransfer(const EntryId &From, const TransferGrant &Transfer,
+                           Time Now, GateOutputs &Out) {
+  const auto It = Records_.owners().find(Transfer.Entry_);
+  if (It == Records_.owners().end() || !It->second.Closed_ ||
+      It->second.Holder_ != From || From == Transfer.NewHolder_ ||
+      Records_.isClosed(Transfer.NewHolder_))
+    return;
+  returnQueued(
+      [&](const QueuedTask &Q) {
+        return Q.Job_.Token_.Owner_ == Transfer.Entry_;
+      },
+      RejectReason::NotOwner, Now);
+  It->second.Holder_ = Transfer.NewHolder_;
+  sendHoldings(Transfer.Entry_, Transfer.NewHolder_, Out);
 }
 
 GateOutputs AgentGate::onEndpointAnnounced(const EndpointInfo &Info, Time Now) {
@@ -278,29 +413,47 @@
   Endpoint_ = Info;
   for (const auto &[Id, Entry] : Entries_)
     announce(Id, Out);
-  startQueued(Now, Out);
-  report(Out);
+  if (isLeaving())
+    returnQueued([](const QueuedTask &) { return true; }, RejectReason::Leaving,
+                 Now);
+  finish(Now, Out);
   return Out;
 }
 
-GateOutputs AgentGate::onLeaving(Time) {
+GateOutputs AgentGate::onEndpointFailed(Time Now) {
+  GateOutputs Out;
+  if (!Endpoint_)
+    return Out;
+  Endpoint_->Slots_ = 0;
+  for (const auto &[Id, Entry] : Entries_)
+    announce(Id, Out);
+  while (!Runs_.empty())
+    endRun(Runs_.begin()->first, RunOutcome::Failure, "endpoint failed", {},
+           Out);
+  returnQueued([](const QueuedTask &) { return true; },
+               RejectReason::NoEndpoint, Now);
+  finish(Now, Out);
+  return Out;
+}
+
+GateOutputs AgentGate::onLeaving(Time Now) {
   GateOutputs Out;
   Leaving_ = true;
   for (const auto &[Id, Entry] : Entries_)
     announce(Id, Out);
-  for (const QueuedTask &Q : Queue_) {
-    JobRecord &Job = Jobs_[Q.Job_];
-    Job.Tasks_[Q.Index_].State_ = State::Refused;
-    reject(Job.Sender_, Q.Job_, Q.Index_, RejectReason::Leaving, Out);
-  }
-  Queue_.clear();
-  report(Out);
+  returnQueued([](const QueuedTask &) { return true; }, RejectReason::Leaving,
+               Now);
+  finish(Now, Out);
   return Out;
 }
 
 GateOutputs AgentGate::onTimer(Time Now) {
   GateOutputs Out;
-  startQueued(Now, Out);
+  returnQueued(
+      [&](const QueuedTask &Q) { return Q.Deadline_ && *Q.Deadline_ <= Now; },
+      RejectReason::Deadline, Now);
+  Records_.expire(Limits_.Retention_, Now);
+  finish(Now, Out);
   return Out;
 }
 
--- a/src/agent_gate.h
+++ b/src/agent_gate.h
@@ -1,21 +1,22 @@
 #ifndef CHIVELANDING_AGENT_GATE_H
 #define CHIVELANDING_AGENT_GATE_H
 
+#include "credit.h"
 #include "events.h"
+#include "gate_records.h"
 #include "job.h"
 #include "message.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
 
 namespace chivelanding {
 
-/// Number of one run of a task at this agent.
-using RunId = Number<struct RunIdTag>;
-
 /// Output: deliver a message to an entry.
 struct SendToEntry {
   EntryId To_;
@@ -47,7 +48,7 @@
   std::uint32_t QueueRoom_ = 4;
   /// Bytes of results kept for jobs that are not ended.
   std::uint64_t ResultBytes_ = 64u << 20;
-  /// How long records of closed or lost owners are kept.
+  /// How long records of closed or unconnected owners are kept.
   Duration Retention_ = std::chrono::minutes(10);
 };
 
@@ -76,27 +77,19 @@
   bool drained() const;
   std::size_t running() const { return Runs_.size(); }
   std::size_t queued() const { return Queue_.size(); }
+  /// Records of jobs, ended ones included.
+  std::size_t records() const { return Records_.jobs(); }
+  std::uint64_t resultBytes() const { return Records_.resultBytes(); }
 
 private:
-  enum class State : std::uint8_t { Queued, Running, Finished, Refused };
-  struct TaskRecord {
-    State State_ = State::Queued;
-    RunOutcome Outcome_ = RunOutcome::Failure;
-    std::string Result_;
-    RunId Run_;
-  };
-  struct JobRecord {
-    EntryId Sender_;
-    bool Ended_ = false;
-    std::map<TaskIndex, TaskRecord> Tasks_;
-  };
   struct QueuedTask {
     JobId Job_;
     TaskIndex Index_;
     KindName Kind_;
-    PriorityClass Class_;
     std::optional<Time> Deadline_;
     std::string Payload_;
+    EntryId Sender_;
+    std::uint32_t Attempt_ = 0;
   };
   struct Run {
     JobId Job_;
@@ -104,34 +97,61 @@
   };
   struct EntryState {
     std::uint64_t StartsSeen_ = 0;
+    std::optional<AgentReport> Reported_;
   };
 
-  void onStart(const EntryId &From, const StartTasks &Start, Time Now,
-               GateOutputs &Out);
-  void onCancel(const EntryId &From, const CancelTasks &Cancel,
+  void connect(const EntryId &Entry, Time Now);
+  void onStarts(const EntryId &From, const StartTasks &Start, Time Now,
                 GateOutputs &Out);
-  void onClose(const EntryId &From, const CloseIncarnation &Close, Time Now,
+  void startOne(const EntryId &From, const StartTasks &Start,
+                const TaskStart &Task, Time Now, GateOutputs &Out);
+  bool answerKnown(const EntryId &From, const JobId &Job, const TaskStart &Task,
+                   GateOutputs &Out);
+  std::optional<RejectReason> refusalOf(const EntryId &From,
+                                        const JobId &Job) const;
+  void onCancel(const EntryId &From, const CancelTasks &Cancel, Time Now,
+                GateOutputs &Out);
+  void onEnded(const EntryId &From, const JobEnded &Ended);
+  void onExpired(const EntryId &From, const EpochsExpired &Expired);
+  void onClose(const EntryId &From, const EntryId &Entry, Time Now,
                GateOutputs &Out);
-  void onTransfer(const EntryId &From, const TransferGrant &Transfer);
-  bool mayStart(const EntryId &From, const JobId &Job) const;
+  void fence(const EntryId &From, const EntryId &Entry, Time Now,
+             GateOutputs &Out);
+  void onTransfer(const EntryId &From, const TransferGrant &Transfer, Time Now,
+                  GateOutputs &Out);
+
+  std::uint32_t slots() const;
+  bool isLeaving() const;
   void reject(const EntryId &To, const JobId &Job, TaskIndex Index,
-              RejectReason Reason, GateOutputs &Out);
-  void dropQueued(const EntryId &Sender);
+              std::uint32_t Attempt, RejectReason Reason);
+  void refuse(const EntryId &From, const JobId &Job, TaskIndex Index,
+              std::uint32_t Attempt, RejectReason Reason, Time Now);
+  void returnQueued(const std::function<bool(const QueuedTask &)> &Wanted,
+                    RejectReason Reason, Time Now);
   void startQueued(Time Now, GateOutputs &Out);
+  void endRun(RunId Run, RunOutcome Outcome, std::string Result,
+              Duration RunTime, GateOutputs &Out);
+  void finish(Time Now, GateOutputs &Out);
   void report(GateOutputs &Out);
-  void announce(const EntryId &To, GateOutputs &Out);
+  void announce(const EntryId &To, GateOutputs &Out) const;
+  void send(const EntryId &To, Message M, GateOutputs &Out) const;
+  void sendHoldings(const EntryId &Owner, const EntryId &To,
+                    GateOutputs &Out) const;
 
   AgentId Self_;
   GateLimits Limits_;
   std::optional<EndpointInfo> Endpoint_;
   bool Leaving_ = false;
   std::uint64_t NextRun_ = 1;
+  std::uint64_t NextArrival_ = 1;
+  /// Connected entries.
   std::map<EntryId, EntryState> Entries_;
-  /// Closed incarnations and the holders of the grants for their jobs.
-  std::map<EntryId, EntryId> Closed_;
-  std::map<JobId, JobRecord> Jobs_;
-  std::vector<QueuedTask> Queue_;
+  CreditDivider Credit_;
+  GateRecords Records_;
+  std::map<QueueKey, QueuedTask> Queue_;
   std::map<RunId, Run> Runs_;
+  /// Rejections of the input in hand, one message per job and reason.
+  std::vector<std::pair<EntryId, TasksRejected>> Rejects_;
 };
 
 } // namespace chivelanding
--- /dev/null
+++ b/src/credit.cpp
@@ -0,0 +1,121 @@
+#include "credit.h"
+
+#include <algorithm>
+#include <set>
+
+namespace chivelanding {
+
+void CreditDivider::onDemand(const EntryId &Entry, const Demand &D) {
+  const auto It = Entries_.find(Entry);
+  if (It == Entries_.end())
+    return;
+  It->second.Demand_.clear();
+  for (const ClassDemand &C : D.Classes_)
+    if (C.Waiting_ > 0)
+      It->second.Demand_[C.Class_] = C.Waiting_;
+}
+
+// Starts reduce the demand that they were part of, so that it does not attract
+// credit twice before the entry states its demand again.
+void CreditDivider::onStarts(const EntryId &Entry, PriorityClass Class,
+                             std::uint32_t Count) {
+  const auto It = Entries_.find(Entry);
+  if (It == Entries_.end())
+    return;
+  Share &S = It->second;
+  S.Held_ -= std::min(S.Held_, Count);
+  const auto Waiting = S.Demand_.find(Class);
+  if (Waiting == S.Demand_.end())
+    return;
+  if (Waiting->second <= Count)
+    S.Demand_.erase(Waiting);
+  else
+    Waiting->second -= Count;
+}
+
+std::uint32_t CreditDivider::demandOf(const Share &S) {
+  std::uint32_t Sum = 0;
+  for (const auto &[Class, Waiting] : S.Demand_)
+    Sum += Waiting;
+  return Sum;
+}
+
+// Held credit counts against the most urgent demand first, because the entry
+// uses it for that.
+std::uint32_t CreditDivider::unmet(const Share &S, PriorityClass Class) {
+  std::uint32_t Held = S.Held_;
+  for (const auto &[C, Waiting] : S.Demand_) {
+    if (C == Class)
+      return Waiting - std::min(Waiting, Held);
+    Held -= std::min(Held, Waiting);
+  }
+  return 0;
+}
+
+// Takes back credit that has no demand or no room any more, and returns the
+// room that is left. Starts already sent against it find the agent's queue or
+// are rejected.
+std::uint32_t CreditDivider::trim(std::uint32_t Room) {
+  std::uint32_t Sum = 0;
+  for (auto &[Id, S] : Entries_) {
+    S.Held_ = std::min(S.Held_, demandOf(S));
+    Sum += S.Held_;
+  }
+  while (Sum > Room) {
+    const auto Largest = std::max_element(
+        Entries_.begin(), Entries_.end(), [](const auto &A, const auto &B) {
+          return A.second.Held_ < B.second.Held_;
+        });
+    --Largest->second.Held_;
+    --Sum;
+  }
+  return Room - Sum;
+}
+
+// Grants one start to the most urgent class with unmet demand. Within the class
+// each entry is owed its part of the unmet demand, and the one that is owed
+// most receives the start; a small demand is thus served in its turn.
+bool CreditDivider::grantOne() {
+  std::set<PriorityClass> Classes;
+  for (const auto &[Id, S] : Entries_)
+    for (const auto &[Class, Waiting] : S.Demand_)
+      Classes.insert(Class);
+  for (const PriorityClass Class : Classes) {
+    double Total = 0;
+    for (const auto &[Id, S] : Entries_)
+      Total += unmet(S, Class);
+    Share *Best = nullptr;
+    for (auto &[Id, S] : Entries_) {
+      const std::uint32_t Unmet = unmet(S, Class);
+      if (Unmet == 0)
+        continue;
+      S.Owed_ += Unmet / Total;
+      if (!Best || S.Owed_ > Best->Owed_)
+        Best = &S;
+    }
+    if (!Best)
+      continue;
+    Best->Owed_ = std::max(Best->Owed_ - 1, -1.0);
+    ++Best->Held_;
+    return true;
+  }
+  return false;
+}
+
+void CreditDivider::divide(std::uint32_t Room) {
+  std::uint32_t Left = trim(Room);
+  while (Left > 0 && grantOne())
+    --Left;
+  for (auto &[Id, S] : Entries_) {
+    if (S.Demand_.empty())
+      S.Owed_ = 0;
+    S.Credit_ = S.Held_ + Left;
+  }
+}
+
+std::uint32_t CreditDivider::credit(const EntryId &Entry) const {
+  const auto It = Entries_.find(Entry);
+  return It == Entries_.end() ? 0 : It->second.Credit_;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/gate_records.cpp
@@ -0,0 +1,181 @@
+#include "gate_records.h"
+
+#include <algorithm>
+
+namespace chivelanding {
+
+namespace {
+
+/// Bytes of results in one IncarnationClosed. Holdings beyond it follow in
+/// further messages, so that none exceeds the frame limit of a link.
+constexpr std::size_t HoldingsBytes = 1u << 20;
+/// Jobs in one IncarnationClosed, for holdings without results.
+constexpr std::size_t HoldingsJobs = 2000;
+
+HeldJob heldJob(const JobId &Id, const JobRecord &Job) {
+  HeldJob Held{Id, {}, Job.Ended_};
+  for (const auto &[Index, Task] : Job.Tasks_)
+    if (Task.started())
+      Held.Tasks_.push_back({Index, Task.State_ == TaskRecord::State::Finished,
+                             Task.Outcome_, Task.Result_, Task.Evicted_});
+  return Held;
+}
+
+} // namespace
+
+OwnerRecord &GateRecords::owner(const EntryId &Owner, Time Now) {
+  const auto [It, IsNew] = Owners_.try_emplace(Owner);
+  if (IsNew)
+    It->second.GoneSince_ = Now;
+  return It->second;
+}
+
+const OwnerRecord *GateRecords::find(const EntryId &Owner) const {
+  const auto It = Owners_.find(Owner);
+  return It == Owners_.end() ? nullptr : &It->second;
+}
+
+JobRecord *GateRecords::find(const JobId &Job) {
+  const auto Owner = Owners_.find(Job.Token_.Owner_);
+  if (Owner == Owners_.end())
+    return nullptr;
+  const auto It = Owner->second.Jobs_.find(Job);
+  return It == Owner->second.Jobs_.end() ? nullptr : &It->second;
+}
+
+bool GateRecords::isClosed(const EntryId &Entry) const {
+  const OwnerRecord *Owner = find(Entry);
+  return Owner && Owner->Closed_;
+}
+
+const EntryId &GateRecords::receiverOf(const EntryId &Owner) const {
+  const OwnerRecord *Record = find(Owner);
+  return Record && Record->Closed_ ? Record->Holder_ : Owner;
+}
+
+const Refusal *GateRecords::refusal(const JobId &Job, TaskIndex Index,
+                                    const EntryId &Sender,
+                                    std::uint32_t Attempt) {
+  const JobRecord *Record = find(Job);
+  if (!Record)
+    return nullptr;
+  const auto Task = Record->Tasks_.find(Index);
+  if (Task == Record->Tasks_.end())
+    return nullptr;
+  for (const Refusal &R : Task->second.Refusals_)
+    if (R.Sender_ == Sender && Attempt <= R.Attempt_)
+      return &R;
+  return nullptr;
+}
+
+// A job of a forgotten epoch gets no record, since the epoch refuses it.
+void GateRecords::addRefusal(const JobId &Job, TaskIndex Index, Refusal R,
+                             Time Now) {
+  OwnerRecord &Owner = owner(Job.Token_.Owner_, Now);
+  if (Job.Token_.Epoch_ < Owner.Oldest_)
+    return;
+  auto &Refusals = Owner.Jobs_[Job].Tasks_[Index].Refusals_;
+  for (Refusal &Old : Refusals) {
+    if (Old.Sender_ != R.Sender_)
+      continue;
+    Old.Attempt_ = std::max(Old.Attempt_, R.Attempt_);
+    Old.Reason_ = R.Reason_;
+    return;
+  }
+  Refusals.push_back(std::move(R));
+}
+
+// Results are dropped in the order of their ends. The task stays recorded as
+// finished, with a mark that its result is gone.
+void GateRecords::keepResult(const JobId &Id, TaskIndex Index, TaskRecord &Task,
+                             std::string Result) {
+  ResultBytes_ += Result.size();
+  Task.Result_ = std::move(Result);
+  Task.Finished_ = NextFinished_++;
+  Results_[Task.Finished_] = {Id, Index};
+  while (ResultBytes_ > MaxResultBytes_) {
+    const auto [OldId, OldIndex] = Results_.begin()->second;
+    TaskRecord &Oldest = find(OldId)->Tasks_.at(OldIndex);
+    Oldest.Evicted_ = true;
+    dropResult(Oldest);
+  }
+}
+
+void GateRecords::dropResult(TaskRecord &Task) {
+  if (Results_.erase(Task.Finished_) == 0)
+    return;
+  ResultBytes_ -= Task.Result_.size();
+  Task.Result_.clear();
+  Task.Result_.shrink_to_fit();
+}
+
+// The job's id refuses all later starts, so its tasks need no records.
+void GateRecords::end(JobRecord &Job) {
+  Job.Ended_ = true;
+  for (auto It = Job.Tasks_.begin(); It != Job.Tasks_.end();) {
+    dropResult(It->second);
+    It = Job.Live_.count(It->first) ? std::next(It) : Job.Tasks_.erase(It);
+  }
+}
+
+// Jobs with live tasks stay as tombstones until the next call.
+void GateRecords::forget(OwnerRecord &Owner, Epoch Oldest) {
+  Owner.Oldest_ = std::max(Owner.Oldest_, Oldest);
+  for (auto It = Owner.Jobs_.begin(); It != Owner.Jobs_.end();) {
+    if (It->first.Token_.Epoch_ >= Owner.Oldest_) {
+      ++It;
+      continue;
+    }
+    end(It->second);
+    It = It->second.Live_.empty() ? Owner.Jobs_.erase(It) : std::next(It);
+  }
+}
+
+// The epochs of the dropped jobs are refused afterwards, so a late start does
+// not find an empty memory.
+void GateRecords::expire(Duration Retention, Time Now) {
+  for (auto &[Id, Owner] : Owners_) {
+    if (!Owner.GoneSince_ || *Owner.GoneSince_ + Retention > Now ||
+        Owner.Jobs_.empty())
+      continue;
+    Epoch Oldest;
+    for (const auto &[Job, Record] : Owner.Jobs_)
+      Oldest = std::max(Oldest, Epoch(Job.Token_.Epoch_.value() + 1));
+    Owner.Complete_ = false;
+    forget(Owner, Oldest);
+  }
+}
+
+std::vector<IncarnationClosed>
+GateRecords::holdings(const EntryId &Owner, const EntryId &Receiver) const {
+  const OwnerRecord &R = Owners_.at(Owner);
+  const IncarnationClosed Empty{Owner, R.Holder_, R.Complete_,
+                                {},    R.Oldest_, true};
+  std::vector<IncarnationClosed> Parts{Empty};
+  if (R.Holder_ != Receiver)
+    return Parts;
+  std::size_t Bytes = 0;
+  for (const auto &[Id, Job] : R.Jobs_) {
+    HeldJob Held = heldJob(Id, Job);
+    if (Held.Tasks_.empty() && !Held.Ended_)
+      continue;
+    if (Bytes >= HoldingsBytes || Parts.back().Jobs_.size() >= HoldingsJobs) {
+      Parts.back().Last_ = false;
+      Parts.push_back(Empty);
+      Bytes = 0;
+    }
+    for (const HeldTask &Task : Held.Tasks_)
+      Bytes += Task.Result_.size();
+    Parts.back().Jobs_.push_back(std::move(Held));
+  }
+  return Parts;
+}
+
+std::size_t GateRecords::jobs() const {
+  std::size_t Count = 0;
+  for (const auto &[Id, Owner] : Owners_)
+    Count += Owner.Jobs_.size();
+  return Count;
+}
+
+} // namespace chivelanding
--- a/src/message.h
+++ b/src/message.h
@@ -199,23 +199,30 @@
 struct HeldJob {
   JobId Job_;
   std::vector<HeldTask> Tasks_;
+  /// The owner has answered the job; its tasks and results are dropped.
+  bool Ended_ = false;
   static constexpr auto fields() {
-    return std::make_tuple(&HeldJob::Job_, &HeldJob::Tasks_);
+    return std::make_tuple(&HeldJob::Job_, &HeldJob::Tasks_, &HeldJob::Ended_);
   }
 };
 
 /// Agent to entry: the incarnation is closed here. Holder_ has the grant;
 /// Jobs_ is filled only if Holder_ is the receiver. Complete_ is false if the
-/// agent has already dropped records of the incarnation's jobs.
+/// agent has already dropped records of the incarnation's jobs that it was not
+/// told to drop. Holdings may come in several messages; Last_ marks the last.
 struct IncarnationClosed {
   EntryId Entry_;
   EntryId Holder_;
   bool Complete_ = true;
   std::vector<HeldJob> Jobs_;
+  /// Records of jobs of earlier token epochs are dropped.
+  Epoch Oldest_;
+  bool Last_ = true;
   static constexpr auto fields() {
     return std::make_tuple(
         &IncarnationClosed::Entry_, &IncarnationClosed::Holder_,
-        &IncarnationClosed::Complete_, &IncarnationClosed::Jobs_);
+        &IncarnationClosed::Complete_, &IncarnationClosed::Jobs_,
+        &IncarnationClosed::Oldest_, &IncarnationClosed::Last_);
   }
 };
 
--- /dev/null
+++ b/tests/agent_gate_test.cpp
@@ -0,0 +1,327 @@
+#include "agent_gate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivelanding;
+
+namespace {
+
+const EntryId A{"a", Incarnation(1)};
+const EntryId B{"b", Incarnation(2)};
+const EntryId C{"c", Incarnation(3)};
+const AgentId Self{"agent", Incarnation(4)};
+const Time T0{};
+
+EndpointInfo endpoint(std::uint32_t Slots) {
+  EndpointInfo Info;
+  Info.Service_ = ServiceName("service");
+  Info.Slots_ = Slots;
+  return Info;
+}
+
+JobId jobId(const EntryId &Owner, const char *Key, std::uint64_t E = 0) {
+  return {TeamName("team"), {Owner, Epoch(E)}, JobKey(Key)};
+}
+
+StartTasks start(const JobId &Job, std::uint32_t First, std::uint32_t Count,
+                 std::uint32_t Attempt = 1) {
+  StartTasks S;
+  S.Job_ = Job;
+  for (std::uint32_t I = First; I < First + Count; ++I)
+    S.Tasks_.push_back({TaskIndex(I), "payload", Attempt});
+  return S;
+}
+
+template <typename T> std::vector<T> outputs(const GateOutputs &Out) {
+  std::vector<T> Found;
+  for (const auto &O : Out)
+    if (const auto *F = std::get_if<T>(&O))
+      Found.push_back(*F);
+  return Found;
+}
+
+template <typename T>
+std::vector<T> sent(const GateOutputs &Out, const EntryId &To) {
+  std::vector<T> Found;
+  for (const SendToEntry &S : outputs<SendToEntry>(Out))
+    if (S.To_ == To)
+      if (const auto *M = std::get_if<T>(&S.Message_))
+        Found.push_back(*M);
+  return Found;
+}
+
+std::size_t runs(const GateOutputs &Out) {
+  return outputs<RunTask>(Out).size();
+}
+
+// A gate with an announced endpoint and connected entries.
+struct Fixture {
+  AgentGate Gate_;
+  explicit Fixture(std::uint32_t Slots, GateLimits Limits = {})
+      : Gate_(Self, Limits) {
+    Gate_.onEndpointAnnounced(endpoint(Slots), T0);
+    for (const EntryId &E : {A, B, C})
+      Gate_.onEntryConnected(E, T0);
+  }
+  GateOutputs from(const EntryId &E, const Message &M, Time Now = T0) {
+    return Gate_.onMessage(E, M, Now);
+  }
+  GateOutputs end(std::uint64_t Run, std::string Result = "r") {
+    return Gate_.onRunFinished(RunId(Run), RunOutcome::Success,
+                               std::move(Result), {}, T0);
+  }
+};
+
+} // namespace
+
+// Guards against a late copy of a refused start that runs after the owner has
+// started the task elsewhere, and against refusing the owner's new attempt.
+TEST_CASE("A refused attempt stays refused and a new one runs", "[gate]") {
+  Fixture F(1, {0, 1000, std::chrono::minutes(10)});
+  const JobId Job = jobId(A, "j");
+  CHECK(runs(F.from(A, start(Job, 0, 1))) == 1);
+  const auto Full = F.from(A, start(Job, 1, 1));
+  REQUIRE(sent<TasksRejected>(Full, A).size() == 1);
+  CHECK(sent<TasksRejected>(Full, A)[0].Reason_ == RejectReason::NoRoom);
+  F.end(1);
+  const auto Late = F.from(A, start(Job, 1, 1));
+  CHECK(runs(Late) == 0);
+  CHECK(sent<TasksRejected>(Late, A).at(0).Attempt_ == 1);
+  CHECK(runs(F.from(A, start(Job, 1, 1, 2))) == 1);
+  CHECK(runs(F.from(A, start(Job, 1, 1, 3))) == 0);
+}
+
+// Guards against starts by an entry that this agent has given up.
+TEST_CASE("A start from an entry that is not connected is refused", "[gate]") {
+  Fixture F(4);
+  F.Gate_.onEntryLost(A, T0);
+  CHECK(runs(F.from(A, start(jobId(A, "j"), 0, 1))) == 0);
+  F.Gate_.onEntryConnected(A, T0);
+  CHECK(runs(F.from(A, start(jobId(A, "j"), 0, 1))) == 0);
+  CHECK(runs(F.from(A, start(jobId(A, "j"), 0, 1, 2))) == 1);
+}
+
+// Guards against memory that grows with every job, and against a late start
+// that finds its record dropped.
+TEST_CASE("Ended jobs shrink and are dropped by epoch", "[gate]") {
+  Fixture F(4);
+  const JobId Job = jobId(A, "j", 3);
+  F.from(A, start(Job, 0, 1));
+  F.end(1, "result");
+  CHECK(F.Gate_.resultBytes() == 6);
+  F.from(A, JobEnded{Job});
+  CHECK(F.Gate_.resultBytes() == 0);
+  CHECK(F.Gate_.records() == 1);
+  CHECK(runs(F.from(A, start(Job, 0, 2, 9))) == 0);
+  F.from(A, EpochsExpired{Epoch(4)});
+  CHECK(F.Gate_.records() == 0);
+  CHECK(runs(F.from(A, start(Job, 0, 1, 9))) == 0);
+  const auto Closed =
+      sent<IncarnationClosed>(F.from(B, CloseIncarnation{A}), B);
+  CHECK(Closed.at(0).Oldest_ == Epoch(4));
+  CHECK(Closed.at(0).Complete_);
+}
+
+// Guards against a recoverer that takes a forgotten task for an unstarted one.
+TEST_CASE("Records dropped by retention make a close incomplete", "[gate]") {
+  Fixture F(4);
+  F.from(A, start(jobId(A, "j", 5), 0, 1));
+  F.end(1);
+  F.Gate_.onEntryLost(A, T0);
+  F.Gate_.onTimer(T0 + std::chrono::minutes(9));
+  CHECK(F.Gate_.records() == 1);
+  F.Gate_.onTimer(T0 + std::chrono::minutes(10));
+  CHECK(F.Gate_.records() == 0);
+  const auto Closed =
+      sent<IncarnationClosed>(F.from(B, CloseIncarnation{A}), B);
+  CHECK_FALSE(Closed.at(0).Complete_);
+  CHECK(Closed.at(0).Oldest_ == Epoch(6));
+  CHECK(runs(F.from(B, start(jobId(A, "j", 5), 0, 1))) == 0);
+}
+
+// Guards against unbounded results, and against an empty result in place of a
+// dropped one.
+TEST_CASE("Results beyond the bound are marked as dropped", "[gate]") {
+  Fixture F(4, {4, 10, std::chrono::minutes(10)});
+  F.from(A, start(jobId(A, "j"), 0, 2));
+  F.end(1, "123456");
+  F.end(2, "123456");
+  CHECK(F.Gate_.resultBytes() == 6);
+  CHECK(sent<TaskFinished>(F.from(A, start(jobId(A, "j"), 0, 1)), A).empty());
+  const auto Closed =
+      sent<IncarnationClosed>(F.from(B, CloseIncarnation{A}), B);
+  const auto &Tasks = Closed.at(0).Jobs_.at(0).Tasks_;
+  CHECK(Tasks.at(0).Evicted_);
+  CHECK_FALSE(Tasks.at(1).Evicted_);
+}
+
+// Guards against a message of all holdings that exceeds the frame limit.
+TEST_CASE("Large holdings are split into messages", "[gate]") {
+  Fixture F(4);
+  for (int I = 0; I < 3; ++I) {
+    F.from(A, start(jobId(A, std::to_string(I).c_str()), 0, 1));
+    F.end(static_cast<std::uint64_t>(I) + 1, std::string(3u << 20, 'x'));
+  }
+  const auto Parts = sent<IncarnationClosed>(F.from(B, CloseIncarnation{A}), B);
+  REQUIRE(Parts.size() == 3);
+  CHECK_FALSE(Parts[1].Last_);
+  CHECK(Parts[2].Last_);
+}
+
+// Guards against results of a closed owner's tasks that nobody receives.
+TEST_CASE("Ends of a closed owner's tasks reach the grant holder", "[gate]") {
+  Fixture F(4);
+  F.from(A, start(jobId(A, "j"), 0, 3));
+  F.Gate_.onEntryLost(A, T0);
+  F.end(1);
+  const auto Closed =
+      sent<IncarnationClosed>(F.from(B, CloseIncarnation{A}), B);
+  REQUIRE(Closed.at(0).Jobs_.at(0).Tasks_.size() == 3);
+  CHECK(Closed[0].Jobs_[0].Tasks_[0].Finished_);
+  CHECK_FALSE(Closed[0].Jobs_[0].Tasks_[1].Finished_);
+  CHECK(sent<TaskFinished>(F.end(2), B).size() == 1);
+  F.Gate_.onEntryLost(B, T0);
+  F.end(3);
+  const auto Back = F.Gate_.onEntryConnected(B, T0);
+  CHECK(sent<IncarnationClosed>(Back, B).at(0).Jobs_.at(0).Tasks_[2].Finished_);
+}
+
+// Guards against a grant that dies with its holder, and against two holders.
+TEST_CASE("Grants pass on when their holder is closed", "[gate]") {
+  Fixture F(1);
+  F.from(A, start(jobId(A, "j"), 0, 1));
+  F.from(B, CloseIncarnation{A});
+  F.from(B, start(jobId(A, "k"), 0, 1));
+  const auto Other = sent<IncarnationClosed>(F.from(C, CloseIncarnation{A}), C);
+  CHECK(Other.at(0).Holder_ == B);
+  CHECK(Other.at(0).Jobs_.empty());
+  CHECK(runs(F.from(C, start(jobId(A, "j"), 1, 1))) == 0);
+  const auto Passed = F.from(C, CloseIncarnation{B});
+  const auto Parts = sent<IncarnationClosed>(Passed, C);
+  REQUIRE(Parts.size() == 2);
+  CHECK(Parts[0].Entry_ == A);
+  CHECK(Parts[0].Holder_ == C);
+  // B's queued task was dropped by the close, the running one is held.
+  CHECK(Parts[0].Jobs_.size() == 1);
+  CHECK(F.Gate_.queued() == 0);
+  CHECK(sent<YouAreClosed>(F.from(B, start(jobId(A, "k"), 0, 1)), B).size() ==
+        1);
+  CHECK(sent<TaskFinished>(F.end(1), C).size() == 1);
+  CHECK(runs(F.from(C, start(jobId(A, "k"), 0, 1))) == 1);
+}
+
+// Guards against both recoverers starting tasks after a transfer.
+TEST_CASE("A transferred grant moves tasks and proof", "[gate]") {
+  Fixture F(1);
+  F.from(A, start(jobId(A, "j"), 0, 1));
+  F.from(B, CloseIncarnation{A});
+  F.from(B, start(jobId(A, "k"), 0, 1));
+  const auto Out = F.from(B, TransferGrant{A, C});
+  CHECK(sent<TasksRejected>(Out, B).at(0).Reason_ == RejectReason::NotOwner);
+  CHECK(sent<IncarnationClosed>(Out, C).at(0).Jobs_.size() == 1);
+  CHECK(runs(F.from(B, start(jobId(A, "k"), 0, 1, 2))) == 0);
+  F.end(1);
+  CHECK(runs(F.from(C, start(jobId(A, "k"), 0, 1))) == 1);
+  // The grant returns to B; B's refused start must not run then.
+  F.from(C, TransferGrant{A, B});
+  F.end(2);
+  CHECK(runs(F.from(B, start(jobId(A, "l"), 0, 1))) == 1);
+  CHECK(runs(F.from(B, start(jobId(A, "k"), 0, 1, 2))) == 0);
+}
+
+// Guards against a closed incarnation that is forgotten with its records.
+TEST_CASE("A closed incarnation stays closed", "[gate]") {
+  Fixture F(4);
+  F.from(B, CloseIncarnation{A});
+  const Time Later = T0 + std::chrono::hours(24);
+  F.Gate_.onTimer(Later);
+  CHECK(sent<YouAreClosed>(F.Gate_.onEntryConnected(A, Later), A).size() == 1);
+  CHECK(runs(F.from(A, start(jobId(A, "j"), 0, 1), Later)) == 0);
+}
+
+// Guards against work cut off by a drain, and new work during one.
+TEST_CASE("A leaving agent returns queued tasks and ends running ones",
+          "[gate]") {
+  Fixture F(1);
+  F.from(A, start(jobId(A, "j"), 0, 3));
+  const auto Out = F.Gate_.onLeaving(T0);
+  CHECK(sent<TasksRejected>(Out, A).at(0).Tasks_.size() == 2);
+  CHECK(sent<AnnounceEndpoint>(Out, A).at(0).Info_.Leaving_);
+  CHECK_FALSE(F.Gate_.drained());
+  CHECK(sent<TasksRejected>(F.from(A, start(jobId(A, "j"), 5, 1)), A).size() ==
+        1);
+  CHECK(sent<TaskFinished>(F.end(1), A).size() == 1);
+  CHECK(F.Gate_.drained());
+}
+
+// Guards against runs that never end when the endpoint fails.
+TEST_CASE("A failed endpoint ends its runs and takes no work", "[gate]") {
+  Fixture F(2);
+  F.from(A, start(jobId(A, "j"), 0, 3));
+  const auto Out = F.Gate_.onEndpointFailed(T0);
+  CHECK(sent<TaskFinished>(Out, A).size() == 2);
+  CHECK(sent<TasksRejected>(Out, A).at(0).Reason_ == RejectReason::NoEndpoint);
+  CHECK(sent<AgentReport>(Out, A).at(0).Credit_ == 0);
+  CHECK(F.end(1).empty());
+  CHECK(runs(F.from(A, start(jobId(A, "j"), 4, 1))) == 0);
+  F.Gate_.onEndpointAnnounced(endpoint(2), T0);
+  CHECK(runs(F.from(A, start(jobId(A, "j"), 4, 1, 2))) == 1);
+}
+
+// Guards against a start after the deadline, and urgent work behind other work.
+TEST_CASE("The queue is ordered by class and checks deadlines", "[gate]") {
+  Fixture F(1);
+  F.from(A, start(jobId(A, "first"), 0, 1));
+  StartTasks Low = start(jobId(A, "low"), 0, 1);
+  Low.Class_ = PriorityClass(3);
+  F.from(A, Low);
+  StartTasks Dated = start(jobId(A, "dated"), 0, 1);
+  Dated.Deadline_ = std::chrono::milliseconds(5);
+  F.from(A, Dated);
+  F.from(A, start(jobId(A, "urgent"), 0, 1));
+  const Time Later = T0 + std::chrono::milliseconds(5);
+  const auto Out =
+      F.Gate_.onRunFinished(RunId(1), RunOutcome::Success, "", {}, Later);
+  CHECK(outputs<RunTask>(Out).at(0).Job_.Key_ == JobKey("urgent"));
+  CHECK(sent<TasksRejected>(Out, A).at(0).Reason_ == RejectReason::Deadline);
+}
+
+// Guards against cancelled tasks that start, and against other jobs' loss.
+TEST_CASE("Cancelling a job returns its queued and stops its running tasks",
+          "[gate]") {
+  Fixture F(1);
+  F.from(A, start(jobId(A, "j"), 0, 3));
+  F.from(A, start(jobId(A, "k"), 0, 1));
+  CHECK(outputs<StopTask>(F.from(B, CancelTasks{jobId(A, "j"), {}})).empty());
+  const auto Out = F.from(A, CancelTasks{jobId(A, "j"), {}});
+  CHECK(outputs<StopTask>(Out).size() == 1);
+  CHECK(sent<TasksRejected>(Out, A).at(0).Tasks_.size() == 2);
+  CHECK(F.Gate_.queued() == 1);
+}
+
+// Guards against starts of several entries that collide when work waits.
+TEST_CASE("Room is divided by demand, urgent work first", "[gate]") {
+  Fixture F(4, {4, 1000, std::chrono::minutes(10)});
+  const auto Credit = [](const GateOutputs &Out, const EntryId &E) {
+    return sent<AgentReport>(Out, E).at(0).Credit_;
+  };
+  F.from(A, Demand{{{PriorityClass(1), 30}}});
+  const auto Low = F.from(B, Demand{{{PriorityClass(1), 10}}});
+  CHECK(sent<AgentReport>(Low, A).empty());
+  F.from(A, start(jobId(A, "j"), 0, 8));
+  F.from(C, Demand{{{PriorityClass(0), 2}}});
+  std::uint32_t ForA = 0;
+  std::uint32_t ForB = 0;
+  for (std::uint64_t Run = 1; Run <= 6; ++Run) {
+    const auto Out = F.end(Run);
+    for (const auto &R : sent<AgentReport>(Out, A))
+      ForA = R.Credit_;
+    for (const auto &R : sent<AgentReport>(Out, B))
+      ForB = R.Credit_;
+    if (Run == 2)
+      CHECK(Credit(Out, C) == 2);
+  }
+  // The urgent class got the first two places, the rest went by demand.
+  CHECK(ForA + ForB == 4);
+  CHECK(ForB == 1);
+}
