Connect owner and gate as separate processes on loopback

The decision modules had no process around them. Add the kernel (services by name), the event log on log4cplus, the HTTP server and client on Beast, the websocket transport, the peer hub, the entry and agent services and the endpoint stand-in. A job submitted over HTTP runs at the endpoint; a resubmission through the other entry is relayed to the owner and gets the same answer.

No functional change in the decision modules.

--- a/src/cli.h
+++ b/src/cli.h
@@ -27,6 +27,12 @@
   int (*Run_)(const Arguments &Args);
 };
 
+/// Runs an entry process until SIGTERM.
+int runEntry(const Arguments &Args);
+
+/// Runs an agent process until SIGTERM.
+int runAgent(const Arguments &Args);
+
 /// Prints the version of the program and of its protocol.
 int runVersion(const Arguments &Args);
 /// Prints the page of all settings.
--- /dev/null
+++ b/src/cli_run.cpp
@@ -0,0 +1,100 @@
+#include "agent_service.h"
+#include "cli.h"
+#include "entry_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <iostream>
+#include <optional>
+
+namespace chivelanding {
+namespace {
+
+namespace options = boost::program_options;
+
+// Reads --settings FILE. Without a value the exit code says what was printed.
+std::variant<std::string, ExitCode>
+settingsPath(const Arguments &Args, const char *Command, const char *Summary) {
+  options::options_description Known("Options");
+  Known.add_options()("help", "print this text")(
+      "settings", options::value<std::string>(),
+      "TOML settings file, described in docs/settings.md");
+  try {
+    options::variables_map Map;
+    options::store(options::command_line_parser(Args).options(Known).run(),
+                   Map);
+    if (Map.count("help") > 0) {
+      std::cout << "usage: chivelanding " << Command << " --settings FILE\n\n"
+                << Summary << "\n\n"
+                << Known;
+      return ExitOk;
+    }
+    if (Map.count("settings") > 0)
+      return Map["settings"].as<std::string>();
+    std::cerr << "chivelanding " << Command << ": --settings is missing\n";
+  } catch (const options::error &E) {
+    std::cerr << "chivelanding " << Command << ": " << E.what() << "\n";
+  }
+  return ExitUsage;
+}
+
+// One io_context and one thread per process; it runs until a service calls for
+// the end.
+template <typename ServiceType, typename Settings>
+int runProcess(const Settings &S) {
+  boost::asio::io_context Io(1);
+  Kernel Services;
+  auto &Log =
+      Services.add("log", std::make_unique<EventLog>(S.Process_.LogLevel_));
+  Services.add("service", std::make_unique<ServiceType>(Io, S, Log));
+  const auto Started = Services.start();
+  if (!ok(Started)) {
+    std::fprintf(stderr, "chivelanding: %s\n", error(Started).str().c_str());
+    return ExitFailed;
+  }
+  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  Signals.async_wait([&](const boost::system::error_code &Ec, int) {
+    if (!Ec)
+      Io.stop();
+  });
+  Io.run();
+  Services.stop();
+  return ExitOk;
+}
+
+template <typename Settings>
+int report(const LoadedSettings<Settings> &Loaded) {
+  for (const std::string &Line : std::get<SettingsErrors>(Loaded).Lines_)
+    std::fprintf(stderr, "%s\n", Line.c_str());
+  return ExitUsage;
+}
+
+} // namespace
+
+int runEntry(const Arguments &Args) {
+  const auto Path = settingsPath(
+      Args, "entry", "Runs an entry: callers' HTTP, ownership and placement.");
+  if (Path.index() == 1)
+    return std::get<1>(Path);
+  const auto Loaded = loadEntrySettings(std::get<0>(Path));
+  if (Loaded.index() == 1)
+    return report(Loaded);
+  return runProcess<EntryService>(std::get<0>(Loaded));
+}
+
+int runAgent(const Arguments &Args) {
+  const auto Path =
+      settingsPath(Args, "agent", "Runs the agent beside one endpoint.");
+  if (Path.index() == 1)
+    return std::get<1>(Path);
+  const auto Loaded = loadAgentSettings(std::get<0>(Path));
+  if (Loaded.index() == 1)
+    return report(Loaded);
+  return runProcess<AgentService>(std::get<0>(Loaded));
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/entry_service.h
@@ -0,0 +1,35 @@
+#ifndef CHIVELANDING_ENTRY_SERVICE_H
+#define CHIVELANDING_ENTRY_SERVICE_H
+
+#include "kernel.h"
+#include "log.h"
+#include "settings.h"
+
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace chivelanding {
+
+/// The entry process: callers' HTTP, links to agents and other entries, and the
+/// jobs that this incarnation owns.
+class EntryService : public Service {
+public:
+  EntryService(boost::asio::io_context &Io, EntrySettings Settings,
+               EventLog &Log);
+  ~EntryService() override;
+
+  /// Error code: listen_failed.
+  Result<Done> start() override;
+  void stop() override;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,368 @@
+#include "http_server.h"
+
+#include "clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+#include <unordered_set>
+
+namespace chivelanding {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// Bytes asked for by one read.
+constexpr std::size_t ReadBytes = 16u << 10;
+// Bytes of further requests that are read ahead while a reply is pending.
+constexpr std::size_t ReadAheadBytes = 64u << 10;
+// Period of the check for connections past their deadline.
+constexpr auto SweepPeriod = std::chrono::milliseconds(500);
+
+struct Refusal {
+  unsigned Status_;
+  const char *Code_;
+};
+
+Refusal refusalOf(const error_code &Ec) {
+  if (Ec == http::error::body_limit)
+    return {413, "body_too_large"};
+  if (Ec == http::error::header_limit)
+    return {431, "header_too_large"};
+  return {400, "bad_http"};
+}
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(asio::io_context &Io, HttpServerLimits Limits, HttpHandler Handler)
+      : Io_(Io), Limits_(Limits), Handler_(std::move(Handler)), Acceptor_(Io),
+        Sweep_(Io) {}
+
+  void accept();
+  void sweep();
+  void ended(Session *S);
+
+  asio::io_context &Io_;
+  HttpServerLimits Limits_;
+  HttpHandler Handler_;
+  tcp::acceptor Acceptor_;
+  asio::steady_timer Sweep_;
+  std::unordered_set<Session *> Sessions_;
+  bool Accepting_ = false;
+  bool Draining_ = false;
+};
+
+/// One connection. At most one request is being answered; requests that follow
+/// it on the connection wait in the buffer.
+class HttpServer::Session
+    : public HttpReply,
+      public std::enable_shared_from_this<HttpServer::Session> {
+public:
+  Session(std::shared_ptr<HttpServer::Impl> Server, tcp::socket Socket);
+  ~Session() override { Server_->ended(this); }
+
+  void begin();
+  void send(HttpResponse Response) override;
+  void onGone(std::function<void()> Callback) override;
+  void close();
+  void closeIfPast(Time Now);
+  void drain();
+
+private:
+  void read();
+  void onRead(const error_code &Ec, std::size_t Bytes);
+  void parse();
+  void dispatch();
+  void refuse(const error_code &Ec);
+  void onWritten(const error_code &Ec);
+  void continueIfExpected();
+
+  std::shared_ptr<HttpServer::Impl> Server_;
+  tcp::socket Socket_;
+  boost::beast::flat_buffer Buffer_;
+  std::optional<http::request_parser<http::string_body>> Parser_;
+  http::response<http::string_body> Response_;
+  std::function<void()> Gone_;
+  std::optional<Time> Deadline_;
+  bool Reading_ = false;
+  bool Busy_ = false;
+  bool Continued_ = false;
+  bool KeepAlive_ = true;
+  bool Closed_ = false;
+  bool Draining_ = false;
+};
+
+HttpServer::Session::Session(std::shared_ptr<HttpServer::Impl> Server,
+                             tcp::socket Socket)
+    : Server_(std::move(Server)), Socket_(std::move(Socket)) {
+  Server_->Sessions_.insert(this);
+}
+
+void HttpServer::Session::begin() {
+  error_code Ec;
+  Socket_.set_option(tcp::no_delay(true), Ec);
+  Deadline_ = steadyNow() + Server_->Limits_.IdleTimeout_;
+  read();
+}
+
+void HttpServer::Session::close() {
+  if (Closed_)
+    return;
+  Closed_ = true;
+  error_code Ec;
+  Socket_.shutdown(tcp::socket::shutdown_both, Ec);
+  Socket_.close(Ec);
+  if (auto Gone = std::exchange(Gone_, nullptr))
+    Gone();
+}
+
+void HttpServer::Session::closeIfPast(Time Now) {
+  if (!Busy_ && Deadline_ && *Deadline_ <= Now)
+    close();
+}
+
+void HttpServer::Session::drain() {
+  Draining_ = true;
+  if (!Busy_)
+    close();
+}
+
+// A read stays pending while a reply is awaited, because its end of file is
+// the only sign that the caller is gone.
+void HttpServer::Session::read() {
+  if (Reading_ || Closed_)
+    return;
+  Reading_ = true;
+  Socket_.async_read_some(
+      Buffer_.prepare(ReadBytes),
+      [Self = shared_from_this()](const error_code &Ec, std::size_t Bytes) {
+        Self->onRead(Ec, Bytes);
+      });
+}
+
+void HttpServer::Session::onRead(const error_code &Ec, std::size_t Bytes) {
+  Reading_ = false;
+  if (Ec) {
+    close();
+    return;
+  }
+  Buffer_.commit(Bytes);
+  if (!Busy_) {
+    parse();
+    return;
+  }
+  if (Buffer_.size() < ReadAheadBytes)
+    read();
+}
+
+// The deadline of a request counts from its first byte and is not moved by
+// further bytes, so that a slow sender cannot hold the connection.
+void HttpServer::Session::parse() {
+  if (!Parser_) {
+    Parser_.emplace();
+    Parser_->eager(true);
+    Parser_->header_limit(Server_->Limits_.MaxHeaderBytes_);
+    Parser_->body_limit(Server_->Limits_.MaxBodyBytes_);
+    Continued_ = false;
+    Deadline_ = steadyNow() + Server_->Limits_.ReadTimeout_;
+  }
+  while (Buffer_.size() > 0 && !Parser_->is_done()) {
+    error_code Ec;
+    const auto Used = Parser_->put(Buffer_.data(), Ec);
+    Buffer_.consume(Used);
+    if (Ec == http::error::need_more)
+      break;
+    if (Ec) {
+      refuse(Ec);
+      return;
+    }
+    if (Used == 0)
+      break;
+  }
+  if (Parser_->is_done()) {
+    dispatch();
+    return;
+  }
+  continueIfExpected();
+  read();
+}
+
+void HttpServer::Session::continueIfExpected() {
+  if (Continued_ || !Parser_->is_header_done())
+    return;
+  Continued_ = true;
+  if (!boost::beast::iequals(Parser_->get()[http::field::expect],
+                             "100-continue"))
+    return;
+  static constexpr char Text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  error_code Ec;
+  asio::write(Socket_, asio::buffer(Text, sizeof Text - 1), Ec);
+}
+
+void HttpServer::Session::dispatch() {
+  auto Message = Parser_->release();
+  Parser_.reset();
+  Busy_ = true;
+  KeepAlive_ = Message.keep_alive();
+  HttpRequest Request;
+  Request.Method_ = std::string(Message.method_string());
+  Request.Target_ = std::string(Message.target());
+  Request.Headers_.reserve(4);
+  for (const auto &Field : Message)
+    Request.Headers_.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  Request.Body_ = std::move(Message.body());
+  Server_->Handler_(std::move(Request), shared_from_this());
+  if (Buffer_.size() < ReadAheadBytes)
+    read();
+}
+
+void HttpServer::Session::refuse(const error_code &Ec) {
+  const Refusal R = refusalOf(Ec);
+  Busy_ = true;
+  KeepAlive_ = false;
+  send({R.Status_,
+        "application/json",
+        {},
+        std::string(R"({"outcome":"failed","cause":"not_run","code":")") +
+            R.Code_ + R"(","detail":")" + Ec.message() + "\"}"});
+}
+
+void HttpServer::Session::send(HttpResponse Response) {
+  Gone_ = nullptr;
+  if (Closed_)
+    return;
+  Response_ = {static_cast<http::status>(Response.Status_), 11};
+  Response_.set(http::field::content_type, Response.ContentType_);
+  for (const HttpHeader &H : Response.Headers_)
+    Response_.set(H.Name_, H.Value_);
+  Response_.keep_alive(KeepAlive_ && !Draining_);
+  Response_.body() = std::move(Response.Body_);
+  Response_.prepare_payload();
+  http::async_write(
+      Socket_, Response_,
+      [Self = shared_from_this()](const error_code &Ec, std::size_t) {
+        Self->onWritten(Ec);
+      });
+}
+
+void HttpServer::Session::onWritten(const error_code &Ec) {
+  Busy_ = false;
+  if (Ec || !Response_.keep_alive()) {
+    close();
+    return;
+  }
+  Deadline_ = steadyNow() + Server_->Limits_.IdleTimeout_;
+  if (Buffer_.size() > 0)
+    parse();
+  else
+    read();
+}
+
+void HttpServer::Session::onGone(std::function<void()> Callback) {
+  Gone_ = std::move(Callback);
+}
+
+void HttpServer::Impl::accept() {
+  if (Accepting_ || !Acceptor_.is_open() ||
+      Sessions_.size() >= Limits_.MaxConnections_)
+    return;
+  Accepting_ = true;
+  Acceptor_.async_accept(
+      [Self = shared_from_this()](const error_code &Ec, tcp::socket Socket) {
+        Self->Accepting_ = false;
+        if (!Ec)
+          std::make_shared<Session>(Self, std::move(Socket))->begin();
+        // Running out of descriptors is retried by the sweep, not at once.
+        if (!Ec || Ec == asio::error::connection_aborted)
+          Self->accept();
+      });
+}
+
+void HttpServer::Impl::sweep() {
+  Sweep_.expires_after(SweepPeriod);
+  Sweep_.async_wait([Self = shared_from_this()](const error_code &Ec) {
+    if (Ec)
+      return;
+    const auto Now = steadyNow();
+    const std::vector<Session *> Open(Self->Sessions_.begin(),
+                                      Self->Sessions_.end());
+    for (Session *S : Open)
+      if (Self->Sessions_.count(S) > 0)
+        S->closeIfPast(Now);
+    Self->accept();
+    Self->sweep();
+  });
+}
+
+void HttpServer::Impl::ended(Session *S) {
+  Sessions_.erase(S);
+  accept();
+}
+
+HttpServer::HttpServer(asio::io_context &Io, HttpServerLimits Limits,
+                       HttpHandler Handler)
+    : Impl_(std::make_shared<Impl>(Io, Limits, std::move(Handler))) {}
+
+HttpServer::~HttpServer() { close(); }
+
+Result<SocketAddress> HttpServer::listen(const SocketAddress &Address) {
+  const auto Failed = [&](const error_code &Ec) {
+    return Error{"listen_failed", "listen for HTTP", Address.str(),
+                 Ec.message()};
+  };
+  error_code Ec;
+  const auto Ip = asio::ip::make_address(Address.Host_, Ec);
+  if (Ec)
+    return Failed(Ec);
+  const tcp::endpoint Endpoint(Ip, Address.Port_);
+  tcp::acceptor &Acceptor = Impl_->Acceptor_;
+  Acceptor.open(Endpoint.protocol(), Ec);
+  if (!Ec)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), Ec);
+  if (!Ec)
+    Acceptor.bind(Endpoint, Ec);
+  if (!Ec)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Ec);
+  if (Ec)
+    return Failed(Ec);
+  Impl_->accept();
+  Impl_->sweep();
+  return SocketAddress{Address.Host_, Acceptor.local_endpoint(Ec).port()};
+}
+
+void HttpServer::drain() {
+  error_code Ec;
+  Impl_->Acceptor_.close(Ec);
+  const std::vector<Session *> Open(Impl_->Sessions_.begin(),
+                                    Impl_->Sessions_.end());
+  for (Session *S : Open)
+    if (Impl_->Sessions_.count(S) > 0)
+      S->drain();
+}
+
+void HttpServer::close() {
+  error_code Ec;
+  Impl_->Acceptor_.close(Ec);
+  Impl_->Sweep_.cancel();
+  const std::vector<Session *> Open(Impl_->Sessions_.begin(),
+                                    Impl_->Sessions_.end());
+  for (Session *S : Open)
+    if (Impl_->Sessions_.count(S) > 0)
+      S->close();
+}
+
+std::size_t HttpServer::connections() const { return Impl_->Sessions_.size(); }
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,32 @@
+#ifndef CHIVELANDING_LOG_H
+#define CHIVELANDING_LOG_H
+
+#include "events.h"
+#include "kernel.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// Writes events to stderr, one line each.
+class EventLog : public Service {
+public:
+  /// Level is debug, info, warning or error; less severe events are dropped.
+  explicit EventLog(const std::string &Level);
+  ~EventLog() override;
+
+  bool enabled(const EventType &Type) const { return Type.Severity_ >= Least_; }
+  void write(const Event &E);
+  void write(const EventType &Type, std::vector<EventField> Fields);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+  Severity Least_ = Severity::Info;
+};
+
+} // namespace chivelanding
+
+#endif
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,8 @@
 constexpr Command Commands[] = {
     {"settings", "print the page of all settings", runSettings},
     {"events", "print the catalogue of log events", runEvents},
+    {"entry", "run an entry", runEntry},
+    {"agent", "run the agent beside an endpoint", runAgent},
     {"version", "print the version", runVersion},
 };
 
--- /dev/null
+++ b/src/ws_transport.cpp
@@ -0,0 +1,212 @@
+#include "ws_transport.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/concurrency/none.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/logger/stub.hpp>
+#include <websocketpp/server.hpp>
+
+#include <map>
+
+namespace chivelanding {
+namespace {
+
+// Time for the websocket handshake, in milliseconds.
+constexpr long HandshakeMs = 3000;
+// Time for the closing handshake, in milliseconds; a silent peer delays a close
+// by no more.
+constexpr long CloseMs = 500;
+
+// The process has one thread, so the library needs no locks. Its own log is
+// replaced by our events.
+template <typename Base> struct LinkConfig : Base {
+  using concurrency_type = websocketpp::concurrency::none;
+  using alog_type = websocketpp::log::stub;
+  using elog_type = websocketpp::log::stub;
+  // The library prescribes these two names.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  struct transport_config : Base::transport_config {
+    using concurrency_type = websocketpp::concurrency::none;
+    using alog_type = websocketpp::log::stub;
+    using elog_type = websocketpp::log::stub;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    static const bool enable_multithreading = false;
+  };
+  using transport_type =
+      websocketpp::transport::asio::endpoint<transport_config>;
+};
+
+using Server = websocketpp::server<LinkConfig<websocketpp::config::asio>>;
+using Client =
+    websocketpp::client<LinkConfig<websocketpp::config::asio_client>>;
+using websocketpp::connection_hdl;
+
+constexpr auto Binary = websocketpp::frame::opcode::binary;
+
+// What the rest of the transport needs of a connection of either type.
+struct Handle {
+  std::function<void(const std::string &)> Send_;
+  std::function<void(const std::string &)> Close_;
+  std::function<std::size_t()> Buffered_;
+};
+
+} // namespace
+
+struct WsTransport::Impl {
+  Impl(boost::asio::io_context &Io, std::uint64_t MaxFrameBytes,
+       TransportHandler Handler);
+
+  template <typename Endpoint>
+  void setUp(Endpoint &E, boost::asio::io_context &Io, std::uint64_t MaxBytes);
+  template <typename Connection>
+  void setHandlers(const Connection &C, ConnectionId Id, bool Dialled);
+  void ended(ConnectionId Id, const std::string &Reason);
+  ConnectionId next() { return ConnectionId(NextId_++); }
+
+  TransportHandler Handler_;
+  Server Server_;
+  Client Client_;
+  std::uint64_t NextId_ = 1;
+  std::map<ConnectionId, Handle> Open_;
+  bool Stopped_ = false;
+};
+
+template <typename Endpoint>
+void WsTransport::Impl::setUp(Endpoint &E, boost::asio::io_context &Io,
+                              std::uint64_t MaxBytes) {
+  E.init_asio(&Io);
+  E.set_max_message_size(MaxBytes);
+  E.set_open_handshake_timeout(HandshakeMs);
+  E.set_close_handshake_timeout(CloseMs);
+}
+
+WsTransport::Impl::Impl(boost::asio::io_context &Io,
+                        std::uint64_t MaxFrameBytes, TransportHandler Handler)
+    : Handler_(std::move(Handler)) {
+  setUp(Server_, Io, MaxFrameBytes);
+  setUp(Client_, Io, MaxFrameBytes);
+  Server_.set_reuse_addr(true);
+  // An accepted connection gets its number before its handshake, so that each
+  // callback of it can be bound to the number.
+  Server_.set_tcp_pre_init_handler([this](const connection_hdl &Hdl) {
+    websocketpp::lib::error_code Ec;
+    const auto C = Server_.get_con_from_hdl(Hdl, Ec);
+    if (!Ec)
+      setHandlers(C, next(), false);
+  });
+}
+
+template <typename Connection>
+void WsTransport::Impl::setHandlers(const Connection &C, ConnectionId Id,
+                                    bool Dialled) {
+  C->set_open_handler([this, Id, Dialled](const connection_hdl &Hdl) {
+    if (Stopped_)
+      return;
+    auto Con =
+        std::static_pointer_cast<typename Connection::element_type>(Hdl.lock());
+    boost::system::error_code Ignored;
+    Con->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true),
+                                     Ignored);
+    Open_[Id] = {[Con](const std::string &Bytes) { Con->send(Bytes, Binary); },
+                 [Con](const std::string &Reason) {
+                   websocketpp::lib::error_code Ec;
+                   Con->close(websocketpp::close::status::normal,
+                              Reason.substr(0, 120), Ec);
+                 },
+                 [Con] { return Con->get_buffered_amount(); }};
+    Handler_.Opened_(Id, Dialled);
+  });
+  C->set_message_handler(
+      [this, Id](const connection_hdl &, const Server::message_ptr &M) {
+        if (!Stopped_ && Open_.count(Id) > 0)
+          Handler_.Received_(Id, M->get_payload());
+      });
+  C->set_close_handler([this, Id](const connection_hdl &Hdl) {
+    auto Con =
+        std::static_pointer_cast<typename Connection::element_type>(Hdl.lock());
+    ended(Id, Con->get_ec().message());
+  });
+  C->set_fail_handler([this, Id](const connection_hdl &Hdl) {
+    auto Con =
+        std::static_pointer_cast<typename Connection::element_type>(Hdl.lock());
+    ended(Id, Con->get_ec().message());
+  });
+}
+
+void WsTransport::Impl::ended(ConnectionId Id, const std::string &Reason) {
+  Open_.erase(Id);
+  if (!Stopped_)
+    Handler_.Closed_(Id, Reason);
+}
+
+WsTransport::WsTransport(boost::asio::io_context &Io,
+                         std::uint64_t MaxFrameBytes, TransportHandler Handler)
+    : Impl_(std::make_unique<Impl>(Io, MaxFrameBytes, std::move(Handler))) {}
+
+WsTransport::~WsTransport() { stop(); }
+
+Result<SocketAddress> WsTransport::listen(const SocketAddress &Address) {
+  const auto Failed = [&](const std::string &Detail) {
+    return Error{"listen_failed", "listen for peers", Address.str(), Detail};
+  };
+  boost::system::error_code Parse;
+  const auto Ip = boost::asio::ip::make_address(Address.Host_, Parse);
+  if (Parse)
+    return Failed(Parse.message());
+  websocketpp::lib::error_code Ec;
+  Impl_->Server_.listen({Ip, Address.Port_}, Ec);
+  if (!Ec)
+    Impl_->Server_.start_accept(Ec);
+  if (Ec)
+    return Failed(Ec.message());
+  boost::system::error_code Ignored;
+  return SocketAddress{Address.Host_,
+                       Impl_->Server_.get_local_endpoint(Ignored).port()};
+}
+
+Result<ConnectionId> WsTransport::dial(const SocketAddress &Address) {
+  websocketpp::lib::error_code Ec;
+  const auto C =
+      Impl_->Client_.get_connection("ws://" + Address.str() + "/link", Ec);
+  if (Ec)
+    return Error{"bad_address", "dial", Address.str(), Ec.message()};
+  const auto Id = Impl_->next();
+  Impl_->setHandlers(C, Id, true);
+  Impl_->Client_.connect(C);
+  return Id;
+}
+
+void WsTransport::send(ConnectionId To, const std::string &Bytes) {
+  const auto It = Impl_->Open_.find(To);
+  if (It != Impl_->Open_.end())
+    It->second.Send_(Bytes);
+}
+
+void WsTransport::close(ConnectionId Connection, const std::string &Reason) {
+  const auto It = Impl_->Open_.find(Connection);
+  if (It == Impl_->Open_.end())
+    return;
+  const auto Close = It->second.Close_;
+  Close(Reason);
+}
+
+std::size_t WsTransport::bufferedBytes(ConnectionId Connection) const {
+  const auto It = Impl_->Open_.find(Connection);
+  return It == Impl_->Open_.end() ? 0 : It->second.Buffered_();
+}
+
+void WsTransport::stop() {
+  if (Impl_->Stopped_)
+    return;
+  Impl_->Stopped_ = true;
+  websocketpp::lib::error_code Ec;
+  if (Impl_->Server_.is_listening())
+    Impl_->Server_.stop_listening(Ec);
+  const auto Open = std::move(Impl_->Open_);
+  Impl_->Open_.clear();
+  for (const auto &[Id, H] : Open)
+    H.Close_("stopped");
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/ws_transport.h
@@ -0,0 +1,56 @@
+#ifndef CHIVELANDING_WS_TRANSPORT_H
+#define CHIVELANDING_WS_TRANSPORT_H
+
+#include "result.h"
+#include "settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace chivelanding {
+
+/// Number of one websocket connection of a process.
+using ConnectionId = Number<struct ConnectionTag>;
+
+/// Callbacks of a transport. None of them runs inside a call of the transport.
+struct TransportHandler {
+  /// Dialled_ tells connections made by dial() from accepted ones.
+  std::function<void(ConnectionId, bool Dialled)> Opened_;
+  std::function<void(ConnectionId, const std::string &Bytes)> Received_;
+  /// Once per connection, also for a dial that failed.
+  std::function<void(ConnectionId, const std::string &Reason)> Closed_;
+};
+
+/// Websocket connections that carry binary frames, on the caller's io_context.
+class WsTransport {
+public:
+  /// Larger frames close the connection that carries them.
+  WsTransport(boost::asio::io_context &Io, std::uint64_t MaxFrameBytes,
+              TransportHandler Handler);
+  ~WsTransport();
+
+  /// Returns the bound address. Error code: listen_failed.
+  Result<SocketAddress> listen(const SocketAddress &Address);
+  /// Error code: bad_address.
+  Result<ConnectionId> dial(const SocketAddress &Address);
+  /// Has no effect on a connection that is closed.
+  void send(ConnectionId To, const std::string &Bytes);
+  void close(ConnectionId Connection, const std::string &Reason);
+  /// Bytes accepted by send() that the system has not taken yet.
+  std::size_t bufferedBytes(ConnectionId Connection) const;
+  /// Closes the listener and every connection.
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/standin/standin.h
@@ -0,0 +1,14 @@
+#ifndef CHIVELANDING_STANDIN_H
+#define CHIVELANDING_STANDIN_H
+
+#include "cli.h"
+
+namespace chivelanding {
+
+/// An endpoint: announces itself to its agent, runs tasks for the time named in
+/// their payload and counts the starts of each task.
+int runEndpointStandin(const Arguments &Args);
+
+} // namespace chivelanding
+
+#endif
