--- a/standin/standin.h
+++ b/standin/standin.h
@@ -9,6 +9,9 @@
 /// their payload and counts the starts of each task.
 int runEndpointStandin(const Arguments &Args);
 
+/// The platform's log, in memory, with faults that are switched over HTTP.
+int runLogStandin(const Arguments &Args);
+
 } // namespace chivelanding
 
 #endif
