--- a/src/cli_support.cpp
+++ b/src/cli_support.cpp
@@ -1,9 +1,9 @@
 #include "cli_support.h"
+#include "api.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -104,21 +104,6 @@
   return Exit;
 }
 
-Result<SocketAddress> parseAddress(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  SocketAddress Address;
-  const char *End = Text.data() + Text.size();
-  if (Colon != std::string::npos && Colon > 0) {
-    Address.Host_ = Text.substr(0, Colon);
-    const auto Read =
-        std::from_chars(Text.data() + Colon + 1, End, Address.Port_);
-    if (Read.ec == std::errc() && Read.ptr == End && Address.Port_ != 0)
-      return Address;
-  }
-  return Error{"bad_address", "read address", "",
-               "\"" + Text + "\" is not IP:PORT, such as 10.0.0.7:8080"};
-}
-
 Result<SocketAddress> addressOption(const CommandOptions &Options,
                                     const char *Name, const char *Variable) {
   std::string Text = Options.text(Name);
--- a/src/cli_support.h
+++ b/src/cli_support.h
@@ -50,8 +50,6 @@
 /// Prints an error as text on the error stream, or as JSON, and returns Exit.
 int reportError(const Error &E, bool AsJson, int Exit);
 
-/// An address "IP:PORT". Error code: bad_address.
-Result<SocketAddress> parseAddress(const std::string &Text);
 /// The address of an option or of an environment variable. Error codes:
 /// no_address, bad_address.
 Result<SocketAddress> addressOption(const CommandOptions &Options,
--- a/src/config_runner.h
+++ b/src/config_runner.h
@@ -1,6 +1,7 @@
 #ifndef CHIVELANDING_CONFIG_RUNNER_H
 #define CHIVELANDING_CONFIG_RUNNER_H
 
+#include "clock.h"
 #include "config_follower.h"
 #include "log_client.h"
 
@@ -49,9 +50,6 @@
   std::shared_ptr<int> Alive_ = std::make_shared<int>();
 };
 
-/// The present time on this process's monotonic time line.
-Time steadyNow();
-
 } // namespace chivelanding
 
 #endif
--- a/src/config_session.cpp
+++ b/src/config_session.cpp
@@ -1,4 +1,5 @@
 #include "config_session.h"
+#include "clock.h"
 
 #include <random>
 
--- a/src/config_session.h
+++ b/src/config_session.h
@@ -35,7 +35,7 @@
 
 private:
   boost::asio::io_context Context_;
-  BeastLogTransport Transport_;
+  HttpLogTransport Transport_;
   std::unique_ptr<ConfigRunner> Runner_;
   std::map<ConfigVersion, AcceptedPtr> States_;
   std::vector<JudgedRecord> History_;
--- a/src/log_transport.h
+++ b/src/log_transport.h
@@ -1,24 +1,21 @@
 #ifndef CHIVELANDING_LOG_TRANSPORT_H
 #define CHIVELANDING_LOG_TRANSPORT_H
 
+#include "http_client.h"
 #include "log_client.h"
 #include "settings.h"
 
-#include <boost/asio/io_context.hpp>
-
 namespace chivelanding {
 
-/// Sends each request over a connection of its own with Boost.Beast, so that a
-/// long poll never delays an append and a silent connection costs one request.
-class BeastLogTransport : public LogTransport {
+/// Sends requests to the log with an HttpClient.
+class HttpLogTransport : public LogTransport {
 public:
-  BeastLogTransport(boost::asio::io_context &Context, SocketAddress Log)
-      : Context_(Context), Log_(std::move(Log)) {}
+  HttpLogTransport(boost::asio::io_context &Io, SocketAddress Log);
 
-  void send(LogRequest Request, Callback Done) override;
+  void send(HttpRequest Request, Duration Timeout, Callback Done) override;
 
 private:
-  boost::asio::io_context &Context_;
+  HttpClient Client_;
   SocketAddress Log_;
 };
 
--- a/standin/standin_main.cpp
+++ b/standin/standin_main.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr Command Commands[] = {
-    {"log", "the platform's log", runLogStandin},
+    {"endpoint", "an endpoint that runs tasks", runEndpointStandin},
+    {"log", "the platform's log, in memory", runLogStandin},
 };
 
 int usage() {
