Add the administration API and the authorization of callers

Cause: operators and other programs need the same actions over HTTP, and callers must be tied to their team. Conclusion: every request without a valid token has the same 401; each change leaves an AdminAction event.

--- /dev/null
+++ b/src/admin_api.h
@@ -0,0 +1,57 @@
+#ifndef CHIVELANDING_ADMIN_API_H
+#define CHIVELANDING_ADMIN_API_H
+
+#include "config_follower.h"
+#include "events.h"
+#include "http.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// A process and the configuration version that it last reported.
+struct ProcessVersion {
+  std::string Process_;
+  const char *Role_ = "agent";
+  ConfigVersion Version_;
+};
+
+/// What the administration API shows of its process.
+struct AdminView {
+  AcceptedPtr InForce_;
+  /// This process and every peer that it is connected to.
+  std::vector<ProcessVersion> Processes_;
+  /// Null if the process does not follow the log.
+  const ConfigFollower *Follower_ = nullptr;
+};
+
+/// A change to publish; the response follows when it has ended.
+struct AdminPublish {
+  ChangeRecord Change_;
+};
+
+/// The response, or the change that decides it, and the event for the audit.
+struct AdminResult {
+  std::variant<HttpResponse, AdminPublish> Action_;
+  std::optional<Event> Event_;
+};
+
+/// Maps a request to what is to be done. Every request needs the bearer token
+/// of an operator in force; without it the response is the same 401 whatever
+/// was asked for. NewId is used for a change that names no id of its own.
+/// Statuses: 400 malformed, 401, 403 role reader, 404, 405, 409 stale base, 422
+/// invalid set.
+AdminResult handleAdmin(const HttpRequest &Request, const AdminView &View,
+                        const std::string &NewId);
+
+/// The response to a change that has ended. Statuses: 200 accepted, 409 stale,
+/// 422 invalid, 503 not published, 504 unknown.
+HttpResponse renderPublishEnded(const PublishEnded &End);
+/// The event of a change that has ended.
+Event publishEndedEvent(const PublishEnded &End);
+
+} // namespace chivelanding
+
+#endif
--- a/src/cli_config.cpp
+++ b/src/cli_config.cpp
@@ -8,30 +8,10 @@
 
 namespace {
 
-using Json = nlohmann::json;
 namespace po = boost::program_options;
 
 constexpr Duration ReadLimit = std::chrono::seconds(10);
 
-Json problemsJson(const std::vector<ConfigProblem> &Problems) {
-  Json List = Json::array();
-  for (const ConfigProblem &P : Problems)
-    List.push_back({{"file", P.File_},
-                    {"line", P.Line_},
-                    {"object", P.Object_},
-                    {"problem", P.Problem_},
-                    {"remedy", P.Remedy_}});
-  return List;
-}
-
-Json fieldJson(const FieldChange &F) {
-  static constexpr const char *Effects[] = {"neutral", "tightens", "loosens"};
-  return {{"key", F.Key_},
-          {"before", F.Before_},
-          {"after", F.After_},
-          {"effect", Effects[static_cast<std::size_t>(F.Effect_)]}};
-}
-
 std::string fieldText(const FieldChange &F) {
   std::string Text = "    " + F.Key_ + ": ";
   Text += F.Before_.empty() ? "(none)" : F.Before_;
@@ -88,20 +68,6 @@
                Changes.size(), Tightened);
 }
 
-Json changesJson(const std::vector<ObjectChange> &Changes) {
-  Json List = Json::array();
-  for (const ObjectChange &C : Changes) {
-    Json Fields = Json::array();
-    for (const FieldChange &F : C.Fields_)
-      Fields.push_back(fieldJson(F));
-    List.push_back({{"change", changeKindName(C.Kind_)},
-                    {"type", objectTypeName(C.Type_)},
-                    {"name", C.Name_},
-                    {"fields", Fields}});
-  }
-  return List;
-}
-
 int runCheck(const Arguments &Args) {
   CommandOptions Options("check",
                          "Checks a whole set of objects and reports every "
--- a/src/cli_config.h
+++ b/src/cli_config.h
@@ -2,9 +2,7 @@
 #define CHIVELANDING_CLI_CONFIG_H
 
 #include "cli_support.h"
-#include "config_delta.h"
-
-#include <nlohmann/json.hpp>
+#include "config_json.h"
 
 namespace chivelanding {
 
@@ -15,7 +13,6 @@
 
 /// Prints what changes, and marks what tightens.
 void printChanges(const std::vector<ObjectChange> &Changes, FILE *Stream);
-nlohmann::json changesJson(const std::vector<ObjectChange> &Changes);
 
 } // namespace chivelanding
 
--- a/src/cli_config_log.cpp
+++ b/src/cli_config_log.cpp
@@ -15,17 +15,6 @@
 constexpr Duration ReadLimit = std::chrono::seconds(10);
 constexpr std::uint64_t DefaultRows = 20;
 
-Json judgedJson(const JudgedRecord &J) {
-  return {{"offset", J.Offset_},
-          {"judgement", judgementName(J.Judgement_)},
-          {"base", J.Base_.value()},
-          {"version", J.Version_.value()},
-          {"author", J.Author_},
-          {"reason", J.Reason_},
-          {"id", J.Id_},
-          {"detail", J.Detail_}};
-}
-
 std::vector<std::string> judgedRow(const JudgedRecord &J) {
   const bool IsAccepted = J.Judgement_ == Judgement::Accepted;
   return {IsAccepted ? std::to_string(J.Version_.value()) : "-",
--- /dev/null
+++ b/src/config_json.h
@@ -0,0 +1,20 @@
+#ifndef CHIVELANDING_CONFIG_JSON_H
+#define CHIVELANDING_CONFIG_JSON_H
+
+#include "config_delta.h"
+#include "publication.h"
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace chivelanding {
+
+/// The forms in which commands and the administration API print results.
+nlohmann::json problemsJson(const std::vector<ConfigProblem> &Problems);
+nlohmann::json changesJson(const std::vector<ObjectChange> &Changes);
+nlohmann::json judgedJson(const JudgedRecord &Judged);
+
+} // namespace chivelanding
+
+#endif
