Add status, the wait for a version in force, and the services behind them

Cause: publish could not tell when a version is in force, and the configuration modules were not connected to sockets and timers. Conclusion: the services are not yet started by the entry and the agent.

--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -144,6 +144,22 @@
   return Change;
 }
 
+// A request that is repeated after a lost answer is answered with what became
+// of the first one instead of a refusal of the second.
+std::optional<PublishEnded> acceptedBefore(const ConfigFollower &Follower,
+                                           const std::string &Id) {
+  for (const JudgedRecord &J : Follower.publication().history()) {
+    if (J.Id_ != Id || J.Judgement_ != Judgement::Accepted)
+      continue;
+    PublishEnded End;
+    End.Id_ = Id;
+    End.Outcome_ = PublishOutcome::Accepted;
+    End.Version_ = J.Version_;
+    return End;
+  }
+  return std::nullopt;
+}
+
 AdminResult publishChange(const AdminCall &Call) {
   Result<ChangeRecord> Read = readChange(Call);
   if (!ok(Read))
@@ -157,6 +173,8 @@
                    "this entry does not follow the log; use "
                    "another or chivelanding publish"),
             actionEvent(Call, Change, "no_log")};
+  if (const auto Known = acceptedBefore(*Call.View_.Follower_, Change.Id_))
+    return {renderPublishEnded(*Known), actionEvent(Call, Change, "repeated")};
   const ParsedConfig Config = checkConfig({{"request", Change.Toml_}});
   if (!Config.Problems_.empty())
     return {invalidSet(Config.Problems_),
--- a/src/cli.h
+++ b/src/cli.h
@@ -52,6 +52,8 @@
 int runHistory(const Arguments &Args);
 /// Prints a version of the configuration.
 int runShow(const Arguments &Args);
+/// Shows which processes have which version.
+int runStatus(const Arguments &Args);
 
 } // namespace chivelanding
 
--- /dev/null
+++ b/src/cli_admin.cpp
@@ -0,0 +1,163 @@
+#include "cli_admin.h"
+#include "clock.h"
+#include "http_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <thread>
+
+namespace chivelanding {
+
+namespace {
+
+using Json = nlohmann::json;
+namespace po = boost::program_options;
+
+constexpr char AddressVariable[] = "CHIVELANDING_ADMIN";
+constexpr char TokenVariable[] = "CHIVELANDING_TOKEN";
+constexpr Duration AnswerLimit = std::chrono::seconds(5);
+constexpr std::uint64_t MaxAnswerBytes = 64u << 20;
+// Short against the second in which a version is in force.
+constexpr auto PollPeriod = std::chrono::milliseconds(50);
+
+// The token is never an argument, because other users can see those.
+Result<std::string> readToken(const CommandOptions &Options) {
+  const std::string File = Options.text("token-file");
+  if (File.empty()) {
+    if (const char *Token = std::getenv(TokenVariable))
+      return std::string(Token);
+    return Error{"no_token", "read options", "",
+                 std::string("give --token-file FILE or set ") + TokenVariable};
+  }
+  std::ifstream Stream(File);
+  std::string Token;
+  if (!std::getline(Stream, Token) || Token.empty())
+    return Error{"unreadable", "read " + File, "",
+                 "the file must have the token in its first line"};
+  return Token;
+}
+
+} // namespace
+
+void AdminSession::addOptions(CommandOptions &Options) {
+  Options.add()("admin", po::value<std::string>(),
+                "administration listener of an entry; else "
+                "CHIVELANDING_ADMIN")(
+      "token-file", po::value<std::string>(),
+      "file with the operator's token; else CHIVELANDING_TOKEN");
+}
+
+bool AdminSession::isConfigured(const CommandOptions &Options) {
+  return Options.has("admin") || std::getenv(AddressVariable);
+}
+
+Result<AdminSession> AdminSession::open(const CommandOptions &Options) {
+  const auto Address = addressOption(Options, "admin", AddressVariable);
+  if (!ok(Address))
+    return error(Address);
+  const auto Token = readToken(Options);
+  if (!ok(Token))
+    return error(Token);
+  AdminSession Session;
+  Session.Address_ = value(Address);
+  Session.Token_ = value(Token);
+  return Session;
+}
+
+Result<Json> AdminSession::get(const std::string &Path) const {
+  boost::asio::io_context Io(1);
+  HttpClient Client(Io, MaxAnswerBytes);
+  HttpRequest Request;
+  Request.Target_ = Path;
+  Request.Headers_.push_back({"Authorization", "Bearer " + Token_});
+  std::optional<Result<HttpResponse>> Answer;
+  Client.send(Address_, std::move(Request), AnswerLimit,
+              [&](Result<HttpResponse> R) { Answer = std::move(R); });
+  while (!Answer)
+    Io.run_one();
+  if (!ok(*Answer))
+    return error(*Answer);
+  const HttpResponse &Response = value(*Answer);
+  const auto Refuse = [&](const char *Code, const std::string &Detail) {
+    return Error{Code, "ask entry", Address_.str(), Detail};
+  };
+  if (Response.Status_ == 401)
+    return Refuse("unauthorized",
+                  "the token is not that of an operator in force");
+  Json Body = Json::parse(Response.Body_, nullptr, false);
+  if (Response.Status_ != 200 || !Body.is_object())
+    return Refuse("admin_error",
+                  "status " + std::to_string(Response.Status_) +
+                      "; is this the administration listener of an entry?");
+  return Body;
+}
+
+bool waitInForce(
+    const AdminSession &Admin, std::uint64_t Version, Duration Limit,
+    const std::function<void(std::uint64_t, std::uint64_t)> &Progress) {
+  const Time Deadline = steadyNow() + Limit;
+  std::pair<std::uint64_t, std::uint64_t> Last{0, 0};
+  for (;;) {
+    const auto Status = Admin.get("/v1/config/status");
+    if (ok(Status)) {
+      std::pair<std::uint64_t, std::uint64_t> Now{0, 0};
+      for (const Json &P : value(Status).at("processes")) {
+        Now.first += P.at("version").get<std::uint64_t>() >= Version;
+        ++Now.second;
+      }
+      if (Now != Last)
+        Progress(Now.first, Now.second);
+      Last = Now;
+      if (Now.first == Now.second)
+        return true;
+    }
+    if (steadyNow() >= Deadline)
+      return false;
+    std::this_thread::sleep_for(PollPeriod);
+  }
+}
+
+int runStatus(const Arguments &Args) {
+  CommandOptions Options("status",
+                         "Shows which processes have which version of the "
+                         "configuration: the entry that is\nasked and every "
+                         "process connected to it.",
+                         "");
+  AdminSession::addOptions(Options);
+  if (const auto Exit = Options.parse(Args))
+    return *Exit;
+  const auto Admin = AdminSession::open(Options);
+  if (!ok(Admin))
+    return reportError(error(Admin), Options.json(), ExitUsage);
+  const auto Status = value(Admin).get("/v1/config/status");
+  if (!ok(Status))
+    return reportError(error(Status), Options.json(), ExitFailed);
+  const Json &S = value(Status);
+  if (Options.json()) {
+    printJson(S);
+    return ExitOk;
+  }
+  const std::uint64_t Version = S.at("version").get<std::uint64_t>();
+  std::vector<std::vector<std::string>> Rows = {
+      {"PROCESS", "ROLE", "VERSION", "STATE"}};
+  for (const Json &P : S.at("processes")) {
+    const auto Has = P.at("version").get<std::uint64_t>();
+    Rows.push_back({P.at("process").get<std::string>(),
+                    P.at("role").get<std::string>(), std::to_string(Has),
+                    Has >= Version ? "in force" : "behind"});
+  }
+  printTable(Rows);
+  std::printf(
+      "version %llu (hash %s) in force on %llu of %llu processes\n",
+      static_cast<unsigned long long>(Version),
+      S.at("hash").get<std::string>().c_str(),
+      static_cast<unsigned long long>(S.at("in_force").get<std::uint64_t>()),
+      static_cast<unsigned long long>(S.at("of").get<std::uint64_t>()));
+  if (S.contains("log") && !S["log"].at("reachable").get<bool>())
+    std::puts("the log is not reachable from this entry");
+  return ExitOk;
+}
+
+} // namespace chivelanding
--- a/src/cli_config_publish.cpp
+++ b/src/cli_config_publish.cpp
@@ -1,3 +1,4 @@
+#include "cli_admin.h"
 #include "cli_config.h"
 #include "config_session.h"
 
@@ -12,6 +13,7 @@
 namespace po = boost::program_options;
 
 constexpr Duration ReadLimit = std::chrono::seconds(10);
+constexpr std::uint64_t DefaultWaitSeconds = 10;
 
 int exitOf(PublishOutcome O) {
   switch (O) {
@@ -39,6 +41,7 @@
   std::optional<int> checkBase();
   std::optional<int> confirm();
   int publish();
+  int waitEverywhere(ConfigVersion Version) const;
   void printEnd(const PublishEnded &End) const;
   std::string changesSince(ConfigVersion Base) const;
 
@@ -47,6 +50,7 @@
   AcceptedPtr New_;
   ConfigVersion Base_;
   std::vector<ObjectChange> Changes_;
+  std::optional<AdminSession> Admin_;
 };
 
 int PublishCommand::run() {
@@ -60,6 +64,12 @@
                   "name files or - for standard input, or give "
                   "--revert-to, but not both",
                   ExitUsage);
+  if (AdminSession::isConfigured(Options_)) {
+    const auto Admin = AdminSession::open(Options_);
+    if (!ok(Admin))
+      return reportError(error(Admin), Options_.json(), ExitUsage);
+    Admin_ = value(Admin);
+  }
   if (const auto Exit = openLog())
     return *Exit;
   if (const auto Exit = loadNew())
@@ -163,9 +173,30 @@
   Change.Toml_ = New_->Toml_;
   const PublishEnded End = Session_->publish(std::move(Change));
   printEnd(End);
+  if (End.Outcome_ == PublishOutcome::Accepted && Admin_)
+    return waitEverywhere(End.Version_);
   return exitOf(End.Outcome_);
 }
 
+// The change is accepted whatever happens here; exit code 3 says that it is not
+// known to be in force everywhere.
+int PublishCommand::waitEverywhere(ConfigVersion Version) const {
+  const Duration Limit = std::chrono::seconds(
+      Options_.number("wait").value_or(DefaultWaitSeconds));
+  const bool IsDone =
+      waitInForce(*Admin_, Version.value(), Limit,
+                  [](std::uint64_t InForce, std::uint64_t All) {
+                    std::fprintf(stderr, "in force on %llu of %llu\n",
+                                 static_cast<unsigned long long>(InForce),
+                                 static_cast<unsigned long long>(All));
+                  });
+  if (IsDone)
+    return ExitOk;
+  std::fprintf(stderr, "chivelanding: accepted, but not known to be in force "
+                       "everywhere; see chivelanding status\n");
+  return ExitUnknown;
+}
+
 void PublishCommand::printEnd(const PublishEnded &End) const {
   if (Options_.json())
     return printJson({{"outcome", publishOutcomeName(End.Outcome_)},
@@ -216,7 +247,11 @@
       "version on which the files are based; by default the one in force")(
       "revert-to", po::value<std::uint64_t>(),
       "publish an earlier version again, as a new change")(
-      "dry-run", "show the changes only")("yes", "do not ask");
+      "dry-run", "show the changes only")("yes", "do not ask")(
+      "wait", po::value<std::uint64_t>(),
+      "seconds to wait until the version is in force on every process that "
+      "the entry of --admin knows, 10 by default");
+  AdminSession::addOptions(Options);
   if (const auto Exit = Options.parse(Args))
     return *Exit;
   return PublishCommand(Options).run();
--- /dev/null
+++ b/src/config_service.h
@@ -0,0 +1,74 @@
+#ifndef CHIVELANDING_CONFIG_SERVICE_H
+#define CHIVELANDING_CONFIG_SERVICE_H
+
+#include "admin_api.h"
+#include "config_runner.h"
+#include "config_sync.h"
+#include "kernel.h"
+#include "log.h"
+#include "log_transport.h"
+#include "settings.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// The configuration in force in one process: follows the log if the settings
+/// name one, and exchanges versions with the peers.
+class ConfigService : public Service {
+public:
+  struct Host {
+    /// Sends a message to a peer by the name given to onPeerUp.
+    std::function<void(const std::string &, Message)> Send_;
+    /// A new version is in force. May be empty.
+    std::function<void(const AcceptedPtr &)> InForce_;
+  };
+
+  ConfigService(boost::asio::io_context &Io, const ProcessSettings &Settings,
+                Role Role, EventLog &Log, Host Owner);
+  ~ConfigService() override;
+
+  Result<Done> start() override;
+  void stop() override;
+
+  void onPeerUp(const std::string &Peer, Role Role);
+  void onPeerLost(const std::string &Peer);
+  /// False if the message is not about the configuration.
+  bool onMessage(const std::string &Peer, const Message &M);
+
+  /// Calls Ended later; at once if this process does not follow the log.
+  void publish(ChangeRecord Change,
+               std::function<void(const PublishEnded &)> Ended);
+
+  const AcceptedPtr &state() const { return Sync_.state(); }
+  AdminView view() const;
+
+private:
+  void apply(const SyncOutputs &Outputs);
+  void schedule();
+  void updateWriters();
+  void onJudged(const JudgedRecord &Judged);
+  void onReachable(const LogReachable &Reachable);
+  ConfigRunner::Callbacks callbacks();
+
+  ProcessSettings Settings_;
+  Role Role_;
+  EventLog &Log_;
+  Host Host_;
+  ConfigSync Sync_;
+  std::unique_ptr<HttpLogTransport> Transport_;
+  std::unique_ptr<ConfigRunner> Runner_;
+  boost::asio::steady_timer Timer_;
+  std::map<std::string, Role> Peers_;
+  std::map<std::string, std::function<void(const PublishEnded &)>> Publishing_;
+  std::shared_ptr<int> Alive_ = std::make_shared<int>();
+  bool Stopped_ = false;
+};
+
+} // namespace chivelanding
+
+#endif
--- a/tests/admin_api_test.cpp
+++ b/tests/admin_api_test.cpp
@@ -108,6 +108,28 @@
     CHECK(response(Post("ada-token", Bad)).Status_ == 400);
 }
 
+// Guards against a repeated request that is refused although the first one was
+// accepted, which would make an operator publish again.
+TEST_CASE_METHOD(Fixture, "A repeated change has the answer of the first",
+                 "[admin]") {
+  Follower_.start(Time());
+  ChangeRecord Change;
+  Change.Id_ = "known";
+  Change.Author_ = "ada";
+  Change.Reason_ = "test";
+  Change.Toml_ = set(9);
+  Follower_.onRead(1, {0, 1, 0, {encodeRecord(Change)}}, Time());
+  REQUIRE(Follower_.publication().version() == ConfigVersion(1));
+  const std::string Body =
+      nlohmann::json(
+          {{"base", 0}, {"reason", "r"}, {"toml", set(9)}, {"id", "known"}})
+          .dump();
+  const HttpResponse R =
+      response(request("POST", "/v1/config/changes", "ada-token", Body));
+  CHECK(R.Status_ == 200);
+  CHECK(nlohmann::json::parse(R.Body_)["version"] == 1);
+}
+
 // Guards against a status that counts processes which have an older version.
 TEST_CASE_METHOD(Fixture, "The status counts the processes that have a version",
                  "[admin]") {
