Complete the job owner: retention, attach, retries, drain, adoption

Cause: the owner kept records for ever, lost deadlines on a requeue, searched all jobs when an agent or a caller was lost, and could not resume a job. Change: records are kept until their epoch is over and results are bounded in bytes; a key with another body is refused; rejections count for the last attempt only; idempotent requests are sent again under a budget per service; a closed owner relays its waiting submissions; adopted jobs are awaited or placed after claiming the grant; demand is stated to agents after a lasting change. The gate sends its room before its rejections.

--- a/src/agent_gate.cpp
+++ b/src/agent_gate.cpp
@@ -68,13 +68,14 @@
 }
 
 // Every input ends here, so that its effects on the queue, the rejections and
-// the room go out once.
+// the room go out once. The room goes first; else the owner would send rejected
+// tasks again against the room that it believes to be free.
 void AgentGate::finish(Time Now, GateOutputs &Out) {
   startQueued(Now, Out);
+  report(Out);
   for (auto &[To, Rejected] : Rejects_)
     send(To, std::move(Rejected), Out);
   Rejects_.clear();
-  report(Out);
 }
 
 void AgentGate::connect(const EntryId &Entry, Time Now) {
--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -4,18 +4,18 @@
 
 namespace chivelanding {
 
+namespace {
+
+/// Time after which a caller may try another entry while this one drains.
+constexpr Duration DrainRetryAfter = std::chrono::seconds(1);
+
+} // namespace
+
 JobOwner::JobOwner(EntryId Self, OwnerLimits Limits, Scheduler &Sched,
                    Time Start, std::uint64_t Seed)
     : Self_(std::move(Self)), Limits_(Limits), Sched_(Sched), Start_(Start),
-      Random_(Seed) {}
-
-Event placementEvent(const LogPlacement &Log) {
-  const Placement &P = Log.Placement_;
-  return {&events::TaskPlaced,
-          {{"job", P.Task_.Job_.str()},
-           {"task", std::to_string(P.Task_.Index_.value())},
-           {"agent", P.Agent_.str()},
-           {"reason", P.Reason_}}};
+      Retries_(Seed), Jobs_(Limits.ResultBytes_,
+                            Limits.TokenEpoch_ * (Limits.EpochsAccepted_ + 1)) {
 }
 
 OwnerToken JobOwner::token(Time Now) const {
@@ -23,285 +23,476 @@
   return {Self_, Epoch(static_cast<std::uint64_t>(Steps))};
 }
 
-bool JobOwner::acceptsNew(const OwnerToken &Token, Time Now) const {
-  const auto Current = token(Now).Epoch_.value();
-  const auto Given = Token.Epoch_.value();
-  return Given <= Current && Given + Limits_.EpochsAccepted_ >= Current;
+void JobOwner::refuse(const JobId &Id, ReplyId Reply, JobAnswer Answer,
+                      OwnerOutputs &Out) const {
+  Out.push_back(jobEvent(
+      events::JobRefused, Id,
+      {{"code", Answer.Code_}, {"outcome", outcomeName(Answer.Outcome_)}}));
+  Out.push_back(GiveAnswer{Reply, Id, std::move(Answer)});
 }
 
-JobAnswer JobOwner::refuse(Outcome O, const char *Code,
-                           const char *Detail) const {
-  JobAnswer A;
-  A.Outcome_ = O;
-  A.Code_ = Code;
-  A.Detail_ = Detail;
-  return A;
+// A key of an accepted epoch without a record has never been accepted, so its
+// refusal is "not run".
+std::optional<JobAnswer> JobOwner::refusalOf(const JobSpec &Spec,
+                                             Time Now) const {
+  if (auto Refusal = tokenRefusal(Spec.Id_.Token_, Self_, token(Now).Epoch_,
+                                  Limits_.EpochsAccepted_))
+    return Refusal;
+  if (Draining_) {
+    auto A = plainAnswer(Outcome::NotRun, "draining",
+                         "this entry takes no new jobs");
+    A.RetryAfter_ = DrainRetryAfter;
+    return A;
+  }
+  const auto Check = checkSpec(Spec, Limits_.MaxTasksPerJob_);
+  if (!ok(Check))
+    return plainAnswer(Outcome::NotRun, error(Check).Code_,
+                       error(Check).Detail_);
+  return std::nullopt;
 }
 
 OwnerOutputs JobOwner::onSubmit(JobSpec Spec, ReplyId Reply, Time Now) {
   OwnerOutputs Out;
-  const JobId Id = Spec.Id_;
-  const auto Known = Jobs_.find(Id);
-  if (Known != Jobs_.end()) {
-    if (Known->second.Answered_)
-      Out.push_back(GiveAnswer{Reply, Id, Known->second.Answer_});
-    else
-      Known->second.Replies_.push_back(Reply);
+  if (OwnedJob *Known = Jobs_.find(Spec.Id_)) {
+    attach(*Known, Spec, Reply, Out);
+    return Out;
+  }
+  if (ClosedBy_) {
+    Out.push_back(RelayToEntry{*ClosedBy_, Reply, std::move(Spec)});
     return Out;
   }
-  if (!acceptsNew(Id.Token_, Now)) {
-    // The key may have been submitted and forgotten, so "not run" would be a
-    // guess.
-    Out.push_back(GiveAnswer{Reply, Id,
-                             refuse(Outcome::Unknown, "token_expired",
-                                    "fetch a new token for new jobs")});
+  if (auto Refusal = refusalOf(Spec, Now)) {
+    refuse(Spec.Id_, Reply, std::move(*Refusal), Out);
     return Out;
   }
-  Job &J = Jobs_[Id];
-  J.Spec_ = std::move(Spec);
-  J.Tasks_.resize(J.Spec_.Tasks_.size());
-  J.Open_ = J.Tasks_.size();
-  J.Replies_.push_back(Reply);
-  ++OpenJobs_;
-  std::optional<Time> Deadline;
-  if (J.Spec_.Deadline_)
-    Deadline = Now + *J.Spec_.Deadline_;
+  OwnedJob &J = Jobs_.add(std::move(Spec), false, Now);
+  Jobs_.addReply(J, Reply);
+  Out.push_back(jobEvent(events::JobAccepted, J.Spec_.Id_,
+                         {{"service", J.Spec_.Service_.str()},
+                          {"kind", J.Spec_.Kind_.str()},
+                          {"tasks", std::to_string(J.Tasks_.size())}}));
+  if (J.Spec_.Idempotent_)
+    Retries_.onRequest(J.Spec_.Service_);
+  for (std::uint32_t I = 0; I < J.Tasks_.size(); ++I)
+    enqueue(J, I, Now);
+  place(Now, Out);
+  return Out;
+}
+
+// A different body under the same id is a mistake of the caller. It is not
+// answered as "not run", since the job of this id may have run.
+void JobOwner::attach(OwnedJob &J, const JobSpec &Spec, ReplyId Reply,
+                      OwnerOutputs &Out) {
+  const JobId &Id = J.Spec_.Id_;
+  if (bodyHash(Spec) != J.BodyHash_)
+    return refuse(Id, Reply,
+                  plainAnswer(Outcome::Unknown, "body_mismatch",
+                              "this key was used for another request"),
+                  Out);
+  Out.push_back(jobEvent(events::JobAttached, Id,
+                         {{"answered", J.Answered_ ? "true" : "false"}}));
+  if (J.Answered_) {
+    Out.push_back(GiveAnswer{Reply, Id, J.Answer_});
+    return;
+  }
+  Jobs_.addReply(J, Reply);
+}
+
+// Tasks that are running elsewhere are awaited like tasks that were sent from
+// here: their ends come from the agents, which know this entry as the holder of
+// the grant.
+OwnerOutputs JobOwner::onAdopt(AdoptedJob Job, ReplyId Reply, Time Now) {
+  const JobId Id = Job.Spec_.Id_;
+  if (Jobs_.contains(Id) || ClosedBy_)
+    return onSubmit(std::move(Job.Spec_), Reply, Now);
+  OwnerOutputs Out;
+  for (const AgentId &Agent : Job.Granted_)
+    Agents_.addGrant(Agent, Id.Token_.Owner_);
+  OwnedJob &J = Jobs_.add(std::move(Job.Spec_), true, Now);
+  Jobs_.addReply(J, Reply);
+  Out.push_back(jobEvent(events::JobResumed, Id,
+                         {{"tasks", std::to_string(J.Tasks_.size())}}));
   for (std::uint32_t I = 0; I < J.Tasks_.size(); ++I)
-    Sched_.enqueue({{Id, TaskIndex(I)},
-                    J.Spec_.Service_,
-                    J.Spec_.Kind_,
-                    J.Spec_.Class_,
-                    Deadline,
-                    J.Spec_.Tasks_[I].TimeHint_},
-                   Now);
+    adoptTask(J, I, std::move(Job.Tasks_[I]), Now, Out);
+  answerIfDone(J, Now, Out);
   place(Now, Out);
-  answerIfDone(Id, Out);
   return Out;
 }
 
-void JobOwner::onReplyGone(ReplyId Reply) {
-  for (auto &[Id, J] : Jobs_)
-    J.Replies_.erase(std::remove(J.Replies_.begin(), J.Replies_.end(), Reply),
-                     J.Replies_.end());
+void JobOwner::adoptTask(OwnedJob &J, std::uint32_t Index, AdoptedTask Task,
+                         Time Now, OwnerOutputs &Out) {
+  OwnedTask &T = J.Tasks_[Index];
+  if (!Task.Agent_.Name_.empty())
+    J.Agents_.insert(Task.Agent_);
+  T.Result_ = std::move(Task.Result_);
+  switch (Task.State_) {
+  case TaskState::Running:
+    T.Phase_ = TaskPhase::Sent;
+    markSent(J, Index, Task.Agent_);
+    if (!J.FailCode_.empty())
+      Out.push_back(SendToAgent{Task.Agent_,
+                                CancelTasks{J.Spec_.Id_, {TaskIndex(Index)}}});
+    return;
+  case TaskState::Finished:
+    return settle(J, Index, TaskPhase::Finished);
+  case TaskState::Failed:
+    settle(J, Index, TaskPhase::Failed);
+    return fail(J, "task_failed", T.Result_, Now, Out);
+  case TaskState::NotStarted:
+    if (J.FailCode_.empty())
+      return enqueue(J, Index, Now);
+    return settle(J, Index, TaskPhase::Cancelled);
+  case TaskState::Unknown:
+    T.Phase_ = TaskPhase::Sent;
+    return loseTask(J, Index,
+                    "the owner was lost, and not every agent proved "
+                    "that the task had not started",
+                    Now, Out);
+  }
 }
 
+void JobOwner::onReplyGone(ReplyId Reply) { Jobs_.removeReply(Reply); }
+
 OwnerOutputs JobOwner::onCancel(const JobId &Id, Time Now) {
   OwnerOutputs Out;
-  const auto It = Jobs_.find(Id);
-  if (It != Jobs_.end() && !It->second.Answered_) {
-    fail(It->second, "cancelled", "cancelled by the caller", Now, Out);
-    answerIfDone(Id, Out);
+  OwnedJob *J = Jobs_.find(Id);
+  if (!J || J->Answered_ || ClosedBy_)
+    return Out;
+  Out.push_back(jobEvent(events::JobCancelled, Id));
+  fail(*J, "cancelled", "cancelled by the caller", Now, Out);
+  answerIfDone(*J, Now, Out);
+  return Out;
+}
+
+OwnerOutputs JobOwner::onDrain(Time) {
+  Draining_ = true;
+  return {};
+}
+
+// The recoverer may start the waiting tasks at any time from now on, so no
+// outcome can be stated here; the waiting submissions follow their jobs.
+OwnerOutputs JobOwner::onSelfClosed(const EntryId &Holder, Time Now) {
+  OwnerOutputs Out;
+  if (ClosedBy_)
+    return Out;
+  ClosedBy_ = Holder;
+  Out.push_back(LogEvent{{&events::SelfClosed, {{"by", Holder.str()}}}});
+  for (OwnedJob *J : Jobs_.open()) {
+    if (J->Deadline_)
+      J->Spec_.Deadline_ = std::max(*J->Deadline_ - Now, Duration(1));
+    for (const ReplyId Reply : J->Replies_)
+      Out.push_back(RelayToEntry{Holder, Reply, J->Spec_});
+    leaveQueue(*J, Now);
+    Jobs_.drop(*J);
   }
+  Retries_.clear();
+  Agents_.clearSent();
   return Out;
 }
 
 OwnerOutputs JobOwner::onAgentUp(const AgentId &Agent, const EndpointInfo &Info,
                                  Time Now) {
   OwnerOutputs Out;
+  if (ClosedBy_)
+    return Out;
+  onAnnounce(Agent, Info, Now, Out);
+  place(Now, Out);
+  return Out;
+}
+
+void JobOwner::onAnnounce(const AgentId &Agent, const EndpointInfo &Info,
+                          Time Now, OwnerOutputs &Out) {
   Sched_.addAgent(Agent, Info, Now);
+  if (!Agents_.announce(Agent, Info))
+    return;
+  if (const auto D = Demand_.stated(Info.Service_))
+    Out.push_back(SendToAgent{Agent, *D});
+}
+
+OwnerOutputs JobOwner::onAgentMessage(const AgentId &Agent, const Message &M,
+                                      Time Now) {
+  OwnerOutputs Out;
+  if (ClosedBy_)
+    return Out;
+  if (const auto *Info = std::get_if<AnnounceEndpoint>(&M))
+    onAnnounce(Agent, Info->Info_, Now, Out);
+  else if (const auto *Report = std::get_if<AgentReport>(&M))
+    Sched_.onReport(Agent, *Report, Now);
+  else if (const auto *End = std::get_if<TaskFinished>(&M))
+    onFinished(Agent, *End, Now, Out);
+  else if (const auto *Rejected = std::get_if<TasksRejected>(&M))
+    onRejected(Agent, *Rejected, Now, Out);
+  place(Now, Out);
+  return Out;
+}
+
+// Ends and rejections count only for the agent that the task was last sent to.
+OwnedTask *JobOwner::sentTask(const JobId &Id, TaskIndex Index,
+                              const AgentId &Agent) {
+  OwnedJob *J = Jobs_.find(Id);
+  if (!J || Index.value() >= J->Tasks_.size())
+    return nullptr;
+  OwnedTask &Task = J->Tasks_[Index.value()];
+  return Task.Phase_ == TaskPhase::Sent && Task.Agent_ == Agent ? &Task
+                                                                : nullptr;
+}
+
+void JobOwner::onFinished(const AgentId &Agent, const TaskFinished &End,
+                          Time Now, OwnerOutputs &Out) {
+  OwnedTask *Task = sentTask(End.Job_, End.Index_, Agent);
+  if (!Task)
+    return;
+  OwnedJob &J = *Jobs_.find(End.Job_);
+  if (Task->Placed_)
+    Sched_.onFinished({End.Job_, End.Index_}, Agent, End.Outcome_, End.RunTime_,
+                      Now);
+  Agents_.removeSent(Agent, {J.Number_, End.Index_.value()});
+  Task->Result_ = End.Result_;
+  if (End.Outcome_ == RunOutcome::Success) {
+    settle(J, End.Index_.value(), TaskPhase::Finished);
+  } else {
+    settle(J, End.Index_.value(), TaskPhase::Failed);
+    fail(J, "task_failed", End.Result_, Now, Out);
+  }
+  answerIfDone(J, Now, Out);
+}
+
+void JobOwner::onRejected(const AgentId &Agent, const TasksRejected &Rejected,
+                          Time Now, OwnerOutputs &Out) {
+  std::size_t Count = 0;
+  for (const TaskIndex Index : Rejected.Tasks_) {
+    OwnedTask *Task = sentTask(Rejected.Job_, Index, Agent);
+    if (!Task || Task->Attempt_ != Rejected.Attempt_)
+      continue;
+    ++Count;
+    Sched_.onRejected({Rejected.Job_, Index}, Agent, Rejected.Reason_, Now);
+    OwnedJob &J = *Jobs_.find(Rejected.Job_);
+    Agents_.removeSent(Agent, {J.Number_, Index.value()});
+    rejectTask(J, Index.value(), Rejected.Reason_, Now, Out);
+  }
+  if (Count == 0)
+    return;
+  Out.push_back(jobEvent(events::TaskRejected, Rejected.Job_,
+                         {{"tasks", std::to_string(Count)},
+                          {"agent", Agent.str()},
+                          {"reason", rejectReasonName(Rejected.Reason_)}}));
+  answerIfDone(*Jobs_.find(Rejected.Job_), Now, Out);
+}
+
+// A rejection is proof, so the task may be sent again. An adopted job whose
+// grant is gone is the exception: another entry may start the task now.
+void JobOwner::rejectTask(OwnedJob &J, std::uint32_t Index, RejectReason Reason,
+                          Time Now, OwnerOutputs &Out) {
+  const bool Refused =
+      Reason == RejectReason::NotOwner || Reason == RejectReason::Closed;
+  if (J.Adopted_ && Refused) {
+    settle(J, Index, TaskPhase::Unknown);
+    return fail(J, "grant_lost", "another entry resumes this job", Now, Out);
+  }
+  if (!J.FailCode_.empty())
+    return settle(J, Index, TaskPhase::Cancelled);
+  if (Reason == RejectReason::Deadline) {
+    settle(J, Index, TaskPhase::Cancelled);
+    return fail(J, "deadline", "deadline passed before start", Now, Out);
+  }
+  if (Reason == RejectReason::Closed) {
+    settle(J, Index, TaskPhase::Cancelled);
+    return fail(J, "epoch_refused", "an agent refuses the token's epoch", Now,
+                Out);
+  }
+  enqueue(J, Index, Now);
+}
+
+OwnerOutputs JobOwner::onAgentLost(const AgentId &Agent, Time Now) {
+  OwnerOutputs Out;
+  Sched_.removeAgent(Agent, Now);
+  std::set<std::uint64_t> Touched;
+  for (const auto &[Number, Index] : Agents_.remove(Agent)) {
+    OwnedJob &J = Jobs_.byNumber(Number);
+    if (J.Tasks_[Index].Placed_)
+      Sched_.onLost({J.Spec_.Id_, TaskIndex(Index)}, Agent, Now);
+    loseTask(J, Index, "agent " + Agent.str() + " was lost", Now, Out);
+    Touched.insert(Number);
+  }
+  for (const std::uint64_t Number : Touched)
+    answerIfDone(Jobs_.byNumber(Number), Now, Out);
   place(Now, Out);
   return Out;
 }
 
-// Collects the placements of one job and agent into one message.
+// Collects the placements of one job and agent into one message. Before the
+// first start of an adopted job at an agent that its owner had not used, the
+// owner is closed there too; the agent then takes starts from here.
 void JobOwner::place(Time Now, OwnerOutputs &Out) {
-  std::map<std::pair<AgentId, JobId>, StartTasks> Starts;
+  std::map<std::pair<AgentId, std::uint64_t>, StartTasks> Starts;
   for (Placement &P : Sched_.place(Now)) {
-    Job &J = Jobs_[P.Task_.Job_];
-    TaskEntry &Task = J.Tasks_[P.Task_.Index_.value()];
-    Task.Phase_ = TaskPhase::Sent;
-    Task.Agent_ = P.Agent_;
-    J.EverSent_ = true;
-    StartTasks &Start = Starts[{P.Agent_, P.Task_.Job_}];
+    OwnedJob &J = *Jobs_.find(P.Task_.Job_);
+    const std::uint32_t Index = P.Task_.Index_.value();
+    OwnedTask &Task = J.Tasks_[Index];
+    --J.Waiting_;
+    Demand_.remove(J.Spec_.Service_, J.Spec_.Class_, Now);
+    Task.Placed_ = true;
+    markSent(J, Index, P.Agent_);
+    const EntryId &Owner = P.Task_.Job_.Token_.Owner_;
+    if (J.Adopted_ && Agents_.addGrant(P.Agent_, Owner))
+      Out.push_back(SendToAgent{P.Agent_, CloseIncarnation{Owner}});
+    StartTasks &Start = Starts[{P.Agent_, J.Number_}];
     Start.Job_ = P.Task_.Job_;
     Start.Kind_ = J.Spec_.Kind_;
     Start.Class_ = J.Spec_.Class_;
-    const TaskSpec &Spec = J.Spec_.Tasks_[P.Task_.Index_.value()];
-    Start.Tasks_.push_back({P.Task_.Index_, Spec.Payload_});
+    if (J.Deadline_)
+      Start.Deadline_ = *J.Deadline_ - Now;
+    Start.Tasks_.push_back(
+        {P.Task_.Index_, J.Spec_.Tasks_[Index].Payload_, ++Task.Attempt_});
     Out.push_back(LogPlacement{std::move(P)});
   }
   for (auto &[Key, Start] : Starts)
     Out.push_back(SendToAgent{Key.first, std::move(Start)});
 }
 
-void JobOwner::settle(Job &J, TaskIndex Index, TaskPhase Phase,
-                      std::string Result) {
-  TaskEntry &Task = J.Tasks_[Index.value()];
-  Task.Phase_ = Phase;
-  Task.Result_ = std::move(Result);
+void JobOwner::enqueue(OwnedJob &J, std::uint32_t Index, Time Now) {
+  J.Tasks_[Index].Phase_ = TaskPhase::Waiting;
+  ++J.Waiting_;
+  Demand_.add(J.Spec_.Service_, J.Spec_.Class_, Now);
+  Sched_.enqueue({{J.Spec_.Id_, TaskIndex(Index)},
+                  J.Spec_.Service_,
+                  J.Spec_.Kind_,
+                  J.Spec_.Class_,
+                  J.Deadline_,
+                  J.Spec_.Tasks_[Index].TimeHint_},
+                 Now);
+}
+
+// Withdraws the job's waiting tasks, whether in the scheduler or delayed.
+void JobOwner::leaveQueue(OwnedJob &J, Time Now) {
+  if (J.Waiting_ > 0)
+    for (const TaskIndex Index : Sched_.cancel(J.Spec_.Id_, Now)) {
+      --J.Waiting_;
+      Demand_.remove(J.Spec_.Service_, J.Spec_.Class_, Now);
+      settle(J, Index.value(), TaskPhase::Cancelled);
+    }
+  for (std::uint32_t I = 0; J.Spec_.Idempotent_ && I < J.Tasks_.size(); ++I) {
+    if (J.Tasks_[I].Phase_ != TaskPhase::Delayed)
+      continue;
+    Retries_.remove({J.Number_, I}, J.Tasks_[I].RetryAt_);
+    settle(J, I, TaskPhase::Cancelled);
+  }
+}
+
+void JobOwner::markSent(OwnedJob &J, std::uint32_t Index,
+                        const AgentId &Agent) {
+  J.Tasks_[Index].Phase_ = TaskPhase::Sent;
+  J.Tasks_[Index].Agent_ = Agent;
+  J.Agents_.insert(Agent);
+  Agents_.addSent(Agent, {J.Number_, Index});
+}
+
+void JobOwner::settle(OwnedJob &J, std::uint32_t Index, TaskPhase Phase) {
+  J.Tasks_[Index].Phase_ = Phase;
   --J.Open_;
 }
 
 // The first failure decides the job: its waiting tasks are withdrawn, and those
 // that were sent are cancelled; the answer waits until each has an end.
-void JobOwner::fail(Job &J, const char *Code, const std::string &Detail,
+void JobOwner::fail(OwnedJob &J, const char *Code, const std::string &Detail,
                     Time Now, OwnerOutputs &Out) {
   if (!J.FailCode_.empty())
     return;
   J.FailCode_ = Code;
   J.FailDetail_ = Detail;
-  for (const TaskIndex Index : Sched_.cancel(J.Spec_.Id_, Now))
-    settle(J, Index, TaskPhase::Cancelled, "");
-  std::map<AgentId, CancelTasks> Cancels;
-  for (std::uint32_t I = 0; I < J.Tasks_.size(); ++I) {
-    if (J.Tasks_[I].Phase_ != TaskPhase::Sent)
-      continue;
-    CancelTasks &C = Cancels[J.Tasks_[I].Agent_];
-    C.Job_ = J.Spec_.Id_;
-    C.Tasks_.push_back(TaskIndex(I));
-  }
-  for (auto &[Agent, Cancel] : Cancels)
-    Out.push_back(SendToAgent{Agent, std::move(Cancel)});
+  leaveQueue(J, Now);
+  std::set<AgentId> Agents;
+  for (const OwnedTask &Task : J.Tasks_)
+    if (Task.Phase_ == TaskPhase::Sent && Agents_.contains(Task.Agent_))
+      Agents.insert(Task.Agent_);
+  for (const AgentId &Agent : Agents)
+    Out.push_back(SendToAgent{Agent, CancelTasks{J.Spec_.Id_, {}}});
 }
 
-OwnerOutputs JobOwner::onAgentMessage(const AgentId &Agent, const Message &M,
-                                      Time Now) {
-  OwnerOutputs Out;
-  if (const auto *Info = std::get_if<AnnounceEndpoint>(&M)) {
-    Sched_.addAgent(Agent, Info->Info_, Now);
-  } else if (const auto *Report = std::get_if<AgentReport>(&M)) {
-    Sched_.onReport(Agent, *Report, Now);
-  } else if (const auto *End = std::get_if<TaskFinished>(&M)) {
-    const auto It = Jobs_.find(End->Job_);
-    if (It == Jobs_.end() || End->Index_.value() >= It->second.Tasks_.size())
-      return Out;
-    Job &J = It->second;
-    TaskEntry &Task = J.Tasks_[End->Index_.value()];
-    if (Task.Phase_ != TaskPhase::Sent || Task.Agent_ != Agent)
-      return Out;
-    Sched_.onFinished({End->Job_, End->Index_}, Agent, End->Outcome_,
-                      End->RunTime_, Now);
-    if (End->Outcome_ == RunOutcome::Success) {
-      settle(J, End->Index_, TaskPhase::Finished, End->Result_);
-    } else {
-      settle(J, End->Index_, TaskPhase::Failed, End->Result_);
-      fail(J, "task_failed", End->Result_, Now, Out);
-    }
-    answerIfDone(End->Job_, Out);
-  } else if (const auto *Rejected = std::get_if<TasksRejected>(&M)) {
-    const auto It = Jobs_.find(Rejected->Job_);
-    if (It == Jobs_.end())
-      return Out;
-    Job &J = It->second;
-    for (const TaskIndex Index : Rejected->Tasks_) {
-      if (Index.value() >= J.Tasks_.size())
-        continue;
-      TaskEntry &Task = J.Tasks_[Index.value()];
-      if (Task.Phase_ != TaskPhase::Sent || Task.Agent_ != Agent)
-        continue;
-      Sched_.onRejected({Rejected->Job_, Index}, Agent, Rejected->Reason_, Now);
-      if (!J.FailCode_.empty()) {
-        settle(J, Index, TaskPhase::Cancelled, "");
-      } else if (Rejected->Reason_ == RejectReason::Deadline) {
-        settle(J, Index, TaskPhase::Cancelled, "");
-        fail(J, "deadline", "deadline passed before start", Now, Out);
-      } else {
-        Task.Phase_ = TaskPhase::Waiting;
-        Sched_.enqueue({{Rejected->Job_, Index},
-                        J.Spec_.Service_,
-                        J.Spec_.Kind_,
-                        J.Spec_.Class_,
-                        {},
-                        {}},
-                       Now);
-      }
-    }
-    answerIfDone(Rejected->Job_, Out);
-  }
-  place(Now, Out);
-  return Out;
+void JobOwner::answerIfDone(OwnedJob &J, Time Now, OwnerOutputs &Out) {
+  if (J.Answered_ || J.Open_ > 0)
+    return;
+  const JobId &Id = J.Spec_.Id_;
+  for (const AgentId &Agent : J.Agents_)
+    if (Agents_.contains(Agent))
+      Out.push_back(SendToAgent{Agent, JobEnded{Id}});
+  const auto Replies = Jobs_.close(J, makeAnswer(J), Now);
+  Out.push_back(jobEvent(events::JobAnswered, Id,
+                         {{"outcome", outcomeName(J.Answer_.Outcome_)},
+                          {"code", J.Answer_.Code_}}));
+  for (const ReplyId Reply : Replies)
+    Out.push_back(GiveAnswer{Reply, Id, J.Answer_});
 }
 
-OwnerOutputs JobOwner::onAgentLost(const AgentId &Agent, Time Now) {
-  OwnerOutputs Out;
-  Sched_.removeAgent(Agent, Now);
-  std::vector<JobId> Touched;
-  for (auto &[Id, J] : Jobs_) {
-    if (J.Answered_)
-      continue;
-    for (std::uint32_t I = 0; I < J.Tasks_.size(); ++I) {
-      if (J.Tasks_[I].Phase_ != TaskPhase::Sent || J.Tasks_[I].Agent_ != Agent)
-        continue;
-      Sched_.onLost({Id, TaskIndex(I)}, Agent, Now);
-      settle(J, TaskIndex(I), TaskPhase::Unknown, "");
-      fail(J, "agent_lost", "agent " + Agent.str() + " was lost", Now, Out);
-      Touched.push_back(Id);
-    }
-  }
-  for (const JobId &Id : Touched)
-    answerIfDone(Id, Out);
-  return Out;
+// The task may have run, and may be running still. Only a request that its
+// caller marked idempotent is sent again.
+void JobOwner::loseTask(OwnedJob &J, std::uint32_t Index,
+                        const std::string &Detail, Time Now,
+                        OwnerOutputs &Out) {
+  if (J.FailCode_.empty() && J.Spec_.Idempotent_ && J.Tasks_.size() == 1 &&
+      retryLater(J, Index, Now, Out))
+    return;
+  settle(J, Index, TaskPhase::Unknown);
+  fail(J, "agent_lost", Detail, Now, Out);
+}
+
+bool JobOwner::retryLater(OwnedJob &J, std::uint32_t Index, Time Now,
+                          OwnerOutputs &Out) {
+  OwnedTask &T = J.Tasks_[Index];
+  const auto At = Retries_.add({J.Number_, Index}, J.Spec_.Service_, T.Retries_,
+                               J.Deadline_, Now);
+  if (!At)
+    return false;
+  ++T.Retries_;
+  T.MayHaveRun_ = true;
+  T.Phase_ = TaskPhase::Delayed;
+  T.RetryAt_ = *At;
+  Out.push_back(jobEvent(events::TaskRetried, J.Spec_.Id_,
+                         {{"retry", std::to_string(T.Retries_)},
+                          {"delay_us", std::to_string((*At - Now).count())},
+                          {"lost_agent", T.Agent_.str()}}));
+  return true;
 }
 
 OwnerOutputs JobOwner::onTimer(Time Now) {
   OwnerOutputs Out;
-  std::vector<JobId> Touched;
+  if (ClosedBy_)
+    return Out;
   for (const TaskRef &Task : Sched_.expire(Now)) {
-    Job &J = Jobs_[Task.Job_];
-    settle(J, Task.Index_, TaskPhase::Cancelled, "");
+    OwnedJob &J = *Jobs_.find(Task.Job_);
+    --J.Waiting_;
+    Demand_.remove(J.Spec_.Service_, J.Spec_.Class_, Now);
+    settle(J, Task.Index_.value(), TaskPhase::Cancelled);
     fail(J, "deadline", "deadline passed before start", Now, Out);
-    Touched.push_back(Task.Job_);
+    answerIfDone(J, Now, Out);
   }
-  for (const JobId &Id : Touched)
-    answerIfDone(Id, Out);
+  for (const auto &[Number, Index] : Retries_.takeDue(Now))
+    enqueue(Jobs_.byNumber(Number), Index, Now);
   place(Now, Out);
+  stateDemand(Now, Out);
+  dropExpired(Now, Out);
   return Out;
 }
 
-// "Not run" needs that no task was ever started: every one was withdrawn, or
-// rejected by the agent that it was sent to.
-JobAnswer JobOwner::makeAnswer(const Job &J) const {
-  JobAnswer A;
-  A.Code_ = J.FailCode_;
-  A.Detail_ = J.FailDetail_;
-  const auto Has = [&](TaskPhase P) {
-    return std::any_of(J.Tasks_.begin(), J.Tasks_.end(),
-                       [&](const TaskEntry &T) { return T.Phase_ == P; });
-  };
-  if (J.FailCode_.empty())
-    A.Outcome_ = Outcome::Completed;
-  else if (Has(TaskPhase::Unknown))
-    A.Outcome_ = Outcome::Unknown;
-  else if (Has(TaskPhase::Finished) || Has(TaskPhase::Failed))
-    A.Outcome_ = Outcome::PartlyRun;
-  else
-    A.Outcome_ = Outcome::NotRun;
-  if (A.Outcome_ == Outcome::NotRun)
-    return A;
-  static constexpr TaskState States[] = {
-      TaskState::NotStarted, TaskState::Running,    TaskState::Finished,
-      TaskState::Failed,     TaskState::NotStarted, TaskState::Unknown};
-  for (std::size_t I = 0; I < J.Tasks_.size(); ++I) {
-    const TaskEntry &T = J.Tasks_[I];
-    A.Tasks_.push_back({J.Spec_.Tasks_[I].Id_,
-                        States[static_cast<std::size_t>(T.Phase_)],
-                        A.Outcome_ == Outcome::Completed ? T.Result_ : ""});
-  }
-  return A;
+void JobOwner::stateDemand(Time Now, OwnerOutputs &Out) {
+  for (const auto &[Service, D] : Demand_.takeDue(Now))
+    for (const AgentId &Agent : Agents_.ofService(Service))
+      Out.push_back(SendToAgent{Agent, D});
 }
 
-void JobOwner::answerIfDone(const JobId &Id, OwnerOutputs &Out) {
-  Job &J = Jobs_[Id];
-  if (J.Answered_ || J.Open_ > 0)
+// Agents are told when no job of an epoch is open any more, so that they drop
+// their records of it.
+void JobOwner::dropExpired(Time Now, OwnerOutputs &Out) {
+  const auto Current = token(Now).Epoch_.value();
+  if (Current < Limits_.EpochsAccepted_)
     return;
-  J.Answered_ = true;
-  J.Answer_ = makeAnswer(J);
-  --OpenJobs_;
-  for (const ReplyId Reply : J.Replies_)
-    Out.push_back(GiveAnswer{Reply, Id, J.Answer_});
-  J.Replies_.clear();
-  std::vector<AgentId> Agents;
-  for (const TaskEntry &T : J.Tasks_)
-    if (!T.Agent_.Name_.empty())
-      Agents.push_back(T.Agent_);
-  std::sort(Agents.begin(), Agents.end());
-  Agents.erase(std::unique(Agents.begin(), Agents.end()), Agents.end());
-  for (const AgentId &Agent : Agents)
-    Out.push_back(SendToAgent{Agent, JobEnded{Id}});
-  J.Tasks_.clear();
-  J.Tasks_.shrink_to_fit();
-  J.Spec_.Tasks_.clear();
-  J.Spec_.Tasks_.shrink_to_fit();
+  const Epoch Oldest =
+      Jobs_.dropExpired(Epoch(Current - Limits_.EpochsAccepted_), Now);
+  if (Oldest <= OldestStated_)
+    return;
+  OldestStated_ = Oldest;
+  for (const AgentId &Agent : Agents_.all())
+    Out.push_back(SendToAgent{Agent, EpochsExpired{Oldest}});
 }
 
 } // namespace chivelanding
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -1,57 +1,23 @@
 #ifndef CHIVELANDING_JOB_OWNER_H
 #define CHIVELANDING_JOB_OWNER_H
 
+#include "agent_table.h"
 #include "events.h"
-#include "job.h"
+#include "job_table.h"
 #include "message.h"
-#include "retry_budget.h"
+#include "owner_output.h"
+#include "retry_queue.h"
 #include "scheduler.h"
+#include "waiting_demand.h"
 
 #include <cstdint>
 #include <map>
-#include <unordered_map>
-#include <variant>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace chivelanding {
 
-/// Number under which a waiting caller or relaying peer gets its answer.
-using ReplyId = Number<struct ReplyIdTag>;
-
-/// Output: deliver a message to an agent.
-struct SendToAgent {
-  AgentId To_;
-  Message Message_;
-};
-
-/// Output: give this answer to a waiting caller.
-struct GiveAnswer {
-  ReplyId To_;
-  JobId Job_;
-  JobAnswer Answer_;
-};
-
-/// Output: a placement that was made, for the decision log.
-struct LogPlacement {
-  Placement Placement_;
-};
-
-/// The log event of a placement.
-Event placementEvent(const LogPlacement &Log);
-
-/// Output: relay this submission to another entry, and give its answer to
-/// Reply_. If that entry does not respond, the answer is
-/// "owner_unreachable".
-struct RelayToEntry {
-  EntryId To_;
-  ReplyId Reply_;
-  JobSpec Spec_;
-};
-
-using OwnerOutput =
-    std::variant<SendToAgent, GiveAnswer, LogPlacement, RelayToEntry, LogEvent>;
-using OwnerOutputs = std::vector<OwnerOutput>;
-
 /// Limits of the jobs an owner holds.
 struct OwnerLimits {
   std::uint32_t MaxTasksPerJob_ = 1700;
@@ -76,14 +42,16 @@
 struct AdoptedJob {
   JobSpec Spec_;
   std::vector<AdoptedTask> Tasks_;
+  /// Agents at which this entry holds the grant for the owner's jobs.
+  std::vector<AgentId> Granted_;
 };
 
 /// The jobs that one entry incarnation owns, from submission to the end of
 /// their retention. Decides without I/O.
 class JobOwner {
 public:
-  /// Start is the time from which epochs are counted.
-  /// Seed is that of the retry delays.
+  /// Start is the time from which epochs are counted; Seed is that of the retry
+  /// delays.
   JobOwner(EntryId Self, OwnerLimits Limits, Scheduler &Sched, Time Start,
            std::uint64_t Seed = 0);
 
@@ -103,7 +71,7 @@
   OwnerOutputs onAdopt(AdoptedJob Job, ReplyId Reply, Time Now);
   /// True if a submission of this id attaches or is answered here, whoever
   /// owns the id's token.
-  bool knows(const JobId &Job) const { return Jobs_.count(Job) != 0; }
+  bool knows(const JobId &Job) const { return Jobs_.contains(Job); }
 
   /// No new jobs from now on; openJobs() falls to 0 as the others end.
   OwnerOutputs onDrain(Time Now);
@@ -111,8 +79,12 @@
   /// each waiting submission is relayed to Holder.
   OwnerOutputs onSelfClosed(const EntryId &Holder, Time Now);
   /// Replaces the retry limits of a service.
-  void setRetryLimits(const ServiceName &Service, const RetryLimits &Limits);
+  void setRetryLimits(const ServiceName &Service, const RetryLimits &Limits) {
+    Retries_.setLimits(Service, Limits);
+  }
 
+  /// The agent may be used. An AnnounceEndpoint in onAgentMessage says the
+  /// same, so it must be held back until the peers have acknowledged the agent.
   OwnerOutputs onAgentUp(const AgentId &Agent, const EndpointInfo &Info,
                          Time Now);
   OwnerOutputs onAgentMessage(const AgentId &Agent, const Message &M, Time Now);
@@ -121,50 +93,59 @@
   OwnerOutputs onTimer(Time Now);
 
   /// Jobs without an answer yet.
-  std::size_t openJobs() const { return OpenJobs_; }
+  std::size_t openJobs() const { return Jobs_.openJobs(); }
+  /// Records of jobs, answered ones included.
+  std::size_t records() const { return Jobs_.records(); }
+  /// Bytes of the results kept for answered jobs.
+  std::uint64_t retainedBytes() const { return Jobs_.retainedBytes(); }
 
 private:
-  enum class TaskPhase : std::uint8_t {
-    Waiting,
-    Sent,
-    Finished,
-    Failed,
-    Cancelled,
-    Unknown
-  };
-  struct TaskEntry {
-    TaskPhase Phase_ = TaskPhase::Waiting;
-    AgentId Agent_;
-    std::string Result_;
-  };
-  struct Job {
-    JobSpec Spec_;
-    std::vector<TaskEntry> Tasks_;
-    std::vector<ReplyId> Replies_;
-    std::size_t Open_ = 0;
-    bool EverSent_ = false;
-    bool Answered_ = false;
-    std::string FailCode_;
-    std::string FailDetail_;
-    JobAnswer Answer_;
-  };
-
-  JobAnswer refuse(Outcome O, const char *Code, const char *Detail) const;
-  bool acceptsNew(const OwnerToken &Token, Time Now) const;
+  void refuse(const JobId &Id, ReplyId Reply, JobAnswer Answer,
+              OwnerOutputs &Out) const;
+  std::optional<JobAnswer> refusalOf(const JobSpec &Spec, Time Now) const;
+  void attach(OwnedJob &J, const JobSpec &Spec, ReplyId Reply,
+              OwnerOutputs &Out);
+  void adoptTask(OwnedJob &J, std::uint32_t Index, AdoptedTask Task, Time Now,
+                 OwnerOutputs &Out);
+
+  void enqueue(OwnedJob &J, std::uint32_t Index, Time Now);
+  void leaveQueue(OwnedJob &J, Time Now);
+  void markSent(OwnedJob &J, std::uint32_t Index, const AgentId &Agent);
   void place(Time Now, OwnerOutputs &Out);
-  void settle(Job &J, TaskIndex Index, TaskPhase Phase, std::string Result);
-  void fail(Job &J, const char *Code, const std::string &Detail, Time Now,
+  void settle(OwnedJob &J, std::uint32_t Index, TaskPhase Phase);
+  void fail(OwnedJob &J, const char *Code, const std::string &Detail, Time Now,
             OwnerOutputs &Out);
-  void answerIfDone(const JobId &Id, OwnerOutputs &Out);
-  JobAnswer makeAnswer(const Job &J) const;
+  void loseTask(OwnedJob &J, std::uint32_t Index, const std::string &Detail,
+                Time Now, OwnerOutputs &Out);
+  bool retryLater(OwnedJob &J, std::uint32_t Index, Time Now,
+                  OwnerOutputs &Out);
+  void answerIfDone(OwnedJob &J, Time Now, OwnerOutputs &Out);
+
+  void onAnnounce(const AgentId &Agent, const EndpointInfo &Info, Time Now,
+                  OwnerOutputs &Out);
+  OwnedTask *sentTask(const JobId &Id, TaskIndex Index, const AgentId &Agent);
+  void onFinished(const AgentId &Agent, const TaskFinished &End, Time Now,
+                  OwnerOutputs &Out);
+  void onRejected(const AgentId &Agent, const TasksRejected &Rejected, Time Now,
+                  OwnerOutputs &Out);
+  void rejectTask(OwnedJob &J, std::uint32_t Index, RejectReason Reason,
+                  Time Now, OwnerOutputs &Out);
+  void stateDemand(Time Now, OwnerOutputs &Out);
+  void dropExpired(Time Now, OwnerOutputs &Out);
 
   EntryId Self_;
   OwnerLimits Limits_;
   Scheduler &Sched_;
   Time Start_;
-  std::mt19937_64 Random_;
-  std::unordered_map<JobId, Job> Jobs_;
-  std::size_t OpenJobs_ = 0;
+  bool Draining_ = false;
+  /// The entry that closed this one.
+  std::optional<EntryId> ClosedBy_;
+  RetryQueue Retries_;
+  JobTable Jobs_;
+  AgentTable Agents_;
+  WaitingDemand Demand_;
+  /// What the agents were last told of epochs.
+  Epoch OldestStated_;
 };
 
 } // namespace chivelanding
--- /dev/null
+++ b/src/job_record.cpp
@@ -0,0 +1,115 @@
+#include "job_record.h"
+
+#include <algorithm>
+
+namespace chivelanding {
+
+namespace {
+
+// FNV-1a over each text and its length, so that neighbouring texts do not run
+// together.
+void addText(std::uint64_t &Hash, const std::string &Text) {
+  const auto Add = [&](std::uint64_t Byte) {
+    Hash = (Hash ^ Byte) * 0x100000001b3ULL;
+  };
+  for (std::size_t Size = Text.size(), I = 0; I < 8; ++I, Size >>= 8)
+    Add(Size & 0xff);
+  for (const char C : Text)
+    Add(static_cast<unsigned char>(C));
+}
+
+TaskState stateOf(const OwnedTask &Task) {
+  switch (Task.Phase_) {
+  case TaskPhase::Sent:
+    return TaskState::Running;
+  case TaskPhase::Finished:
+    return TaskState::Finished;
+  case TaskPhase::Failed:
+    return TaskState::Failed;
+  case TaskPhase::Unknown:
+    return TaskState::Unknown;
+  case TaskPhase::Waiting:
+  case TaskPhase::Delayed:
+  case TaskPhase::Cancelled:
+    break;
+  }
+  return Task.MayHaveRun_ ? TaskState::Unknown : TaskState::NotStarted;
+}
+
+} // namespace
+
+std::uint64_t bodyHash(const JobSpec &Spec) {
+  std::uint64_t Hash = 0xcbf29ce484222325ULL;
+  addText(Hash, Spec.Service_.str());
+  addText(Hash, Spec.Kind_.str());
+  addText(Hash, Spec.Idempotent_ ? "idempotent" : "");
+  for (const TaskSpec &Task : Spec.Tasks_) {
+    addText(Hash, Task.Id_);
+    addText(Hash, Task.Payload_);
+  }
+  return Hash;
+}
+
+JobAnswer plainAnswer(Outcome O, std::string Code, std::string Detail) {
+  JobAnswer A;
+  A.Outcome_ = O;
+  A.Code_ = std::move(Code);
+  A.Detail_ = std::move(Detail);
+  return A;
+}
+
+// A key of an epoch that is no longer accepted may have been submitted and
+// dropped, so "not run" would be a guess.
+std::optional<JobAnswer> tokenRefusal(const OwnerToken &Token,
+                                      const EntryId &Self, Epoch Current,
+                                      std::uint32_t EpochsAccepted) {
+  if (Token.Owner_ != Self)
+    return plainAnswer(Outcome::Unknown, "not_owner",
+                       "the token names another entry");
+  if (Token.Epoch_ > Current)
+    return plainAnswer(Outcome::Unknown, "bad_token",
+                       "the token's epoch has not begun");
+  if (Token.Epoch_.value() + EpochsAccepted < Current.value())
+    return plainAnswer(Outcome::Unknown, "token_expired",
+                       "fetch a new token for new jobs");
+  return std::nullopt;
+}
+
+std::uint64_t resultBytes(const JobAnswer &Answer) {
+  std::uint64_t Bytes = 0;
+  for (const TaskAnswer &Task : Answer.Tasks_)
+    Bytes += Task.Id_.size() + Task.Result_.size();
+  return Bytes;
+}
+
+// A job is completed if every task has finished, even if it was cancelled
+// meanwhile. One task that may have run makes the job unknown; "not run" needs
+// that every task was withdrawn before it was sent, or rejected with proof.
+JobAnswer makeAnswer(const OwnedJob &Job) {
+  std::set<TaskState> States;
+  for (const OwnedTask &Task : Job.Tasks_)
+    States.insert(stateOf(Task));
+  const auto Has = [&](TaskState S) { return States.count(S) != 0; };
+  const bool AllFinished = States.size() == 1 && Has(TaskState::Finished);
+  JobAnswer A;
+  if (AllFinished) {
+    A.Outcome_ = Outcome::Completed;
+  } else {
+    A.Code_ = Job.FailCode_;
+    A.Detail_ = Job.FailDetail_;
+    if (Has(TaskState::Unknown) || Has(TaskState::Running))
+      A.Outcome_ = Outcome::Unknown;
+    else if (Has(TaskState::Finished) || Has(TaskState::Failed))
+      A.Outcome_ = Outcome::PartlyRun;
+    else
+      A.Outcome_ = Outcome::NotRun;
+  }
+  if (A.Outcome_ == Outcome::NotRun)
+    return A;
+  for (std::size_t I = 0; I < Job.Tasks_.size(); ++I)
+    A.Tasks_.push_back({Job.Spec_.Tasks_[I].Id_, stateOf(Job.Tasks_[I]),
+                        AllFinished ? Job.Tasks_[I].Result_ : ""});
+  return A;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/owner_output.h
@@ -0,0 +1,54 @@
+#ifndef CHIVELANDING_OWNER_OUTPUT_H
+#define CHIVELANDING_OWNER_OUTPUT_H
+
+#include "events.h"
+#include "job_record.h"
+#include "message.h"
+#include "scheduler.h"
+
+#include <variant>
+#include <vector>
+
+namespace chivelanding {
+
+/// Output: deliver a message to an agent.
+struct SendToAgent {
+  AgentId To_;
+  Message Message_;
+};
+
+/// Output: give this answer to a waiting caller.
+struct GiveAnswer {
+  ReplyId To_;
+  JobId Job_;
+  JobAnswer Answer_;
+};
+
+/// Output: a placement that was made, for the decision log.
+struct LogPlacement {
+  Placement Placement_;
+};
+
+/// The log event of a placement.
+Event placementEvent(const LogPlacement &Log);
+
+/// Output: relay this submission to another entry, and give its answer to
+/// Reply_. If that entry does not respond, the answer is
+/// "owner_unreachable".
+struct RelayToEntry {
+  EntryId To_;
+  ReplyId Reply_;
+  JobSpec Spec_;
+};
+
+using OwnerOutput =
+    std::variant<SendToAgent, GiveAnswer, LogPlacement, RelayToEntry, LogEvent>;
+using OwnerOutputs = std::vector<OwnerOutput>;
+
+/// A log event about a job.
+LogEvent jobEvent(const EventType &Type, const JobId &Id,
+                  std::vector<EventField> Fields = {});
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/waiting_demand.cpp
@@ -0,0 +1,84 @@
+#include "waiting_demand.h"
+
+namespace chivelanding {
+
+namespace {
+
+/// A change must last this long before it is stated, so that tasks that wait
+/// for less than a round trip cause no messages.
+constexpr Duration DemandDelay = std::chrono::milliseconds(10);
+/// Shortest time between two statements for a service. Each goes to every
+/// agent of the service.
+constexpr Duration DemandInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+// Between classes that wait and classes that do not every change matters; a
+// number matters when it doubles or halves, since the shares of the room follow
+// the ratio of the demands.
+bool WaitingDemand::differs(const ServiceState &S) {
+  if (S.Waiting_.size() != S.Stated_.size())
+    return true;
+  for (const auto &[Class, Waiting] : S.Waiting_) {
+    const auto Stated = S.Stated_.find(Class);
+    if (Stated == S.Stated_.end() || Waiting >= 2 * Stated->second ||
+        2 * Waiting <= Stated->second)
+      return true;
+  }
+  return false;
+}
+
+void WaitingDemand::note(ServiceState &S, Time Now) {
+  if (!differs(S))
+    S.ChangedAt_.reset();
+  else if (!S.ChangedAt_)
+    S.ChangedAt_ = Now;
+}
+
+void WaitingDemand::add(const ServiceName &Service, PriorityClass Class,
+                        Time Now) {
+  ServiceState &S = Services_[Service];
+  ++S.Waiting_[Class];
+  note(S, Now);
+}
+
+void WaitingDemand::remove(const ServiceName &Service, PriorityClass Class,
+                           Time Now) {
+  ServiceState &S = Services_[Service];
+  const auto It = S.Waiting_.find(Class);
+  if (It == S.Waiting_.end())
+    return;
+  if (--It->second == 0)
+    S.Waiting_.erase(It);
+  note(S, Now);
+}
+
+Demand WaitingDemand::demandOf(const Counts &C) {
+  Demand D;
+  for (const auto &[Class, Waiting] : C)
+    D.Classes_.push_back({Class, Waiting});
+  return D;
+}
+
+std::vector<std::pair<ServiceName, Demand>> WaitingDemand::takeDue(Time Now) {
+  std::vector<std::pair<ServiceName, Demand>> Due;
+  for (auto &[Service, S] : Services_) {
+    if (!S.ChangedAt_ || *S.ChangedAt_ + DemandDelay > Now ||
+        (S.StatedAt_ && *S.StatedAt_ + DemandInterval > Now))
+      continue;
+    S.Stated_ = S.Waiting_;
+    S.StatedAt_ = Now;
+    S.ChangedAt_.reset();
+    Due.push_back({Service, demandOf(S.Stated_)});
+  }
+  return Due;
+}
+
+std::optional<Demand> WaitingDemand::stated(const ServiceName &Service) const {
+  const auto It = Services_.find(Service);
+  if (It == Services_.end() || It->second.Stated_.empty())
+    return std::nullopt;
+  return demandOf(It->second.Stated_);
+}
+
+} // namespace chivelanding
