Add recovery of lost owners

Cause: jobs of a lost entry had no way to be collected or resumed. Change: Recovery closes the lost incarnation at its agents, collects holdings for at most 5 s, settles conflicts by rendezvous rank, relays to another holder once at most, takes over from a lost recoverer, and hands each resubmitted job to JobOwner with the state of every task.

--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -110,6 +110,7 @@
     Agents_.addGrant(Agent, Id.Token_.Owner_);
   OwnedJob &J = Jobs_.add(std::move(Job.Spec_), true, Now);
   Jobs_.addReply(J, Reply);
+  Job.Tasks_.resize(J.Tasks_.size());
   Out.push_back(jobEvent(events::JobResumed, Id,
                          {{"tasks", std::to_string(J.Tasks_.size())}}));
   for (std::uint32_t I = 0; I < J.Tasks_.size(); ++I)
--- a/src/recovery.h
+++ b/src/recovery.h
@@ -12,20 +12,24 @@
 
 namespace chivelanding {
 
-/// An agent that a lost entry may have used, and for which service.
+/// An agent at which a lost entry is closed.
 struct UsedAgent {
   AgentId Agent_;
   ServiceName Service_;
-  friend bool operator<(const UsedAgent &A, const UsedAgent &B) {
-    return std::tie(A.Agent_, A.Service_) < std::tie(B.Agent_, B.Service_);
-  }
+  /// The lost entry announced the agent, so it may have used it. An agent that
+  /// it did not announce proves nothing about its tasks, but shows whether
+  /// another entry recovers it too.
+  bool Announced_ = true;
+  /// Token epoch in which the lost entry gave the agent up. Jobs of later
+  /// epochs were never sent to it.
+  std::optional<Epoch> GivenUpIn_;
 };
 
 /// What membership knows of a lost entry incarnation.
 struct LostEntry {
   EntryId Entry_;
-  /// Agents that the entry announced to this entry; if it was not a
-  /// synchronized peer, every agent that this entry knows.
+  /// Agents that the entry announced to this entry, and all others that this
+  /// entry knows.
   std::vector<UsedAgent> Agents_;
   /// True if this entry acknowledged every agent before the lost entry used it.
   bool Synchronized_ = false;
@@ -56,8 +60,13 @@
 /// own retention, so an agent never forgets a record that is still used here.
 constexpr Duration RecoveryRetention = std::chrono::minutes(5);
 
+/// Rendezvous rank of a recoverer for an owner. Of two recoverers with grants
+/// the one with the lower rank transfers its grants.
+std::uint64_t rendezvousRank(const EntryId &Recoverer, const EntryId &Owner);
+
 /// Closes lost entry incarnations at their agents, collects what the agents
-/// hold of their jobs, and hands each resubmitted job to JobOwner.
+/// hold of their jobs, and hands each resubmitted job to JobOwner. Messages and
+/// losses of agents go to both JobOwner and Recovery.
 class Recovery {
 public:
   explicit Recovery(EntryId Self);
@@ -75,7 +84,7 @@
   /// An entry is lost. If it holds grants that this entry waits for, they are
   /// taken over by closing it.
   RecoveryOutputs onEntryLost(const LostEntry &Entry, Time Now);
-  /// This entry was closed; waiting submissions go to Holder.
+  /// This entry was closed; waiting and later submissions go to Holder.
   RecoveryOutputs onSelfClosed(const EntryId &Holder, Time Now);
   RecoveryOutputs onTimer(Time Now);
 
@@ -91,11 +100,17 @@
   };
   struct AgentClose {
     CloseState State_ = CloseState::Pending;
+    /// Services of the agent; empty if it is known from its report only.
     std::set<ServiceName> Services_;
+    bool Announced_ = false;
+    std::optional<Epoch> GivenUpIn_;
     EntryId Holder_;
+    /// End of the wait for a report, or for a transfer by Holder_.
     Time Deadline_;
     /// False if the agent has dropped records of the owner's jobs.
     bool Complete_ = true;
+    /// The agent was lost after its report.
+    bool Gone_ = false;
   };
   struct Held {
     HeldTask Task_;
@@ -103,39 +118,57 @@
     /// The agent was lost while the task ran.
     bool Lost_ = false;
   };
-  using HeldTasks = std::map<TaskIndex, Held>;
+  struct HeldJobState {
+    std::map<TaskIndex, Held> Tasks_;
+    bool Ended_ = false;
+  };
   struct OwnerState {
-    bool Synchronized_ = false;
+    bool Synchronized_ = true;
     /// The entry that was yielded to.
     std::optional<EntryId> YieldedTo_;
     std::map<AgentId, AgentClose> Agents_;
-    std::map<JobId, HeldTasks> Holdings_;
+    std::map<JobId, HeldJobState> Jobs_;
+    /// Agents have dropped records of earlier epochs.
+    Epoch Oldest_;
     /// Jobs handed to JobOwner; their holdings are not used twice.
     std::set<JobId> Adopted_;
     std::vector<ResumeRequest> Waiting_;
     Time Started_;
+    /// The holdings are dropped; all jobs are answered as unknown.
     bool Expired_ = false;
   };
 
+  OwnerState &ownerState(const EntryId &Owner, Time Now);
   void addAgents(const EntryId &Owner, OwnerState &S, const LostEntry &From,
                  Time Now, RecoveryOutputs &Out);
-  void close(const EntryId &Owner, const AgentId &Agent, Time Now,
-             RecoveryOutputs &Out);
+  void sendClose(const EntryId &Owner, const AgentId &Agent, AgentClose &A,
+                 Time Now, RecoveryOutputs &Out);
   void onClosed(const AgentId &Agent, const IncarnationClosed &C, Time Now,
                 RecoveryOutputs &Out);
+  void grantAfterYield(const EntryId &Owner, OwnerState &S, Time Now,
+                       RecoveryOutputs &Out);
+  void collect(OwnerState &S, const AgentId &Agent, const IncarnationClosed &C);
   void onFinished(const AgentId &Agent, const TaskFinished &F);
+  void takeOver(const EntryId &Owner, OwnerState &S, Time Now,
+                RecoveryOutputs &Out);
+  std::optional<EntryId> yieldTarget(const EntryId &Owner, const OwnerState &S,
+                                     Time Now) const;
   void yieldTo(const EntryId &Owner, OwnerState &S, const EntryId &Holder,
                RecoveryOutputs &Out);
-  void resolve(const EntryId &Owner, OwnerState &S, RecoveryOutputs &Out);
-  bool isReady(const OwnerState &S, const ServiceName &Service) const;
-  bool isProved(const OwnerState &S, const ServiceName &Service) const;
+  void resolve(const EntryId &Owner, OwnerState &S, Time Now,
+               RecoveryOutputs &Out);
   AdoptedJob adopt(OwnerState &S, JobSpec Spec) const;
   void relay(ResumeRequest Request, const EntryId &To, RecoveryOutputs &Out);
-  void answer(const ResumeRequest &Request, const char *Code,
-              const char *Detail, RecoveryOutputs &Out);
+
+  static bool concerns(const AgentClose &A, const JobSpec &Spec);
+  static bool isReady(const OwnerState &S, const JobSpec &Spec, Time Now);
+  static bool isProved(const OwnerState &S, const JobSpec &Spec);
 
   EntryId Self_;
+  std::optional<EntryId> ClosedBy_;
   std::map<EntryId, OwnerState> Owners_;
+  /// Entries that were reported lost, for the case that they hold grants.
+  std::map<EntryId, LostEntry> LostEntries_;
 };
 
 } // namespace chivelanding
