--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <optional>
 #include <random>
 
 namespace chivelanding {
@@ -44,7 +45,10 @@
   void apply(GateOutputs Outputs);
   void run(RunTask Task);
   void onRunEnded(RunId Run, Time Started, const Result<HttpResponse> &R);
+  PeerHandler makeHandler();
   void tick();
+  void drain();
+  void endIfDrained(Time Now);
 
   asio::io_context &Io_;
   AgentSettings Settings_;
@@ -60,6 +64,7 @@
   /// Body of the announcement in force; a repetition changes nothing.
   std::string LastAnnouncement_;
   std::map<RunId, CallId> Runs_;
+  std::optional<Time> DrainEnd_;
   bool Stopped_ = false;
 };
 
@@ -75,21 +80,29 @@
               onRequest(std::move(Request), Reply);
             }),
       Client_(Io, MaxResultBytes),
-      Hub_(Io, Settings_.Process_,
-           {Role::Agent, Self_.Name_, Self_.Incarnation_,
-            Settings_.Process_.Zone_, Settings_.Process_.Region_},
-           Log,
-           {[this](const PeerIdentity &Peer) {
-              apply(Gate_.onEntryConnected(Peer.entry(), steadyNow()));
-            },
-            [this](const PeerIdentity &From, const Message &M) {
-              apply(Gate_.onMessage(From.entry(), M, steadyNow()));
-            },
-            [this](const PeerIdentity &Peer) {
-              apply(Gate_.onEntryLost(Peer.entry(), steadyNow()));
-            }}),
+      Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
       Timer_(Io) {}
 
+PeerHandler AgentService::Impl::makeHandler() {
+  return {[this](const PeerUp &Up) {
+            apply(Gate_.onEntryConnected(Up.Peer_.entry(), steadyNow()));
+          },
+          [](const PeerId &) {},
+          [](const PeerId &) {},
+          [this](const PeerId &Peer) {
+            apply(Gate_.onEntryLost(Peer.entry(), steadyNow()));
+          },
+          [this](const PeerId &From, const Message &M) {
+            apply(Gate_.onMessage(From.entry(), M, steadyNow()));
+          },
+          [this] {
+            Log_.write(events::SelfClosed,
+                       {{"agent", Self_.str()},
+                        {"holder", "a later process of this name"}});
+            Io_.stop();
+          }};
+}
+
 void AgentService::Impl::onRequest(HttpRequest &&Request,
                                    const HttpReplyPtr &Reply) {
   const std::string &Method = Request.Method_;
@@ -135,13 +148,15 @@
 void AgentService::Impl::apply(GateOutputs Outputs) {
   for (GateOutput &O : Outputs) {
     if (auto *Send = std::get_if<SendToEntry>(&O)) {
-      Hub_.send(Send->To_, std::move(Send->Message_));
+      Hub_.send(PeerId::of(Send->To_), std::move(Send->Message_));
     } else if (auto *Run = std::get_if<RunTask>(&O)) {
       run(std::move(*Run));
     } else if (const auto *Stop = std::get_if<StopTask>(&O)) {
       const auto It = Runs_.find(Stop->Run_);
       if (It != Runs_.end())
         Client_.cancel(It->second);
+    } else if (const auto *Log = std::get_if<LogEvent>(&O)) {
+      Log_.write(Log->Event_);
     }
   }
 }
@@ -177,10 +192,12 @@
     Outcome =
         E.Code_ == "cancelled" ? RunOutcome::Stopped : RunOutcome::Failure;
     Text = E.str();
-    if (E.Code_ == "connect_failed" && Endpoint_.Slots_ > 0) {
-      Endpoint_.Slots_ = 0;
+    if (E.Code_ == "connect_failed") {
       LastAnnouncement_.clear();
-      apply(Gate_.onEndpointAnnounced(Endpoint_, Now));
+      apply(Gate_.onRunFinished(Run, Outcome, std::move(Text), Now - Started,
+                                Now));
+      apply(Gate_.onEndpointFailed(Now));
+      return;
     }
   } else if (value(R).Status_ / 100 != 2) {
     Outcome = RunOutcome::Failure;
@@ -198,11 +215,31 @@
       [Self = shared_from_this()](const boost::system::error_code &Ec) {
         if (Ec || Self->Stopped_)
           return;
-        Self->apply(Self->Gate_.onTimer(steadyNow()));
+        const Time Now = steadyNow();
+        Self->apply(Self->Gate_.onTimer(Now));
+        Self->endIfDrained(Now);
         Self->tick();
       });
 }
 
+void AgentService::Impl::drain() {
+  if (DrainEnd_)
+    return;
+  const Time Now = steadyNow();
+  DrainEnd_ = Now + Settings_.Process_.DrainLimit_;
+  Log_.write(events::DrainStarted, {{"agent", Self_.str()}});
+  apply(Gate_.onLeaving(Now));
+}
+
+// The results of the last runs count as delivered once the owners have
+// acknowledged them.
+void AgentService::Impl::endIfDrained(Time Now) {
+  if (!DrainEnd_)
+    return;
+  if ((Gate_.drained() && Hub_.allDelivered()) || *DrainEnd_ <= Now)
+    Io_.stop();
+}
+
 AgentService::AgentService(asio::io_context &Io, AgentSettings Settings,
                            EventLog &Log)
     : Impl_(std::make_shared<Impl>(Io, std::move(Settings), Log)) {}
@@ -215,7 +252,7 @@
   if (!ok(Local))
     return error(Local);
   for (const SocketAddress &Entry : I.Settings_.Entries_)
-    I.Hub_.keepDialled(Entry);
+    I.Hub_.addSeed(Entry);
   I.Log_.write(events::ProcessStarted, {{"role", "agent"},
                                         {"agent", I.Self_.str()},
                                         {"listen", value(Local).str()}});
@@ -223,6 +260,8 @@
   return I.Hub_.start();
 }
 
+void AgentService::drain() { Impl_->drain(); }
+
 void AgentService::stop() {
   if (Impl_->Stopped_)
     return;
--- a/src/cli_run.cpp
+++ b/src/cli_run.cpp
@@ -57,9 +57,15 @@
     return ExitFailed;
   }
   boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  // The first signal asks for an orderly end, the second for an end at once.
   Signals.async_wait([&](const boost::system::error_code &Ec, int) {
-    if (!Ec)
-      Io.stop();
+    if (Ec)
+      return;
+    Services.drain();
+    Signals.async_wait([&](const boost::system::error_code &Again, int) {
+      if (!Again)
+        Io.stop();
+    });
   });
   Io.run();
   Services.stop();
--- /dev/null
+++ b/src/entry_core.cpp
@@ -0,0 +1,285 @@
+#include "entry_core.h"
+
+namespace chivelanding {
+namespace {
+
+// Retry-After while the owner of a token is not reachable.
+constexpr Duration OwnerRetryAfter = std::chrono::seconds(1);
+// Longest wait for an entry that a submission is to be relayed to.
+constexpr Duration RelayWait = std::chrono::seconds(5);
+// Numbers of relaying peers start here, far above those of callers.
+constexpr std::uint64_t FirstRelayer = std::uint64_t(1) << 62;
+
+} // namespace
+
+EntryCore::EntryCore(EntryId Self, OwnerLimits Limits, Duration LostAfter,
+                     std::uint64_t Seed, EntryActions Actions, Time Now)
+    : Self_(std::move(Self)), Actions_(std::move(Actions)),
+      Owner_(Self_, Limits, Sched_, Now, Seed), Members_(Self_, LostAfter),
+      NextRelayer_(FirstRelayer) {}
+
+void EntryCore::log(const EventType &Type, std::vector<EventField> Fields) {
+  Actions_.Log_(Event{&Type, std::move(Fields)});
+}
+
+void EntryCore::onSubmit(JobSpec Spec, ReplyId Reply, Time Now) {
+  if (Draining_ && !Owner_.knows(Spec.Id_)) {
+    JobAnswer A;
+    A.Outcome_ = Outcome::NotRun;
+    A.Code_ = "draining";
+    A.Detail_ = "this entry is leaving; submit elsewhere with a new token";
+    answer(Reply, Spec.Id_, A);
+    return;
+  }
+  if (Spec.Id_.Token_.Owner_ == Self_ || Owner_.knows(Spec.Id_))
+    apply(Owner_.onSubmit(std::move(Spec), Reply, Now), Now);
+  else
+    route(std::move(Spec), Reply, std::nullopt, Now);
+}
+
+// A submission that a peer relayed is not relayed again, so that two entries
+// with different views cannot pass it back and forth.
+void EntryCore::route(JobSpec Spec, ReplyId Reply,
+                      std::optional<EntryId> RelayedBy, Time Now) {
+  const EntryId Owner = Spec.Id_.Token_.Owner_;
+  apply(Members_.onEntryNamed(Owner, Now), Now);
+  const EntryStatus Status = Members_.status(Owner);
+  if (Status == EntryStatus::Heard && !RelayedBy)
+    relay({Reply, Owner, std::move(Spec), Now, false});
+  else
+    unreachable(Reply, Spec.Id_, Owner);
+}
+
+void EntryCore::unreachable(ReplyId Reply, const JobId &Job,
+                            const EntryId &Owner) {
+  JobAnswer A;
+  A.Outcome_ = Outcome::Unknown;
+  A.Code_ = "owner_unreachable";
+  A.Detail_ = "entry " + Owner.str() + " does not respond; submit again";
+  A.RetryAfter_ = OwnerRetryAfter;
+  answer(Reply, Job, A);
+}
+
+void EntryCore::relay(PendingRelay Relay) {
+  const std::uint64_t Id = Relay.Reply_.value();
+  if (Members_.status(Relay.To_) == EntryStatus::Heard) {
+    log(events::JobRelayed,
+        {{"job", Relay.Spec_.Id_.str()}, {"to", Relay.To_.str()}});
+    Actions_.Send_(PeerId::of(Relay.To_), RelaySubmit{Id, Relay.Spec_});
+    Relay.Sent_ = true;
+  }
+  Relays_[Id] = std::move(Relay);
+}
+
+std::vector<PendingRelay> EntryCore::takeRelays() {
+  std::vector<PendingRelay> List;
+  for (auto &[Id, Relay] : Relays_)
+    List.push_back(std::move(Relay));
+  Relays_.clear();
+  return List;
+}
+
+void EntryCore::resumeRelay(PendingRelay Relay, Time Now) {
+  Relay.Since_ = Now;
+  Relay.Sent_ = false;
+  relay(std::move(Relay));
+}
+
+void EntryCore::answer(ReplyId Reply, const JobId &Job,
+                       const JobAnswer &Answer) {
+  const auto It = Relayers_.find(Reply.value());
+  if (It == Relayers_.end()) {
+    Actions_.Answer_(Reply, Job, Answer);
+    return;
+  }
+  const Relayer R = It->second;
+  Relayers_.erase(It);
+  Actions_.Send_(PeerId::of(R.Entry_), RelayAnswer{R.RelayId_, Answer});
+}
+
+void EntryCore::onReplyGone(ReplyId Reply) {
+  if (Relays_.erase(Reply.value()) > 0)
+    return;
+  Owner_.onReplyGone(Reply);
+}
+
+void EntryCore::onCancel(const JobId &Job, Time Now) {
+  if (Job.Token_.Owner_ == Self_ || Owner_.knows(Job))
+    apply(Owner_.onCancel(Job, Now), Now);
+  else
+    Actions_.Send_(PeerId::of(Job.Token_.Owner_), RelayCancel{Job});
+}
+
+void EntryCore::onPeerUp(const PeerId &Peer, Time Now) {
+  if (Peer.Role_ == Role::Agent) {
+    Members_.onAgentUp(Peer.agent(), Now);
+    return;
+  }
+  apply(Members_.onEntryUp(Peer.entry(), Now), Now);
+  std::vector<PendingRelay> Ready;
+  for (const auto &[Id, Relay] : Relays_)
+    if (!Relay.Sent_ && Relay.To_ == Peer.entry())
+      Ready.push_back(Relay);
+  for (PendingRelay &Relay : Ready)
+    relay(std::move(Relay));
+}
+
+void EntryCore::onPeerSuspected(const PeerId &Peer, Time Now) {
+  apply(Peer.Role_ == Role::Agent
+            ? Members_.onAgentSuspected(Peer.agent(), Now)
+            : Members_.onEntrySuspected(Peer.entry(), Now),
+        Now);
+}
+
+void EntryCore::onPeerHeard(const PeerId &Peer, Time Now) {
+  apply(Peer.Role_ == Role::Agent ? Members_.onAgentHeard(Peer.agent(), Now)
+                                  : Members_.onEntryHeard(Peer.entry(), Now),
+        Now);
+}
+
+// Submissions relayed to a lost entry are routed once more, and their outcome
+// is unknown.
+void EntryCore::onPeerLost(const PeerId &Peer, Time Now) {
+  if (Peer.Role_ == Role::Agent) {
+    apply(Members_.onAgentDown(Peer.agent(), Now), Now);
+    return;
+  }
+  const EntryId Lost = Peer.entry();
+  apply(Members_.onEntryDown(Lost, Now), Now);
+  std::vector<PendingRelay> Open;
+  for (const auto &[Id, Relay] : Relays_)
+    if (Relay.To_ == Lost)
+      Open.push_back(Relay);
+  for (PendingRelay &Relay : Open) {
+    Relays_.erase(Relay.Reply_.value());
+    route(std::move(Relay.Spec_), Relay.Reply_, std::nullopt, Now);
+  }
+  for (auto It = Relayers_.begin(); It != Relayers_.end();) {
+    if (It->second.Entry_ == Lost) {
+      Owner_.onReplyGone(ReplyId(It->first));
+      It = Relayers_.erase(It);
+    } else {
+      ++It;
+    }
+  }
+}
+
+void EntryCore::onMessage(const PeerId &From, const Message &M, Time Now) {
+  if (From.Role_ == Role::Entry)
+    onEntryMessage(From.entry(), M, Now);
+  else
+    onAgentMessage(From.agent(), M, Now);
+}
+
+void EntryCore::onEntryMessage(const EntryId &From, const Message &M,
+                               Time Now) {
+  if (const auto *Submit = std::get_if<RelaySubmit>(&M))
+    onRelaySubmit(From, *Submit, Now);
+  else if (const auto *Answer = std::get_if<RelayAnswer>(&M))
+    onRelayAnswer(From, *Answer);
+  else if (const auto *Cancel = std::get_if<RelayCancel>(&M))
+    apply(Owner_.onCancel(Cancel->Job_, Now), Now);
+  else
+    apply(Members_.onEntryMessage(From, M, Now), Now);
+}
+
+void EntryCore::onRelaySubmit(const EntryId &From, const RelaySubmit &Submit,
+                              Time Now) {
+  const ReplyId Reply(NextRelayer_++);
+  Relayers_[Reply.value()] = {From, Submit.RelayId_};
+  if (Submit.Spec_.Id_.Token_.Owner_ == Self_ || Owner_.knows(Submit.Spec_.Id_))
+    apply(Owner_.onSubmit(Submit.Spec_, Reply, Now), Now);
+  else
+    route(Submit.Spec_, Reply, From, Now);
+}
+
+void EntryCore::onRelayAnswer(const EntryId &From, const RelayAnswer &Answer) {
+  const auto It = Relays_.find(Answer.RelayId_);
+  if (It == Relays_.end() || It->second.To_ != From)
+    return;
+  const JobId Job = It->second.Spec_.Id_;
+  Relays_.erase(It);
+  answer(ReplyId(Answer.RelayId_), Job, Answer.Answer_);
+}
+
+// What an agent announces and reports reaches the scheduler only once
+// membership allows the agent's use.
+void EntryCore::onAgentMessage(const AgentId &From, const Message &M,
+                               Time Now) {
+  if (const auto *Closed = std::get_if<YouAreClosed>(&M)) {
+    if (Closed_)
+      return;
+    Closed_ = true;
+    log(events::SelfClosed, {{"entry", Self_.str()},
+                             {"agent", From.str()},
+                             {"holder", Closed->Holder_.str()}});
+    Actions_.Closed_(Closed->Holder_);
+    return;
+  }
+  apply(Members_.onAgentMessage(From, M, Now), Now);
+  if (std::holds_alternative<AnnounceEndpoint>(M) ||
+      std::holds_alternative<EntriesHeard>(M))
+    return;
+  if (std::holds_alternative<AgentReport>(M) && !Members_.isUsable(From))
+    return;
+  apply(Owner_.onAgentMessage(From, M, Now), Now);
+}
+
+void EntryCore::onTimer(Time Now) {
+  apply(Members_.onTimer(Now), Now);
+  apply(Owner_.onTimer(Now), Now);
+  std::vector<PendingRelay> Late;
+  for (const auto &[Id, Relay] : Relays_)
+    if (!Relay.Sent_ && Now - Relay.Since_ >= RelayWait)
+      Late.push_back(Relay);
+  for (const PendingRelay &Relay : Late) {
+    Relays_.erase(Relay.Reply_.value());
+    unreachable(Relay.Reply_, Relay.Spec_.Id_, Relay.To_);
+  }
+}
+
+void EntryCore::onDrain(Time) { Draining_ = true; }
+
+bool EntryCore::idle() const {
+  return Owner_.openJobs() == 0 && Relays_.empty() && Relayers_.empty();
+}
+
+void EntryCore::apply(OwnerOutputs Outputs, Time Now) {
+  for (OwnerOutput &O : Outputs) {
+    if (auto *Send = std::get_if<SendToAgent>(&O))
+      Actions_.Send_(PeerId::of(Send->To_), std::move(Send->Message_));
+    else if (const auto *Give = std::get_if<GiveAnswer>(&O))
+      answer(Give->To_, Give->Job_, Give->Answer_);
+    else if (const auto *Placed = std::get_if<LogPlacement>(&O))
+      Actions_.Log_(placementEvent(*Placed));
+    else if (auto *Relay = std::get_if<RelayToEntry>(&O))
+      relay({Relay->Reply_, Relay->To_, std::move(Relay->Spec_), Now, false});
+    else if (const auto *Log = std::get_if<LogEvent>(&O))
+      Actions_.Log_(Log->Event_);
+  }
+}
+
+void EntryCore::apply(MembershipOutputs Outputs, Time Now) {
+  for (MembershipOutput &O : Outputs) {
+    if (auto *Send = std::get_if<SendToPeer>(&O)) {
+      Actions_.Send_(PeerId::of(Send->To_), std::move(Send->Message_));
+    } else if (const auto *Usable = std::get_if<AgentUsable>(&O)) {
+      log(Usable->Info_.Leaving_ ? events::EndpointLeaving
+                                 : events::EndpointAnnounced,
+          {{"agent", Usable->Agent_.str()},
+           {"service", Usable->Info_.Service_.str()},
+           {"slots", std::to_string(Usable->Info_.Slots_)}});
+      apply(Owner_.onAgentUp(Usable->Agent_, Usable->Info_, Now), Now);
+      if (Usable->Report_)
+        apply(Owner_.onAgentMessage(Usable->Agent_, *Usable->Report_, Now),
+              Now);
+    } else if (const auto *Gone = std::get_if<AgentGone>(&O)) {
+      apply(Owner_.onAgentLost(Gone->Agent_, Now), Now);
+    } else if (const auto *Close = std::get_if<CloseAtAgent>(&O)) {
+      Actions_.Send_(PeerId::of(Close->Agent_),
+                     CloseIncarnation{Close->Entry_});
+    }
+  }
+}
+
+} // namespace chivelanding
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -2,17 +2,16 @@
 
 #include "api.h"
 #include "clock.h"
+#include "entry_core.h"
 #include "http_server.h"
-#include "job_owner.h"
 #include "peer_hub.h"
-#include "scheduler.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <map>
+#include <optional>
 #include <random>
-#include <set>
 #include <unordered_map>
 
 namespace chivelanding {
@@ -20,11 +19,8 @@
 
 // Period of the decision modules' timers.
 constexpr auto TickPeriod = std::chrono::milliseconds(10);
-// Retry-After while the owner of a token is not reachable.
-constexpr Duration OwnerRetryAfter = std::chrono::seconds(1);
-
-PeerIdentity identityOf(const ProcessSettings &S, Incarnation Inc) {
-  return {Role::Entry, S.Name_, Inc, S.Zone_, S.Region_};
+HttpResponse notFound() {
+  return {404, "application/json", {}, R"({"code":"not_found"})"};
 }
 
 Incarnation drawIncarnation() {
@@ -38,82 +34,125 @@
   Impl(boost::asio::io_context &Io, EntrySettings Settings, EventLog &Log);
 
   void onRequest(HttpRequest &&Request, const HttpReplyPtr &Reply);
+  void onVersioned(HttpRequest &&Request, const Target &T,
+                   const HttpReplyPtr &Reply);
   void onJobRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
   void onSingleRequest(HttpRequest &&Request, const Target &T,
                        const HttpReplyPtr &Reply);
   void onCancelRequest(const HttpRequest &Request, const Target &T,
                        const HttpReplyPtr &Reply);
   Result<TeamName> teamOf(const HttpRequest &Request) const;
-  void submit(JobSpec Spec, const HttpReplyPtr &Reply, bool Single);
-  void relay(JobSpec Spec, ReplyId Id);
+  void submit(Result<JobSpec> Spec, const HttpReplyPtr &Reply, bool Single);
   void reply(const HttpReplyPtr &Reply, HttpResponse Response);
   void giveAnswer(ReplyId To, const JobId &Job, const JobAnswer &Answer);
 
-  void onPeerUp(const PeerIdentity &Peer);
-  void onPeerMessage(const PeerIdentity &From, const Message &M);
-  void onPeerLost(const PeerIdentity &Peer);
-  void onEntryMessage(const EntryId &From, const Message &M);
-  void onRelayAnswer(const EntryId &From, const RelayAnswer &Answer);
-
-  void apply(OwnerOutputs Outputs);
+  std::unique_ptr<EntryCore> makeCore();
+  PeerHandler makeHandler();
+  void rejoin();
   void tick();
+  void drain();
+  void endIfDrained(Time Now);
 
-  /// Whoever waits for an answer: a caller, or a peer that relays.
+  /// A caller that waits for an answer.
   struct Waiter {
     HttpReplyPtr Http_;
     bool Single_ = false;
-    EntryId RelayedBy_;
-    std::uint64_t RelayId_ = 0;
-  };
-  /// A submission of a caller that its owner is to answer.
-  struct Relayed {
-    EntryId Owner_;
-    JobId Job_;
   };
 
   boost::asio::io_context &Io_;
   EntrySettings Settings_;
   EventLog &Log_;
-  EntryId Self_;
-  Scheduler Sched_;
-  JobOwner Owner_;
+  std::unique_ptr<EntryCore> Core_;
   HttpServer Http_;
   PeerHub Hub_;
   boost::asio::steady_timer Timer_;
   std::unordered_map<std::uint64_t, Waiter> Waiters_;
-  std::map<std::uint64_t, Relayed> Relayed_;
-  std::set<EntryId> Peers_;
   std::uint64_t NextReply_ = 1;
+  std::optional<Time> DrainEnd_;
   bool Stopped_ = false;
 };
 
+std::unique_ptr<EntryCore> EntryService::Impl::makeCore() {
+  const EntryId Self{Settings_.Process_.Name_, drawIncarnation()};
+  const OwnerLimits Limits{Settings_.MaxTasksPerJob_, Settings_.TokenEpoch_,
+                           Settings_.TokenEpochsAccepted_,
+                           Settings_.ResultBytes_};
+  const std::uint64_t Seed =
+      Settings_.Seed_ != 0 ? Settings_.Seed_ : Self.Incarnation_.value();
+  EntryActions Actions{
+      [this](const PeerId &To, Message M) { Hub_.send(To, std::move(M)); },
+      [this](ReplyId To, const JobId &Job, const JobAnswer &Answer) {
+        giveAnswer(To, Job, Answer);
+      },
+      [this](const Event &E) { Log_.write(E); },
+      [this](const EntryId &) {
+        boost::asio::post(Io_, [Self = shared_from_this()] { Self->rejoin(); });
+      }};
+  return std::make_unique<EntryCore>(Self, Limits,
+                                     Settings_.Process_.LostAfter_, Seed,
+                                     std::move(Actions), steadyNow());
+}
+
+PeerHandler EntryService::Impl::makeHandler() {
+  return {[this](const PeerUp &Up) { Core_->onPeerUp(Up.Peer_, steadyNow()); },
+          [this](const PeerId &P) { Core_->onPeerSuspected(P, steadyNow()); },
+          [this](const PeerId &P) { Core_->onPeerHeard(P, steadyNow()); },
+          [this](const PeerId &P) { Core_->onPeerLost(P, steadyNow()); },
+          [this](const PeerId &P, const Message &M) {
+            Core_->onMessage(P, M, steadyNow());
+          },
+          [this] {
+            Log_.write(events::SelfClosed,
+                       {{"entry", Core_->self().str()},
+                        {"holder", "a later process of this name"}});
+            Io_.stop();
+          }};
+}
+
 EntryService::Impl::Impl(boost::asio::io_context &Io, EntrySettings Settings,
                          EventLog &Log)
-    : Io_(Io), Settings_(std::move(Settings)),
-      Log_(Log), Self_{Settings_.Process_.Name_, drawIncarnation()},
-      Owner_(Self_,
-             {Settings_.MaxTasksPerJob_, Settings_.TokenEpoch_,
-              Settings_.TokenEpochsAccepted_, Settings_.ResultBytes_},
-             Sched_, steadyNow()),
+    : Io_(Io), Settings_(std::move(Settings)), Log_(Log), Core_(makeCore()),
       Http_(Io,
             HttpServerLimits{16u << 10, Settings_.MaxBodyBytes_,
                              Settings_.MaxConnections_},
             [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
               onRequest(std::move(Request), Reply);
             }),
-      Hub_(Io, Settings_.Process_,
-           identityOf(Settings_.Process_, Self_.Incarnation_), Log,
-           {[this](const PeerIdentity &Peer) { onPeerUp(Peer); },
-            [this](const PeerIdentity &From, const Message &M) {
-              onPeerMessage(From, M);
-            },
-            [this](const PeerIdentity &Peer) { onPeerLost(Peer); }}),
+      Hub_(Io, Settings_.Process_, PeerId::of(Core_->self()), Log,
+           makeHandler()),
       Timer_(Io) {}
 
+// The callers that waited here are answered by the holder of the grants, to
+// which the new incarnation relays their submissions.
+void EntryService::Impl::rejoin() {
+  const Time Now = steadyNow();
+  auto Relays = Core_->takeRelays();
+  Core_ = makeCore();
+  Hub_.rejoin(PeerId::of(Core_->self()));
+  Log_.write(events::ProcessStarted,
+             {{"role", "entry"}, {"entry", Core_->self().str()}});
+  auto Left = std::move(Waiters_);
+  Waiters_.clear();
+  for (PendingRelay &Relay : Relays) {
+    const auto It = Left.find(Relay.Reply_.value());
+    if (It == Left.end())
+      continue;
+    Waiters_.insert(Left.extract(It));
+    Core_->resumeRelay(std::move(Relay), Now);
+  }
+  JobAnswer Unknown;
+  Unknown.Code_ = "owner_unreachable";
+  Unknown.Detail_ = "this entry was closed and rejoins; submit again";
+  for (const auto &[Id, W] : Left)
+    reply(W.Http_, renderAnswer({}, Unknown));
+  if (DrainEnd_)
+    Core_->onDrain(Now);
+}
+
 void EntryService::Impl::reply(const HttpReplyPtr &Reply,
                                HttpResponse Response) {
   Response.Headers_.push_back(
-      {"Chivelanding-Token", Owner_.token(steadyNow()).str()});
+      {"Chivelanding-Token", Core_->token(steadyNow()).str()});
   Reply->send(std::move(Response));
 }
 
@@ -125,30 +164,38 @@
     return;
   }
   const Target &T = value(Parsed);
-  const auto &Path = T.Path_;
-  const std::string &Method = Request.Method_;
-  if (Method == "GET" &&
-      (Request.Target_ == "/healthz" || Request.Target_ == "/readyz")) {
+  if (T.Path_.size() >= 2 && T.Path_[0] == "v1") {
+    onVersioned(std::move(Request), T, Reply);
+  } else if (Request.Method_ == "GET" && Request.Target_ == "/healthz") {
     reply(Reply, {200, "text/plain", {}, "ok\n"});
-  } else if (Path.size() >= 2 && Path[0] == "v1") {
-    if (Method == "GET" && Path[1] == "token" && Path.size() == 2)
-      reply(Reply, {200,
-                    "application/json",
-                    {},
-                    "{\"token\":\"" + Owner_.token(steadyNow()).str() + "\"}"});
-    else if (Method == "POST" && Path[1] == "jobs" && Path.size() == 2)
-      onJobRequest(Request, Reply);
-    else if (Method == "DELETE" && Path[1] == "jobs" && Path.size() == 3)
-      onCancelRequest(Request, T, Reply);
-    else if (Method == "POST" && Path[1] == "requests" && Path.size() == 4)
-      onSingleRequest(std::move(Request), T, Reply);
-    else
-      reply(Reply, {404, "application/json", {}, R"({"code":"not_found"})"});
+  } else if (Request.Method_ == "GET" && Request.Target_ == "/readyz") {
+    reply(Reply, DrainEnd_ ? HttpResponse{503, "text/plain", {}, "draining\n"}
+                           : HttpResponse{200, "text/plain", {}, "ok\n"});
   } else {
-    reply(Reply, {404, "application/json", {}, R"({"code":"not_found"})"});
+    reply(Reply, notFound());
   }
 }
 
+void EntryService::Impl::onVersioned(HttpRequest &&Request, const Target &T,
+                                     const HttpReplyPtr &Reply) {
+  const std::string &Method = Request.Method_;
+  const std::string &Name = T.Path_[1];
+  const std::size_t Parts = T.Path_.size();
+  if (Method == "GET" && Name == "token" && Parts == 2)
+    reply(Reply, {200,
+                  "application/json",
+                  {},
+                  "{\"token\":\"" + Core_->token(steadyNow()).str() + "\"}"});
+  else if (Method == "POST" && Name == "jobs" && Parts == 2)
+    onJobRequest(Request, Reply);
+  else if (Method == "DELETE" && Name == "jobs" && Parts == 3)
+    onCancelRequest(Request, T, Reply);
+  else if (Method == "POST" && Name == "requests" && Parts == 4)
+    onSingleRequest(std::move(Request), T, Reply);
+  else
+    reply(Reply, notFound());
+}
+
 Result<TeamName> EntryService::Impl::teamOf(const HttpRequest &Request) const {
   const auto Team = Request.header("Chivelanding-Team");
   if (Team.empty() || Team.size() > 256)
@@ -160,28 +207,18 @@
 void EntryService::Impl::onJobRequest(const HttpRequest &Request,
                                       const HttpReplyPtr &Reply) {
   const auto Team = teamOf(Request);
-  auto Spec =
-      ok(Team) ? parseJob(Request.Body_, value(Team), Settings_.MaxTasksPerJob_)
-               : error(Team);
-  if (ok(Spec)) {
-    submit(std::move(value(Spec)), Reply, false);
-    return;
-  }
-  Log_.write(events::JobRefused, {{"code", error(Spec).Code_}});
-  reply(Reply, renderRefusal(error(Spec)));
+  submit(ok(Team)
+             ? parseJob(Request.Body_, value(Team), Settings_.MaxTasksPerJob_)
+             : error(Team),
+         Reply, false);
 }
 
 void EntryService::Impl::onSingleRequest(HttpRequest &&Request, const Target &T,
                                          const HttpReplyPtr &Reply) {
   const auto Team = teamOf(Request);
-  auto Spec =
-      ok(Team) ? parseSingle(std::move(Request), T, value(Team)) : error(Team);
-  if (ok(Spec)) {
-    submit(std::move(value(Spec)), Reply, true);
-    return;
-  }
-  Log_.write(events::JobRefused, {{"code", error(Spec).Code_}});
-  reply(Reply, renderRefusal(error(Spec)));
+  submit(ok(Team) ? parseSingle(std::move(Request), T, value(Team))
+                  : error(Team),
+         Reply, true);
 }
 
 void EntryService::Impl::onCancelRequest(const HttpRequest &Request,
@@ -194,51 +231,25 @@
     return;
   }
   const JobId Job{value(Team), value(Token), JobKey(T.Path_[2])};
-  Log_.write(events::JobCancelled, {{"job", Job.str()}});
-  if (Job.Token_.Owner_ == Self_)
-    apply(Owner_.onCancel(Job, steadyNow()));
-  else
-    Hub_.send(Job.Token_.Owner_, RelayCancel{Job});
+  Core_->onCancel(Job, steadyNow());
   reply(Reply, {202, "application/json", {}, "{}"});
 }
 
-void EntryService::Impl::submit(JobSpec Spec, const HttpReplyPtr &Reply,
+void EntryService::Impl::submit(Result<JobSpec> Spec, const HttpReplyPtr &Reply,
                                 bool Single) {
+  if (!ok(Spec)) {
+    Log_.write(events::JobRefused, {{"code", error(Spec).Code_}});
+    reply(Reply, renderRefusal(error(Spec)));
+    return;
+  }
   const ReplyId Id(NextReply_++);
-  Waiters_[Id.value()] = {Reply, Single, {}, 0};
+  Waiters_[Id.value()] = {Reply, Single};
   Reply->onGone([Weak = weak_from_this(), Id] {
     const auto Self = Weak.lock();
-    if (!Self || Self->Waiters_.erase(Id.value()) == 0)
-      return;
-    Self->Relayed_.erase(Id.value());
-    Self->Owner_.onReplyGone(Id);
+    if (Self && Self->Waiters_.erase(Id.value()) > 0)
+      Self->Core_->onReplyGone(Id);
   });
-  if (Spec.Id_.Token_.Owner_ != Self_) {
-    relay(std::move(Spec), Id);
-    return;
-  }
-  if (Log_.enabled(events::JobAccepted))
-    Log_.write(events::JobAccepted,
-               {{"job", Spec.Id_.str()},
-                {"tasks", std::to_string(Spec.Tasks_.size())}});
-  apply(Owner_.onSubmit(std::move(Spec), Id, steadyNow()));
-}
-
-void EntryService::Impl::relay(JobSpec Spec, ReplyId Id) {
-  const EntryId Owner = Spec.Id_.Token_.Owner_;
-  if (Peers_.count(Owner) == 0) {
-    JobAnswer A;
-    A.Outcome_ = Outcome::Unknown;
-    A.Code_ = "owner_unreachable";
-    A.Detail_ = "entry " + Owner.str() + " does not answer; submit again";
-    A.RetryAfter_ = OwnerRetryAfter;
-    giveAnswer(Id, Spec.Id_, A);
-    return;
-  }
-  Log_.write(events::JobRelayed,
-             {{"job", Spec.Id_.str()}, {"owner", Owner.str()}});
-  Relayed_[Id.value()] = {Owner, Spec.Id_};
-  Hub_.send(Owner, RelaySubmit{Id.value(), std::move(Spec)});
+  Core_->onSubmit(std::move(value(Spec)), Id, steadyNow());
 }
 
 void EntryService::Impl::giveAnswer(ReplyId To, const JobId &Job,
@@ -248,103 +259,8 @@
     return;
   const Waiter W = std::move(It->second);
   Waiters_.erase(It);
-  if (Log_.enabled(events::JobAnswered))
-    Log_.write(events::JobAnswered, {{"job", Job.str()},
-                                     {"outcome", outcomeName(Answer.Outcome_)},
-                                     {"code", Answer.Code_}});
-  if (W.Http_)
-    reply(W.Http_,
-          W.Single_ ? renderSingle(Job, Answer) : renderAnswer(Job, Answer));
-  else
-    Hub_.send(W.RelayedBy_, RelayAnswer{W.RelayId_, Answer});
-}
-
-void EntryService::Impl::apply(OwnerOutputs Outputs) {
-  for (OwnerOutput &O : Outputs) {
-    if (auto *Send = std::get_if<SendToAgent>(&O)) {
-      Hub_.send(Send->To_, std::move(Send->Message_));
-    } else if (const auto *Give = std::get_if<GiveAnswer>(&O)) {
-      giveAnswer(Give->To_, Give->Job_, Give->Answer_);
-    } else if (const auto *Log = std::get_if<LogPlacement>(&O)) {
-      if (!Log_.enabled(events::TaskPlaced))
-        continue;
-      const Placement &P = Log->Placement_;
-      Log_.write(events::TaskPlaced,
-                 {{"job", P.Task_.Job_.str()},
-                  {"task", std::to_string(P.Task_.Index_.value())},
-                  {"agent", P.Agent_.str()},
-                  {"reason", P.Reason_}});
-    }
-  }
-}
-
-void EntryService::Impl::onPeerUp(const PeerIdentity &Peer) {
-  if (Peer.Role_ == Role::Entry)
-    Peers_.insert(Peer.entry());
-}
-
-void EntryService::Impl::onPeerMessage(const PeerIdentity &From,
-                                       const Message &M) {
-  if (From.Role_ == Role::Entry) {
-    onEntryMessage(From.entry(), M);
-    return;
-  }
-  if (const auto *Info = std::get_if<AnnounceEndpoint>(&M))
-    Log_.write(Info->Info_.Leaving_ ? events::EndpointLeaving
-                                    : events::EndpointAnnounced,
-               {{"agent", From.str()},
-                {"service", Info->Info_.Service_.str()},
-                {"slots", std::to_string(Info->Info_.Slots_)}});
-  if (const auto *Rejected = std::get_if<TasksRejected>(&M))
-    Log_.write(events::TaskRejected,
-               {{"job", Rejected->Job_.str()},
-                {"agent", From.str()},
-                {"tasks", std::to_string(Rejected->Tasks_.size())},
-                {"reason", rejectReasonName(Rejected->Reason_)}});
-  apply(Owner_.onAgentMessage(From.agent(), M, steadyNow()));
-}
-
-void EntryService::Impl::onEntryMessage(const EntryId &From, const Message &M) {
-  if (const auto *Submit = std::get_if<RelaySubmit>(&M)) {
-    const ReplyId Id(NextReply_++);
-    Waiters_[Id.value()] = {nullptr, false, From, Submit->RelayId_};
-    apply(Owner_.onSubmit(Submit->Spec_, Id, steadyNow()));
-  } else if (const auto *Answer = std::get_if<RelayAnswer>(&M)) {
-    onRelayAnswer(From, *Answer);
-  } else if (const auto *Cancel = std::get_if<RelayCancel>(&M)) {
-    apply(Owner_.onCancel(Cancel->Job_, steadyNow()));
-  }
-}
-
-void EntryService::Impl::onRelayAnswer(const EntryId &From,
-                                       const RelayAnswer &Answer) {
-  const auto It = Relayed_.find(Answer.RelayId_);
-  if (It == Relayed_.end() || It->second.Owner_ != From)
-    return;
-  const JobId Job = It->second.Job_;
-  Relayed_.erase(It);
-  giveAnswer(ReplyId(Answer.RelayId_), Job, Answer.Answer_);
-}
-
-void EntryService::Impl::onPeerLost(const PeerIdentity &Peer) {
-  if (Peer.Role_ == Role::Agent) {
-    apply(Owner_.onAgentLost(Peer.agent(), steadyNow()));
-    return;
-  }
-  Peers_.erase(Peer.entry());
-  std::vector<std::pair<std::uint64_t, JobId>> Open;
-  for (const auto &[Id, R] : Relayed_)
-    if (R.Owner_ == Peer.entry())
-      Open.emplace_back(Id, R.Job_);
-  JobAnswer A;
-  A.Outcome_ = Outcome::Unknown;
-  A.Code_ = "owner_unreachable";
-  A.Detail_ = "entry " + Peer.str() + " was lost; submit again";
-  A.RetryAfter_ = OwnerRetryAfter;
-  for (const auto &[Id, Job] : Open) {
-    Relayed_.erase(Id);
-    giveAnswer(ReplyId(Id), Job, A);
-  }
+  reply(W.Http_,
+        W.Single_ ? renderSingle(Job, Answer) : renderAnswer(Job, Answer));
 }
 
 void EntryService::Impl::tick() {
@@ -353,11 +269,34 @@
       [Self = shared_from_this()](const boost::system::error_code &Ec) {
         if (Ec || Self->Stopped_)
           return;
-        Self->apply(Self->Owner_.onTimer(steadyNow()));
+        const Time Now = steadyNow();
+        Self->Core_->onTimer(Now);
+        Self->endIfDrained(Now);
         Self->tick();
       });
 }
 
+// Idle connections are closed so that callers go elsewhere; those with a
+// pending reply close after it.
+void EntryService::Impl::drain() {
+  if (DrainEnd_)
+    return;
+  const Time Now = steadyNow();
+  DrainEnd_ = Now + Settings_.Process_.DrainLimit_;
+  Log_.write(events::DrainStarted, {{"entry", Core_->self().str()}});
+  Core_->onDrain(Now);
+  Http_.drain();
+}
+
+void EntryService::Impl::endIfDrained(Time Now) {
+  if (!DrainEnd_)
+    return;
+  const bool IsDone = Core_->idle() && Waiters_.empty() &&
+                      Http_.connections() == 0 && Hub_.allDelivered();
+  if (IsDone || *DrainEnd_ <= Now)
+    Io_.stop();
+}
+
 EntryService::EntryService(boost::asio::io_context &Io, EntrySettings Settings,
                            EventLog &Log)
     : Impl_(std::make_shared<Impl>(Io, std::move(Settings), Log)) {}
@@ -373,15 +312,17 @@
   if (!ok(Callers))
     return error(Callers);
   for (const SocketAddress &Seed : I.Settings_.Seeds_)
-    I.Hub_.keepDialled(Seed);
+    I.Hub_.addSeed(Seed);
   I.Log_.write(events::ProcessStarted, {{"role", "entry"},
-                                        {"entry", I.Self_.str()},
+                                        {"entry", I.Core_->self().str()},
                                         {"listen", value(Callers).str()},
                                         {"peer_listen", value(Peers).str()}});
   I.tick();
   return I.Hub_.start();
 }
 
+void EntryService::drain() { Impl_->drain(); }
+
 void EntryService::stop() {
   if (Impl_->Stopped_)
     return;
@@ -389,7 +330,8 @@
   Impl_->Timer_.cancel();
   Impl_->Http_.close();
   Impl_->Hub_.stop();
-  Impl_->Log_.write(events::ProcessStopped, {{"entry", Impl_->Self_.str()}});
+  Impl_->Log_.write(events::ProcessStopped,
+                    {{"entry", Impl_->Core_->self().str()}});
 }
 
 } // namespace chivelanding
--- a/src/entry_service.h
+++ b/src/entry_service.h
@@ -24,6 +24,8 @@
   /// Error code: listen_failed.
   Result<Done> start() override;
   void stop() override;
+  /// Takes no new work, finishes what it has, and then stops the io_context.
+  void drain() override;
 
 private:
   struct Impl;
--- a/src/kernel.cpp
+++ b/src/kernel.cpp
@@ -18,6 +18,11 @@
     Services_[--Started_].second->stop();
 }
 
+void Kernel::drain() {
+  for (std::size_t I = Started_; I > 0; --I)
+    Services_[I - 1].second->drain();
+}
+
 // Members of a later service may refer to an earlier one, so the destruction
 // runs in reverse as well.
 Kernel::~Kernel() {
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -21,6 +21,8 @@
   virtual Result<Done> start() { return Done(); }
   /// Closes what start() opened. The services added before are still running.
   virtual void stop() {}
+  /// Asks for an orderly end; the service itself tells when it is done.
+  virtual void drain() {}
 };
 
 /// Registry in which the services of a process find each other by name. They
@@ -47,6 +49,7 @@
   /// Stops what it started if one service fails, and returns its error.
   Result<Done> start();
   void stop();
+  void drain();
 
 private:
   std::vector<std::pair<std::string, std::unique_ptr<Service>>> Services_;
--- a/src/link.cpp
+++ b/src/link.cpp
@@ -34,6 +34,13 @@
   return State && State->Session_ && !State->Suspected_;
 }
 
+bool Links::allAcknowledged() const {
+  return std::all_of(Peers_.begin(), Peers_.end(), [](const auto &Item) {
+    const auto &Session = Item.second.Session_;
+    return !Session || Session->acknowledged() == Session->sent();
+  });
+}
+
 std::vector<EntryId> Links::entriesHeard() const {
   std::vector<EntryId> Heard;
   for (const auto &[Key, P] : Peers_)
--- a/src/link.h
+++ b/src/link.h
@@ -147,6 +147,8 @@
   bool isUp(const PeerId &P) const;
   /// True if isUp and the peer is not suspected.
   bool isHeard(const PeerId &P) const;
+  /// True if no peer still has to acknowledge a message.
+  bool allAcknowledged() const;
   /// Entry incarnations heard, for EntriesHeard.
   std::vector<EntryId> entriesHeard() const;
 
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -1,6 +1,8 @@
 #include "peer_hub.h"
 
 #include "clock.h"
+#include "membership.h"
+#include "ws_transport.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -9,76 +11,89 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <random>
 
 namespace chivelanding {
 namespace {
 
 namespace asio = boost::asio;
 
-// Period of the check for heartbeats that are due, silent peers and addresses
-// to dial.
-constexpr auto TickPeriod = std::chrono::milliseconds(50);
-// Pause before an address is dialled again.
-constexpr Duration DialPause = std::chrono::milliseconds(250);
+// Bounds of the pause before an address is dialled again. It doubles with each
+// failure, and a random part keeps the processes of a zone apart when they
+// return together.
+constexpr std::int64_t FirstDialPauseUs = 200'000;
+constexpr std::int64_t LastDialPauseUs = 2'000'000;
 
-using PeerKey = std::pair<Role, EntryId>;
+EntryDirectory directoryOf(const PeerId &Self, const RegionName &Region) {
+  return {Self.entry(), Region, Self.Role_ == Role::Agent};
+}
+
+LinkLimits limitsOf(const ProcessSettings &S) {
+  LinkLimits L;
+  L.Heartbeat_ = S.Heartbeat_;
+  L.SuspectAfter_ = S.SuspectAfter_;
+  L.LostAfter_ = S.LostAfter_;
+  return L;
+}
 
 } // namespace
 
 struct PeerHub::Impl : std::enable_shared_from_this<PeerHub::Impl> {
-  struct Connection {
-    bool Dialled_ = false;
-    std::optional<PeerKey> Peer_;
-  };
-  struct PeerState {
-    PeerIdentity Identity_;
-    std::optional<ConnectionId> Connection_;
-    std::vector<Message> Outbox_;
-    std::uint64_t LastSent_ = 0;
-    Time LastHeard_;
-    Time LastWrite_;
-  };
+  /// An address to dial, from the settings or from the directory.
   struct Target {
     SocketAddress Address_;
+    bool IsSeed_ = false;
     std::optional<ConnectionId> Connection_;
     Time NextDial_;
-    bool IsSelf_ = false;
+    std::int64_t PauseUs_ = FirstDialPauseUs;
   };
 
-  Impl(asio::io_context &Io, const ProcessSettings &Settings, PeerIdentity Self,
+  Impl(asio::io_context &Io, const ProcessSettings &Settings, PeerId Self,
        EventLog &Log, PeerHandler Handler);
 
   void onOpened(ConnectionId Id, bool Dialled);
   void onReceived(ConnectionId Id, const std::string &Bytes);
-  void onClosed(ConnectionId Id, const std::string &Reason);
-  void onHello(ConnectionId Id, const Hello &H);
-  void onBatch(ConnectionId Id, const Batch &B);
-  void refuse(ConnectionId Id, const std::string &Detail);
-  void sendHello(ConnectionId Id);
-  void queue(const PeerKey &To, Message M);
+  void onClosed(ConnectionId Id);
+  void apply(LinkOutputs Outputs);
+  void onUp(const PeerUp &Up);
+  void onLost(const PeerLost &Lost);
+  void onDelivered(const PeerId &From, const Message &M);
+  void onRefused(const CloseConnection &Close);
+  void redial(const PeerId &Peer);
+  Target &targetFor(const SocketAddress &Address);
+  void dial(Target &T, Time Now);
+  void dialTargets(Time Now);
+  void tellEntries();
   void scheduleFlush();
-  void flush(PeerState &P);
+  void flush();
   void tick();
-  void dialTargets(Time Now);
-  void dropSilent(Time Now);
-  Target *targetOf(ConnectionId Id);
 
   asio::io_context &Io_;
   ProcessSettings Settings_;
-  PeerIdentity Self_;
+  PeerId Self_;
   EventLog &Log_;
   PeerHandler Handler_;
   WsTransport Transport_;
+  Links Links_;
+  EntryDirectory Directory_;
   asio::steady_timer Timer_;
-  std::map<ConnectionId, Connection> Connections_;
-  std::map<PeerKey, PeerState> Peers_;
+  std::mt19937_64 Random_;
+  std::optional<SocketAddress> Listen_;
   std::vector<Target> Targets_;
+  /// Address at which each peer was dialled last.
+  std::map<std::string, SocketAddress> DialledAt_;
+  std::map<ConnectionId, SocketAddress> DialledTo_;
+  /// Latest report per entry that has not left yet.
+  std::map<PeerId, AgentReport> Reports_;
+  std::vector<PeerId> Up_;
+  std::vector<EntryId> ToldHeard_;
+  bool KnownChanged_ = false;
   bool FlushScheduled_ = false;
   bool Stopped_ = false;
 };
 
 PeerHub::Impl::Impl(asio::io_context &Io, const ProcessSettings &Settings,
-                    PeerIdentity Self, EventLog &Log, PeerHandler Handler)
+                    PeerId Self, EventLog &Log, PeerHandler Handler)
     : Io_(Io), Settings_(Settings), Self_(std::move(Self)), Log_(Log),
       Handler_(std::move(Handler)),
       Transport_(
@@ -87,228 +102,262 @@
            [this](ConnectionId Id, const std::string &Bytes) {
              onReceived(Id, Bytes);
            },
-           [this](ConnectionId Id, const std::string &Reason) {
-             onClosed(Id, Reason);
-           }}),
-      Timer_(Io) {}
-
-PeerHub::Impl::Target *PeerHub::Impl::targetOf(ConnectionId Id) {
-  for (Target &T : Targets_)
-    if (T.Connection_ == Id)
-      return &T;
-  return nullptr;
-}
+           [this](ConnectionId Id, const std::string &) { onClosed(Id); }}),
+      Links_(Self_, Settings.Zone_, Settings.Region_, limitsOf(Settings)),
+      Directory_(directoryOf(Self_, Settings.Region_)), Timer_(Io),
+      Random_(Self_.Incarnation_.value()) {}
 
 void PeerHub::Impl::onOpened(ConnectionId Id, bool Dialled) {
-  Connections_[Id].Dialled_ = Dialled;
+  const Time Now = steadyNow();
   if (Dialled)
-    sendHello(Id);
-}
-
-void PeerHub::Impl::sendHello(ConnectionId Id) {
-  Hello H;
-  H.Role_ = Self_.Role_;
-  H.Name_ = Self_.Name_;
-  H.Incarnation_ = Self_.Incarnation_;
-  H.Zone_ = Self_.Zone_;
-  H.Region_ = Self_.Region_;
-  Transport_.send(Id, encodeFrame(H));
-}
-
-void PeerHub::Impl::refuse(ConnectionId Id, const std::string &Detail) {
-  const auto &Peer = Connections_[Id].Peer_;
-  Log_.write(
-      events::FrameRefused,
-      {{"peer", Peer ? Peer->second.str() : "unknown"}, {"detail", Detail}});
-  Transport_.close(Id, Detail);
+    apply(Links_.onDialled(Id, Now));
+  else
+    Links_.onAccepted(Id, Now);
 }
 
 void PeerHub::Impl::onReceived(ConnectionId Id, const std::string &Bytes) {
-  const auto It = Connections_.find(Id);
-  if (It == Connections_.end())
-    return;
   const auto F = decodeFrame(Bytes, Settings_.MaxFrameBytes_);
-  if (!ok(F)) {
-    refuse(Id, error(F).str());
+  if (ok(F)) {
+    // A confirming Hello of a dialled connection names the process there.
+    if (const auto *H = std::get_if<Hello>(&value(F))) {
+      const auto It = DialledTo_.find(Id);
+      if (It != DialledTo_.end())
+        DialledAt_[H->Name_] = It->second;
+    }
+    apply(Links_.onFrame(Id, value(F), steadyNow()));
     return;
   }
-  if (const auto *H = std::get_if<Hello>(&value(F))) {
-    onHello(Id, *H);
-    return;
+  Log_.write(events::FrameRefused, {{"code", error(F).Code_},
+                                    {"peer", "connection"},
+                                    {"detail", error(F).Detail_}});
+  Transport_.close(Id, error(F).Code_);
+  apply(Links_.onClosed(Id, steadyNow()));
+}
+
+void PeerHub::Impl::onClosed(ConnectionId Id) {
+  const Time Now = steadyNow();
+  DialledTo_.erase(Id);
+  for (Target &T : Targets_) {
+    if (T.Connection_ != Id)
+      continue;
+    T.Connection_.reset();
+    std::uniform_int_distribution<std::int64_t> Jitter(0, T.PauseUs_ / 2);
+    T.NextDial_ = Now + Duration(T.PauseUs_ + Jitter(Random_));
+    T.PauseUs_ = std::min(2 * T.PauseUs_, LastDialPauseUs);
   }
-  if (!It->second.Peer_) {
-    refuse(Id, "frame before hello");
-    return;
+  apply(Links_.onClosed(Id, Now));
+}
+
+void PeerHub::Impl::apply(LinkOutputs Outputs) {
+  for (LinkOutput &O : Outputs) {
+    if (const auto *D = std::get_if<Deliver>(&O))
+      onDelivered(D->From_, D->Message_);
+    else if (const auto *Send = std::get_if<SendFrame>(&O))
+      Transport_.send(Send->Connection_, encodeFrame(Send->Frame_));
+    else if (const auto *Close = std::get_if<CloseConnection>(&O))
+      onRefused(*Close);
+    else if (const auto *Dial = std::get_if<DialPeer>(&O))
+      redial(Dial->Peer_);
+    else if (const auto *Up = std::get_if<PeerUp>(&O))
+      onUp(*Up);
+    else if (const auto *Lost = std::get_if<PeerLost>(&O))
+      onLost(*Lost);
+    else if (const auto *Silent = std::get_if<PeerSuspected>(&O)) {
+      Log_.write(events::PeerSuspected, {{"peer", Silent->Peer_.str()}});
+      Handler_.Suspected_(Silent->Peer_);
+    } else if (const auto *Heard = std::get_if<PeerHeard>(&O)) {
+      Handler_.Heard_(Heard->Peer_);
+    } else if (std::holds_alternative<SelfSuperseded>(O)) {
+      Handler_.Superseded_();
+    }
   }
-  Peers_[*It->second.Peer_].LastHeard_ = steadyNow();
-  if (const auto *B = std::get_if<Batch>(&value(F)))
-    onBatch(Id, *B);
 }
 
-void PeerHub::Impl::onHello(ConnectionId Id, const Hello &H) {
-  Connection &C = Connections_[Id];
-  if (C.Peer_) {
-    refuse(Id, "second hello");
-    return;
+void PeerHub::Impl::onUp(const PeerUp &Up) {
+  Log_.write(events::LinkUp,
+             {{"peer", Up.Peer_.str()}, {"zone", Up.Zone_.str()}});
+  Up_.push_back(Up.Peer_);
+  const auto Dialled = DialledAt_.find(Up.Peer_.Name_);
+  if (Dialled != DialledAt_.end())
+    targetFor(Dialled->second).PauseUs_ = FirstDialPauseUs;
+  if (Up.Peer_.Role_ == Role::Entry) {
+    Directory_.onUp(Up.Peer_.entry(), steadyNow());
+    KnownChanged_ = true;
   }
-  if (H.Protocol_ != ProtocolVersion) {
-    refuse(Id, "protocol " + std::to_string(H.Protocol_) + ", expected " +
-                   std::to_string(ProtocolVersion));
-    return;
+  if (Self_.Role_ == Role::Agent)
+    apply(Links_.send(Up.Peer_, EntriesHeard{ToldHeard_}, steadyNow()));
+  else
+    KnownChanged_ = true;
+  Handler_.Up_(Up);
+  scheduleFlush();
+}
+
+void PeerHub::Impl::onLost(const PeerLost &Lost) {
+  Log_.write(events::PeerLost,
+             {{"peer", Lost.Peer_.str()}, {"reason", Lost.Reason_.Code_}});
+  Up_.erase(std::remove(Up_.begin(), Up_.end(), Lost.Peer_), Up_.end());
+  Reports_.erase(Lost.Peer_);
+  if (Lost.Peer_.Role_ == Role::Entry) {
+    Directory_.onDown(Lost.Peer_.entry(), steadyNow());
+    KnownChanged_ = true;
   }
-  if (H.Incarnation_ == Self_.Incarnation_ && H.Name_ == Self_.Name_) {
-    if (Target *T = targetOf(Id))
-      T->IsSelf_ = true;
-    Transport_.close(Id, "same process");
+  Handler_.Lost_(Lost.Peer_);
+}
+
+void PeerHub::Impl::onDelivered(const PeerId &From, const Message &M) {
+  if (const auto *Known = std::get_if<KnownEntries>(&M)) {
+    Directory_.learn(*Known, steadyNow());
     return;
   }
-  const PeerKey Key{H.Role_, {H.Name_, H.Incarnation_}};
-  C.Peer_ = Key;
-  if (!C.Dialled_)
-    sendHello(Id);
-  const bool IsNew = Peers_.count(Key) == 0;
-  PeerState &P = Peers_[Key];
-  P.Identity_ = {H.Role_, H.Name_, H.Incarnation_, H.Zone_, H.Region_};
-  P.Connection_ = Id;
-  P.LastHeard_ = steadyNow();
-  Log_.write(events::LinkUp, {{"peer", P.Identity_.str()},
-                              {"dialled", C.Dialled_ ? "true" : "false"}});
-  if (IsNew)
-    Handler_.Up_(PeerIdentity(P.Identity_));
-  scheduleFlush();
+  Handler_.Received_(From, M);
 }
 
-void PeerHub::Impl::onBatch(ConnectionId Id, const Batch &B) {
-  const PeerIdentity From = Peers_[*Connections_[Id].Peer_].Identity_;
-  for (const Message &M : B.Messages_)
-    Handler_.Received_(From, M);
+void PeerHub::Impl::onRefused(const CloseConnection &Close) {
+  const Error &E = Close.Reason_;
+  const bool Ordinary = E.Code_ == "replaced" || E.Code_ == "session_ended";
+  Log_.write(Ordinary ? events::LinkDown : events::FrameRefused,
+             {{"code", E.Code_}, {"peer", E.Peer_}, {"detail", E.Detail_}});
+  Transport_.close(Close.Connection_, E.Code_);
 }
 
-void PeerHub::Impl::onClosed(ConnectionId Id, const std::string &Reason) {
-  if (Target *T = targetOf(Id)) {
-    T->Connection_.reset();
-    T->NextDial_ = steadyNow() + DialPause;
-  }
-  const auto It = Connections_.find(Id);
-  if (It == Connections_.end())
+// A connection beside a silent one is not bound to a target: the target's own
+// connection may still look open.
+void PeerHub::Impl::redial(const PeerId &Peer) {
+  const auto It = DialledAt_.find(Peer.Name_);
+  if (It == DialledAt_.end() || Stopped_)
     return;
-  if (It->second.Peer_) {
-    Log_.write(events::LinkDown,
-               {{"peer", It->second.Peer_->second.str()}, {"reason", Reason}});
-    const auto P = Peers_.find(*It->second.Peer_);
-    if (P != Peers_.end() && P->second.Connection_ == Id)
-      P->second.Connection_.reset();
+  const auto Id = Transport_.dial(It->second);
+  if (ok(Id))
+    DialledTo_[value(Id)] = It->second;
+}
+
+PeerHub::Impl::Target &PeerHub::Impl::targetFor(const SocketAddress &Address) {
+  for (Target &T : Targets_)
+    if (T.Address_.Host_ == Address.Host_ && T.Address_.Port_ == Address.Port_)
+      return T;
+  Targets_.push_back({Address, false, {}, steadyNow()});
+  return Targets_.back();
+}
+
+void PeerHub::Impl::dial(Target &T, Time Now) {
+  if (T.Connection_ || T.NextDial_ > Now)
+    return;
+  const auto Id = Transport_.dial(T.Address_);
+  if (!ok(Id))
+    return;
+  T.Connection_ = value(Id);
+  DialledTo_[value(Id)] = T.Address_;
+}
+
+// A seed that is this process's own listener, or at which a connected entry
+// listens, needs no connection of its own.
+void PeerHub::Impl::dialTargets(Time Now) {
+  for (const EntryAddress &A : Directory_.toDial(Now))
+    dial(targetFor({A.Host_, A.Port_}), Now);
+  for (Target &T : Targets_) {
+    const bool IsSelf = Listen_ && Listen_->str() == T.Address_.str();
+    if (T.IsSeed_ && !IsSelf &&
+        !Directory_.covers(T.Address_.Host_, T.Address_.Port_))
+      dial(T, Now);
   }
-  Connections_.erase(It);
 }
 
-void PeerHub::Impl::queue(const PeerKey &To, Message M) {
-  const auto It = Peers_.find(To);
-  if (It == Peers_.end())
+// Links deliver in order, so a change is told once and needs no repetition.
+void PeerHub::Impl::tellEntries() {
+  if (Self_.Role_ == Role::Agent) {
+    auto Heard = Links_.entriesHeard();
+    if (Heard == ToldHeard_)
+      return;
+    ToldHeard_ = std::move(Heard);
+    for (const PeerId &Peer : std::vector<PeerId>(Up_))
+      apply(Links_.send(Peer, EntriesHeard{ToldHeard_}, steadyNow()));
     return;
-  It->second.Outbox_.push_back(std::move(M));
-  scheduleFlush();
+  }
+  if (!KnownChanged_ || !Listen_)
+    return;
+  KnownChanged_ = false;
+  KnownEntries Known = Directory_.known();
+  Known.Entries_.push_back(
+      {Self_.entry(), Settings_.Region_, Listen_->Host_, Listen_->Port_});
+  for (const PeerId &Peer : std::vector<PeerId>(Up_))
+    apply(Links_.send(Peer, Known, steadyNow()));
 }
 
 // Posting the flush lets every handler that is ready now add its messages, so
 // that they share a frame and a system call.
 void PeerHub::Impl::scheduleFlush() {
-  if (FlushScheduled_)
+  if (FlushScheduled_ || Stopped_)
     return;
   FlushScheduled_ = true;
   asio::post(Io_, [Self = shared_from_this()] {
     Self->FlushScheduled_ = false;
-    if (Self->Stopped_)
-      return;
-    for (auto &[Key, P] : Self->Peers_)
-      Self->flush(P);
+    if (!Self->Stopped_)
+      Self->flush();
   });
 }
 
-void PeerHub::Impl::flush(PeerState &P) {
-  if (P.Outbox_.empty() || !P.Connection_)
-    return;
-  Batch B;
-  B.First_ = P.LastSent_ + 1;
-  P.LastSent_ += P.Outbox_.size();
-  B.Messages_ = std::move(P.Outbox_);
-  P.Outbox_.clear();
-  P.LastWrite_ = steadyNow();
-  Transport_.send(*P.Connection_, encodeFrame(B));
-}
-
-void PeerHub::Impl::dialTargets(Time Now) {
-  for (Target &T : Targets_) {
-    if (T.Connection_ || T.IsSelf_ || T.NextDial_ > Now)
-      continue;
-    T.NextDial_ = Now + DialPause;
-    const auto Id = Transport_.dial(T.Address_);
-    if (ok(Id))
-      T.Connection_ = value(Id);
-  }
-}
-
-void PeerHub::Impl::dropSilent(Time Now) {
-  std::vector<PeerIdentity> Lost;
-  for (auto It = Peers_.begin(); It != Peers_.end();) {
-    if (Now - It->second.LastHeard_ < Settings_.LostAfter_) {
-      ++It;
-      continue;
-    }
-    Lost.push_back(It->second.Identity_);
-    if (It->second.Connection_)
-      Transport_.close(*It->second.Connection_, "silent");
-    It = Peers_.erase(It);
-  }
-  for (const PeerIdentity &P : Lost) {
-    Log_.write(events::PeerLost, {{"peer", P.str()}});
-    Handler_.Lost_(P);
-  }
+void PeerHub::Impl::flush() {
+  const Time Now = steadyNow();
+  const auto Reports = std::move(Reports_);
+  Reports_.clear();
+  for (const auto &[To, Report] : Reports)
+    apply(Links_.send(To, Report, Now));
+  apply(Links_.flush(Now));
 }
 
 void PeerHub::Impl::tick() {
-  Timer_.expires_after(TickPeriod);
+  Timer_.expires_after(Settings_.Heartbeat_ / 4);
   Timer_.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Ec) {
         if (Ec || Self->Stopped_)
           return;
-        const auto Now = steadyNow();
-        for (auto &[Key, P] : Self->Peers_) {
-          if (!P.Connection_ || Now - P.LastWrite_ < Self->Settings_.Heartbeat_)
-            continue;
-          P.LastWrite_ = Now;
-          Self->Transport_.send(*P.Connection_, encodeFrame(Heartbeat{}));
-        }
-        Self->dropSilent(Now);
+        const Time Now = steadyNow();
+        Self->tellEntries();
+        Self->apply(Self->Links_.onTimer(Now));
         Self->dialTargets(Now);
         Self->tick();
       });
 }
 
 PeerHub::PeerHub(asio::io_context &Io, const ProcessSettings &Settings,
-                 PeerIdentity Self, EventLog &Log, PeerHandler Handler)
+                 PeerId Self, EventLog &Log, PeerHandler Handler)
     : Impl_(std::make_shared<Impl>(Io, Settings, std::move(Self), Log,
                                    std::move(Handler))) {}
 
 PeerHub::~PeerHub() { PeerHub::stop(); }
 
 Result<SocketAddress> PeerHub::listen(const SocketAddress &Address) {
-  return Impl_->Transport_.listen(Address);
+  auto Bound = Impl_->Transport_.listen(Address);
+  if (ok(Bound))
+    Impl_->Listen_ = value(Bound);
+  return Bound;
 }
 
-void PeerHub::keepDialled(const SocketAddress &Address) {
-  for (const auto &T : Impl_->Targets_)
-    if (T.Address_.str() == Address.str())
-      return;
-  Impl_->Targets_.push_back({Address, {}, steadyNow(), false});
+void PeerHub::addSeed(const SocketAddress &Address) {
+  Impl_->targetFor(Address).IsSeed_ = true;
+}
+
+void PeerHub::send(const PeerId &To, Message M) {
+  if (const auto *Report = std::get_if<AgentReport>(&M))
+    Impl_->Reports_[To] = *Report;
+  else
+    Impl_->apply(Impl_->Links_.send(To, std::move(M), steadyNow()));
+  Impl_->scheduleFlush();
 }
 
-void PeerHub::send(const EntryId &To, Message M) {
-  Impl_->queue({Role::Entry, To}, std::move(M));
+void PeerHub::rejoin(const PeerId &Self) {
+  Impl &I = *Impl_;
+  I.Self_ = Self;
+  I.Links_ = Links(Self, I.Settings_.Zone_, I.Settings_.Region_,
+                   limitsOf(I.Settings_));
+  I.Directory_ = directoryOf(Self, I.Settings_.Region_);
+  I.Up_.clear();
+  I.Reports_.clear();
+  I.Transport_.closeAll("rejoin");
 }
 
-void PeerHub::send(const AgentId &To, Message M) {
-  Impl_->queue({Role::Agent, {To.Name_, To.Incarnation_}}, std::move(M));
+bool PeerHub::allDelivered() const {
+  return Impl_->Reports_.empty() && Impl_->Links_.allAcknowledged();
 }
 
 Result<Done> PeerHub::start() {
--- a/src/peer_hub.h
+++ b/src/peer_hub.h
@@ -2,14 +2,13 @@
 #define CHIVELANDING_PEER_HUB_H
 
 #include "kernel.h"
+#include "link.h"
 #include "log.h"
 #include "message.h"
 #include "settings.h"
-#include "ws_transport.h"
 
 #include <functional>
 #include <memory>
-#include <string>
 
 namespace boost::asio {
 class io_context;
@@ -17,42 +16,41 @@
 
 namespace chivelanding {
 
-/// Who a process is, as stated in Hello.
-struct PeerIdentity {
-  Role Role_ = Role::Entry;
-  std::string Name_;
-  Incarnation Incarnation_;
-  ZoneName Zone_;
-  RegionName Region_;
-
-  EntryId entry() const { return {Name_, Incarnation_}; }
-  AgentId agent() const { return {Name_, Incarnation_}; }
-  std::string str() const { return entry().str(); }
-};
-
-/// Callbacks of a PeerHub; none runs inside send().
+/// Callbacks of a PeerHub. All of them may call send().
 struct PeerHandler {
-  /// A peer incarnation is connected for the first time.
-  std::function<void(const PeerIdentity &)> Up_;
-  std::function<void(const PeerIdentity &, const Message &)> Received_;
-  /// Nothing more will be heard of this incarnation.
-  std::function<void(const PeerIdentity &)> Lost_;
+  /// A session with the peer begins.
+  std::function<void(const PeerUp &)> Up_;
+  std::function<void(const PeerId &)> Suspected_;
+  /// A suspected peer is heard again.
+  std::function<void(const PeerId &)> Heard_;
+  /// The session is over; undelivered messages never will be delivered.
+  std::function<void(const PeerId &)> Lost_;
+  std::function<void(const PeerId &, const Message &)> Received_;
+  /// A later process of the same role and name is in use by the peers.
+  std::function<void()> Superseded_;
 };
 
-/// The links of one process to its peers over websocket connections.
+/// The links of one process to its peers: `link` and the directory of entries
+/// on top of websocket connections. Exchanges the known entries with peers and
+/// dials those that this process has to dial; an agent also tells each entry
+/// which entries it hears.
 class PeerHub : public Service {
 public:
   PeerHub(boost::asio::io_context &Io, const ProcessSettings &Settings,
-          PeerIdentity Self, EventLog &Log, PeerHandler Handler);
+          PeerId Self, EventLog &Log, PeerHandler Handler);
   ~PeerHub() override;
 
   /// Returns the bound address. Error code: listen_failed.
   Result<SocketAddress> listen(const SocketAddress &Address);
-  /// Dials this address now and again whenever there is no connection to it.
-  void keepDialled(const SocketAddress &Address);
-  /// Queues a message; messages of one event loop round travel together.
-  void send(const EntryId &To, Message M);
-  void send(const AgentId &To, Message M);
+  /// Dials this address whenever no entry that listens there is connected.
+  void addSeed(const SocketAddress &Address);
+  /// Queues a message; messages of one event loop round travel together. An
+  /// AgentReport replaces one that has not left yet.
+  void send(const PeerId &To, Message M);
+  /// Ends every session and connection, and continues as another incarnation.
+  void rejoin(const PeerId &Self);
+  /// True if every message has been acknowledged by its receiver.
+  bool allDelivered() const;
 
   Result<Done> start() override;
   void stop() override;
--- a/src/ws_transport.cpp
+++ b/src/ws_transport.cpp
@@ -191,6 +191,14 @@
   Close(Reason);
 }
 
+void WsTransport::closeAll(const std::string &Reason) {
+  std::vector<ConnectionId> Open;
+  for (const auto &[Id, H] : Impl_->Open_)
+    Open.push_back(Id);
+  for (const ConnectionId Id : Open)
+    close(Id, Reason);
+}
+
 std::size_t WsTransport::bufferedBytes(ConnectionId Connection) const {
   const auto It = Impl_->Open_.find(Connection);
   return It == Impl_->Open_.end() ? 0 : It->second.Buffered_();
--- a/src/ws_transport.h
+++ b/src/ws_transport.h
@@ -1,6 +1,7 @@
 #ifndef CHIVELANDING_WS_TRANSPORT_H
 #define CHIVELANDING_WS_TRANSPORT_H
 
+#include "link.h"
 #include "result.h"
 #include "settings.h"
 
@@ -14,9 +15,6 @@
 
 namespace chivelanding {
 
-/// Number of one websocket connection of a process.
-using ConnectionId = Number<struct ConnectionTag>;
-
 /// Callbacks of a transport. None of them runs inside a call of the transport.
 struct TransportHandler {
   /// Dialled_ tells connections made by dial() from accepted ones.
@@ -41,6 +39,7 @@
   /// Has no effect on a connection that is closed.
   void send(ConnectionId To, const std::string &Bytes);
   void close(ConnectionId Connection, const std::string &Reason);
+  void closeAll(const std::string &Reason);
   /// Bytes accepted by send() that the system has not taken yet.
   std::size_t bufferedBytes(ConnectionId Connection) const;
   /// Closes the listener and every connection.
