Add the policy bench, run on the thin policy

The thin scheduler gets the baseline placement and stops when no agent has room; the full scan of its queue for each message made the overload runs too slow to finish.

--- a/src/bench.h
+++ b/src/bench.h
@@ -47,6 +47,8 @@
 
 /// Size and cost of messages and records, the slopes for docs/CAPACITY.md.
 int benchCapacity(std::uint64_t Seed);
+/// Placement, order, admission and health in virtual time.
+int benchPolicy(std::uint64_t Seed);
 
 } // namespace chivelanding
 
--- a/src/cli_bench.cpp
+++ b/src/cli_bench.cpp
@@ -8,6 +8,7 @@
 
 constexpr Bench Benches[] = {
     {"capacity", "size and cost of messages and records", benchCapacity},
+    {"policy", "placement, order, admission and health", benchPolicy},
 };
 
 constexpr std::uint64_t DefaultSeed = 1;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -4,6 +4,13 @@
 
 namespace chivelanding {
 
+Scheduler::Scheduler(PolicyConfig Config, std::uint64_t Seed, ZoneName Zone)
+    : Config_(std::move(Config)), Zone_(std::move(Zone)), Random_(Seed) {}
+
+void Scheduler::setConfig(PolicyConfig Config, Time) {
+  Config_ = std::move(Config);
+}
+
 void Scheduler::addAgent(const AgentId &Agent, const EndpointInfo &Info, Time) {
   Agents_[Agent].Info_ = Info;
 }
@@ -68,12 +75,25 @@
   return Agent.Report_.Credit_ - static_cast<std::uint32_t>(OnTheWay);
 }
 
-// Takes the agent with the most room for each task. A task whose service has
-// no room does not hold back the tasks of other services.
+// Takes the agent with the most room for each task, until no agent has any. A
+// task whose service has no room does not hold back the tasks of other
+// services.
 std::vector<Placement> Scheduler::place(Time) {
   std::vector<Placement> Placements;
   std::deque<WaitingTask> Left;
-  for (WaitingTask &Task : Queue_) {
+  const bool IsRandom = Config_.Placement_ == "random" && !Agents_.empty();
+  const auto HasRoom = [&](const auto &A) { return room(A.second) > 0; };
+  while (!Queue_.empty() &&
+         (IsRandom || std::any_of(Agents_.begin(), Agents_.end(), HasRoom))) {
+    WaitingTask Task = std::move(Queue_.front());
+    Queue_.pop_front();
+    if (IsRandom) {
+      const auto It = std::next(Agents_.begin(),
+                                static_cast<long>(Random_() % Agents_.size()));
+      Placements.push_back({Task.Task_, It->first, "random"});
+      ++It->second.StartsSent_;
+      continue;
+    }
     AgentState *Best = nullptr;
     const AgentId *BestId = nullptr;
     for (auto &[Id, Agent] : Agents_) {
@@ -92,7 +112,10 @@
         {Task.Task_, *BestId, "most room: " + std::to_string(room(*Best))});
     ++Best->StartsSent_;
   }
-  Queue_.swap(Left);
+  while (!Left.empty()) {
+    Queue_.push_front(std::move(Left.back()));
+    Left.pop_back();
+  }
   return Placements;
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -3,9 +3,11 @@
 
 #include "job.h"
 #include "message.h"
+#include "policy_config.h"
 
 #include <deque>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,13 @@
 /// reports less the starts sent since.
 class Scheduler {
 public:
+  Scheduler() = default;
+  /// Seed is that of random choices; Zone is the availability zone of the
+  /// owner.
+  Scheduler(PolicyConfig Config, std::uint64_t Seed, ZoneName Zone);
+
+  void setConfig(PolicyConfig Config, Time Now);
+
   void addAgent(const AgentId &Agent, const EndpointInfo &Info, Time Now);
   void removeAgent(const AgentId &Agent, Time Now);
   void onReport(const AgentId &Agent, const AgentReport &Report, Time Now);
@@ -75,6 +84,9 @@
   };
   std::uint32_t room(const AgentState &Agent) const;
 
+  PolicyConfig Config_;
+  ZoneName Zone_;
+  std::mt19937_64 Random_;
   std::map<AgentId, AgentState> Agents_;
   std::deque<WaitingTask> Queue_;
 };
