--- a/src/cli_bench.cpp
+++ b/src/cli_bench.cpp
@@ -9,6 +9,7 @@
 constexpr Bench Benches[] = {
     {"capacity", "size and cost of messages and records", benchCapacity},
     {"policy", "placement, order, admission and health", benchPolicy},
+    {"config", "spreading of configuration changes", benchConfig},
 };
 
 constexpr std::uint64_t DefaultSeed = 1;
