Add the stateful fuzzer, and fix two faults that it found in link and membership

The fuzzer runs the real link, membership, job_owner and agent_gate with the message codec in virtual time against an oracle that knows the invariants.

Cause 1: a last frame lost on a live connection was never sent again; its job was never answered. Change: a session resends when nothing new is acknowledged for half of the lost time. Cause 2: an entry whose synchronized peer and all acknowledged agents were gone could never use a new agent. Change: it gives up its incarnation.

--- a/src/link.cpp
+++ b/src/link.cpp
@@ -34,6 +34,13 @@
   return State && State->Session_ && !State->Suspected_;
 }
 
+bool Links::hasUnacknowledged() const {
+  return std::any_of(Peers_.begin(), Peers_.end(), [](const auto &Item) {
+    const auto &Session = Item.second.Session_;
+    return Session && Session->sent() > Session->acknowledged();
+  });
+}
+
 std::vector<EntryId> Links::entriesHeard() const {
   std::vector<EntryId> Heard;
   for (const auto &[Key, P] : Peers_)
@@ -341,6 +348,23 @@
     dial(P, Now, Out);
 }
 
+// A peer that is heard and acknowledges nothing new for half of the lost time
+// has missed a frame that no later one shows to be missing. What it did not
+// acknowledge is sent again; it drops what it has.
+void Links::checkProgress(PeerState &P, Time Now) {
+  if (!P.Session_ || !P.Active_)
+    return;
+  const std::uint64_t Acknowledged = P.Session_->acknowledged();
+  if (Acknowledged != P.LastAcknowledged_ ||
+      Acknowledged == P.Session_->sent()) {
+    P.LastAcknowledged_ = Acknowledged;
+    P.LastProgress_ = Now;
+  } else if (Now - P.LastProgress_ >= Limits_.LostAfter_ / 2) {
+    P.Session_->restartTransmission();
+    P.LastProgress_ = Now;
+  }
+}
+
 // Time in which this process did not run is not silence of its peers: their
 // frames may still wait in the socket buffers. Such a pause shows as a gap
 // between two timer calls.
@@ -361,6 +385,7 @@
     if (Gap >= Limits_.SuspectAfter_)
       P.LastHeard_ = std::min(Now, P.LastHeard_ + Gap);
     checkSilence(P, Now, Out);
+    checkProgress(P, Now);
     flushPeer(P, Now, Out);
     if (!P.Session_ || !P.Active_ || Now - P.LastSent_ < Limits_.Heartbeat_)
       continue;
--- a/src/link.h
+++ b/src/link.h
@@ -147,6 +147,9 @@
   bool isUp(const PeerId &P) const;
   /// True if isUp and the peer is not suspected.
   bool isHeard(const PeerId &P) const;
+  /// True if a session holds messages that its peer has not acknowledged; a
+  /// process that ends gracefully waits for this to be false.
+  bool hasUnacknowledged() const;
   /// Entry incarnations heard, for EntriesHeard.
   std::vector<EntryId> entriesHeard() const;
 
@@ -170,6 +173,9 @@
     Time LastHeard_;
     Time LastSent_;
     Time LastDial_;
+    /// When the peer last acknowledged something new, or owed nothing.
+    Time LastProgress_;
+    std::uint64_t LastAcknowledged_ = 0;
     /// Incarnations of this name that were superseded.
     std::set<Incarnation> Ended_;
   };
@@ -188,6 +194,7 @@
                   LinkOutputs &Out);
   void flushPeer(PeerState &P, Time Now, LinkOutputs &Out);
   void checkSilence(PeerState &P, Time Now, LinkOutputs &Out);
+  void checkProgress(PeerState &P, Time Now);
   void dial(PeerState &P, Time Now, LinkOutputs &Out);
   PeerState *peerOf(const PeerId &Id);
   const PeerState *peerOf(const PeerId &Id) const;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -9,6 +9,10 @@
 // a replaced VM usually returns under another address.
 constexpr Duration ForgetAddressAfter = std::chrono::minutes(10);
 
+// Lost times that an entry without any usable agent waits for its peers before
+// it gives up its incarnation; a recovery that would help ends within two.
+constexpr int StrandedAfter = 3;
+
 // Entries that callers named in tokens and that were never heard; callers may
 // send any number of made-up tokens.
 constexpr std::size_t MaxEntries = 4096;
@@ -92,9 +96,32 @@
   MembershipOutputs Out;
   Now_ = Now;
   judgeEntries(Out);
+  if (!isStranded()) {
+    StrandedSince_.reset();
+  } else if (!StrandedSince_) {
+    StrandedSince_ = Now;
+  } else if (Now - *StrandedSince_ >= StrandedAfter * LostAfter_) {
+    StrandedSince_.reset();
+    Out.push_back(Stranded());
+  }
   return Out;
 }
 
+// The close of a silent peer must be confirmed by an agent that it knows from
+// us. If all of these are gone too, it cannot be, and the peer might still
+// reach them and resume our jobs.
+bool Membership::isStranded() const {
+  bool Blocked = false;
+  for (const auto &[Id, Agent] : Agents_) {
+    if (!Agent.Up_ || Agent.Suspected_ || !Agent.Info_)
+      continue;
+    if (Agent.Usable_)
+      return false;
+    Blocked = true;
+  }
+  return Blocked;
+}
+
 bool Membership::isHeard(const AgentId &Agent) const {
   const auto It = Agents_.find(Agent);
   return It != Agents_.end() && It->second.Up_ && !It->second.Suspected_;
--- a/src/membership.h
+++ b/src/membership.h
@@ -85,6 +85,12 @@
   EntryId Entry_;
 };
 
+/// Output: no usable agent is heard, and the agents that are heard may not be
+/// used because a peer that must acknowledge them is gone. This incarnation can
+/// do nothing more; the process is to answer its callers that the outcome is
+/// unknown and to rejoin as a new incarnation.
+struct Stranded {};
+
 /// An agent that an entry announced, and its service.
 struct AnnouncedAgent {
   AgentId Agent_;
@@ -98,8 +104,9 @@
   }
 };
 
-using MembershipOutput = std::variant<SendToPeer, AgentUsable, AgentGone,
-                                      EntryLost, EntryReturned, CloseAtAgent>;
+using MembershipOutput =
+    std::variant<SendToPeer, AgentUsable, AgentGone, EntryLost, EntryReturned,
+                 CloseAtAgent, Stranded>;
 using MembershipOutputs = std::vector<MembershipOutput>;
 
 /// What is known of a peer entry.
@@ -198,6 +205,7 @@
   void judgeEntries(MembershipOutputs &Out);
   void askClose(const EntryId &Entry, EntryState &Peer, MembershipOutputs &Out);
   bool isHeard(const AgentId &Agent) const;
+  bool isStranded() const;
   bool stillHeard(const EntryId &Entry) const;
   void onClosed(const AgentId &By, const EntryId &Entry,
                 MembershipOutputs &Out);
@@ -205,6 +213,8 @@
   EntryId Self_;
   Duration LostAfter_;
   Time Now_;
+  /// Since when isStranded() holds.
+  std::optional<Time> StrandedSince_;
   std::map<EntryId, EntryState> Entries_;
   std::map<AgentId, AgentState> Agents_;
   /// Every agent that was usable at some time in this incarnation.
--- /dev/null
+++ b/tests/fuzz_network.cpp
@@ -0,0 +1,205 @@
+#include "fuzz_network.h"
+
+namespace chivelanding::fuzz {
+
+void Timeline::at(Time When, std::function<void()> Do) {
+  Events_.push({std::max(When, Now_), NextOrder_++, std::move(Do)});
+}
+
+void Timeline::runUntil(Time End) {
+  while (!Events_.empty() && Events_.top().At_ <= End) {
+    const Event Next = Events_.top();
+    Events_.pop();
+    Now_ = Next.At_;
+    Next.Do_();
+  }
+  Now_ = End;
+}
+
+Network::Network(Timeline &Line, std::uint64_t Seed, NetworkDelays Delays)
+    : Line_(Line), Random_(Seed), Delays_(Delays) {}
+
+void Network::attach(const std::string &Name, const std::string &Zone,
+                     Receiver *Owner) {
+  Process &P = Processes_[Name];
+  P.Zone_ = Zone;
+  ++P.Generation_;
+  P.Receiver_ = Owner;
+}
+
+void Network::detach(const std::string &Name, bool Abrupt) {
+  Processes_[Name].Receiver_ = nullptr;
+  std::vector<ConnectionId> Mine;
+  for (const auto &[Id, C] : Connections_)
+    if (sideOf(C, Name) >= 0)
+      Mine.push_back(Id);
+  for (const ConnectionId Id : Mine) {
+    if (!Abrupt) {
+      close(Id, Name);
+      continue;
+    }
+    Connection &C = Connections_[Id];
+    C.Sides_[sideOf(C, Name)].Open_ = false;
+    forgetClosed(Id);
+  }
+}
+
+Duration Network::delay(const std::string &From, const std::string &To) {
+  const bool Same = Processes_[From].Zone_ == Processes_[To].Zone_;
+  Duration D = Same ? Delays_.SameZone_ : Delays_.OtherZone_;
+  if (Jitter_.count() > 0)
+    D += Duration(static_cast<std::int64_t>(
+        Random_() % static_cast<std::uint64_t>(Jitter_.count())));
+  return D;
+}
+
+bool Network::isCut(const std::string &From, const std::string &To) const {
+  return Cuts_.count({From, To}) != 0;
+}
+
+int Network::sideOf(const Connection &C, const std::string &Name) const {
+  for (int I = 0; I < 2; ++I)
+    if (C.Sides_[I].Open_ && C.Sides_[I].Name_ == Name)
+      return I;
+  return -1;
+}
+
+// A process that was replaced under the same name does not get what was sent
+// to the one before.
+Receiver *Network::receiver(const Side &S) const {
+  const auto It = Processes_.find(S.Name_);
+  if (It == Processes_.end() || It->second.Generation_ != S.Generation_)
+    return nullptr;
+  return It->second.Receiver_;
+}
+
+void Network::forgetClosed(ConnectionId C) {
+  const auto It = Connections_.find(C);
+  if (It != Connections_.end() && !It->second.Sides_[0].Open_ &&
+      !It->second.Sides_[1].Open_)
+    Connections_.erase(It);
+}
+
+void Network::dial(const std::string &From, const std::string &To) {
+  const auto It = Processes_.find(To);
+  if (It == Processes_.end() || !It->second.Receiver_ || isCut(From, To) ||
+      isCut(To, From))
+    return;
+  const ConnectionId Id(NextConnection_++);
+  Connection &C = Connections_[Id];
+  C.Sides_[0] = {From, Processes_[From].Generation_, true, false, {}, {}};
+  C.Sides_[1] = {To, It->second.Generation_, true, false, {}, {}};
+  deliver(Id, 0, [this, Id] {
+    if (Receiver *R = receiver(Connections_[Id].Sides_[1]))
+      R->onAccepted(Id);
+    if (Connections_.count(Id) != 0)
+      deliver(Id, 1, [this, Id] {
+        if (Receiver *R = receiver(Connections_[Id].Sides_[0]))
+          R->onDialled(Id);
+      });
+  });
+}
+
+void Network::deliver(ConnectionId Id, int From, std::function<void()> Do) {
+  Connection &C = Connections_[Id];
+  Side &Sender = C.Sides_[From];
+  const Duration D = delay(Sender.Name_, C.Sides_[1 - From].Name_);
+  Sender.LastArrival_ = std::max(Sender.LastArrival_, Line_.now() + D);
+  Line_.at(Sender.LastArrival_,
+           [this, Id, From, Do = std::move(Do)] { arrive(Id, From, Do); });
+}
+
+// Held deliveries keep their order: nothing passes a direction that still holds
+// earlier bytes.
+void Network::arrive(ConnectionId Id, int From,
+                     const std::function<void()> &Do) {
+  const auto It = Connections_.find(Id);
+  if (It == Connections_.end() || !It->second.Sides_[1 - From].Open_)
+    return;
+  Side &Sender = It->second.Sides_[From];
+  if (Sender.Silent_)
+    return;
+  if (!Sender.Held_.empty() ||
+      isCut(Sender.Name_, It->second.Sides_[1 - From].Name_)) {
+    Sender.Held_.push_back(Do);
+    return;
+  }
+  Do();
+}
+
+void Network::send(ConnectionId Id, const std::string &From,
+                   std::string Bytes) {
+  const auto It = Connections_.find(Id);
+  const int Side = It == Connections_.end() ? -1 : sideOf(It->second, From);
+  if (Side < 0)
+    return;
+  std::vector<std::string> Frames = {std::move(Bytes)};
+  if (Mutate_)
+    Frames = Mutate_(From, Frames[0]);
+  if (Lost_ > 0 && Random_() % 1000 < Lost_)
+    return;
+  if (Repeated_ > 0 && Random_() % 1000 < Repeated_)
+    Frames.push_back(Frames[0]);
+  for (std::string &F : Frames) {
+    ++Frames_;
+    deliver(Id, Side, [this, Id, Side, F = std::move(F)] {
+      if (Receiver *R = receiver(Connections_[Id].Sides_[1 - Side]))
+        R->onBytes(Id, F);
+    });
+  }
+}
+
+void Network::close(ConnectionId Id, const std::string &From) {
+  const auto It = Connections_.find(Id);
+  const int Side = It == Connections_.end() ? -1 : sideOf(It->second, From);
+  if (Side < 0)
+    return;
+  It->second.Sides_[Side].Open_ = false;
+  if (!It->second.Sides_[1 - Side].Open_) {
+    forgetClosed(Id);
+    return;
+  }
+  deliver(Id, Side, [this, Id, Side] {
+    Receiver *R = receiver(Connections_[Id].Sides_[1 - Side]);
+    Connections_[Id].Sides_[1 - Side].Open_ = false;
+    forgetClosed(Id);
+    if (R)
+      R->onClosed(Id);
+  });
+}
+
+void Network::cut(const std::string &From, const std::string &To) {
+  Cuts_.insert({From, To});
+}
+
+void Network::heal() {
+  Cuts_.clear();
+  for (auto &[Id, C] : Connections_) {
+    for (int I = 0; I < 2; ++I) {
+      std::deque<std::function<void()>> Held;
+      Held.swap(C.Sides_[I].Held_);
+      for (auto &Do : Held)
+        deliver(Id, I, std::move(Do));
+    }
+  }
+}
+
+void Network::silence(const std::string &A, const std::string &B,
+                      bool BothWays) {
+  for (auto &[Id, C] : Connections_) {
+    const int Side = sideOf(C, A);
+    if (Side < 0 || C.Sides_[1 - Side].Name_ != B)
+      continue;
+    C.Sides_[Side].Silent_ = true;
+    C.Sides_[1 - Side].Silent_ = C.Sides_[1 - Side].Silent_ || BothWays;
+  }
+}
+
+void Network::disturb(std::uint32_t Lost, std::uint32_t Repeated,
+                      Duration Jitter) {
+  Lost_ = Lost;
+  Repeated_ = Repeated;
+  Jitter_ = Jitter;
+}
+
+} // namespace chivelanding::fuzz
--- /dev/null
+++ b/tests/fuzz_node.cpp
@@ -0,0 +1,161 @@
+#include "fuzz_node.h"
+
+namespace chivelanding::fuzz {
+namespace {
+
+// Time between two attempts to dial known addresses, as in the processes.
+constexpr Duration DialEvery = std::chrono::milliseconds(500);
+constexpr std::size_t MaxFrameBytes = 64u << 20;
+
+} // namespace
+
+Node::Node(Environment &World, const PeerId &Self, const std::string &Zone,
+           std::vector<std::string> Seeds)
+    : World_(World), Self_(Self),
+      Links_(Self, ZoneName(Zone), RegionName("region"), LinkLimits()),
+      Directory_(Self.entry(), RegionName("region"), Self.Role_ == Role::Agent),
+      Seeds_(std::move(Seeds)) {}
+
+void Node::onDialled(ConnectionId C) {
+  apply(Links_.onDialled(C, now()));
+  finish();
+}
+
+void Node::onAccepted(ConnectionId C) { Links_.onAccepted(C, now()); }
+
+void Node::onBytes(ConnectionId C, const std::string &Bytes) {
+  const auto Decoded = decodeFrame(Bytes, MaxFrameBytes);
+  if (!ok(Decoded)) {
+    World_.network().close(C, Self_.Name_);
+    apply(Links_.onClosed(C, now()));
+  } else {
+    apply(Links_.onFrame(C, value(Decoded), now()));
+  }
+  finish();
+}
+
+void Node::onClosed(ConnectionId C) {
+  apply(Links_.onClosed(C, now()));
+  finish();
+}
+
+void Node::onTimer() {
+  apply(Links_.onTimer(now()));
+  KnownEntries Seeds;
+  for (const std::string &Name : Seeds_)
+    if (Name != Self_.Name_)
+      Seeds.Entries_.push_back(
+          {{Name, Incarnation(0)}, RegionName("region"), Name, 1});
+  Directory_.learn(Seeds, now());
+  if (now() - LastDial_ >= DialEvery) {
+    LastDial_ = now();
+    for (const EntryAddress &Address : Directory_.toDial(now()))
+      World_.network().dial(Self_.Name_, Address.Host_);
+  }
+  if (!Ended_)
+    onTick();
+  finish();
+}
+
+void Node::send(const PeerId &To, Message M) {
+  apply(Links_.send(To, std::move(M), now()));
+}
+
+// The end of one turn of the process's loop: what was queued goes out.
+void Node::finish() {
+  if (!Ended_)
+    apply(Links_.flush(now()));
+}
+
+void Node::end(bool Rejoin) {
+  if (Ended_)
+    return;
+  Ended_ = true;
+  World_.exited(Self_.Name_, Rejoin);
+}
+
+void Node::apply(LinkOutputs Out) {
+  for (LinkOutput &O : Out) {
+    if (Ended_)
+      return;
+    if (auto *Frame = std::get_if<SendFrame>(&O)) {
+      World_.network().send(Frame->Connection_, Self_.Name_,
+                            encodeFrame(Frame->Frame_));
+    } else if (auto *Close = std::get_if<CloseConnection>(&O)) {
+      World_.network().close(Close->Connection_, Self_.Name_);
+    } else if (auto *Dial = std::get_if<DialPeer>(&O)) {
+      World_.network().dial(Self_.Name_, Dial->Peer_.Name_);
+    } else if (auto *Up = std::get_if<PeerUp>(&O)) {
+      if (Up->Peer_.Role_ == Role::Entry)
+        Directory_.onUp(Up->Peer_.entry(), now());
+      onPeerUp(Up->Peer_);
+    } else if (auto *Suspected = std::get_if<PeerSuspected>(&O)) {
+      onPeerSuspected(Suspected->Peer_);
+    } else if (auto *Heard = std::get_if<PeerHeard>(&O)) {
+      onPeerHeard(Heard->Peer_);
+    } else if (auto *Lost = std::get_if<PeerLost>(&O)) {
+      if (Lost->Peer_.Role_ == Role::Entry)
+        Directory_.onDown(Lost->Peer_.entry(), now());
+      onPeerLost(Lost->Peer_);
+    } else if (auto *Delivered = std::get_if<Deliver>(&O)) {
+      onMessage(Delivered->From_, Delivered->Message_);
+    } else if (std::holds_alternative<SelfSuperseded>(O)) {
+      end(true);
+    }
+  }
+}
+
+AgentNode::AgentNode(Environment &World, const PeerId &Self,
+                     const EndpointInfo &Info, std::vector<std::string> Seeds)
+    : Node(World, Self, Info.Zone_.str(), std::move(Seeds)),
+      Gate_(Self.agent(), GateLimits()) {
+  apply(Gate_.onEndpointAnnounced(Info, now()));
+}
+
+void AgentNode::drain() {
+  apply(Gate_.onLeaving(now()));
+  finish();
+}
+
+void AgentNode::runEnded(RunId Run, RunOutcome Outcome,
+                         const std::string &Result, Duration RunTime) {
+  apply(Gate_.onRunFinished(Run, Outcome, Result, RunTime, now()));
+  finish();
+}
+
+void AgentNode::onPeerUp(const PeerId &P) {
+  apply(Gate_.onEntryConnected(P.entry(), now()));
+}
+
+void AgentNode::onPeerLost(const PeerId &P) {
+  apply(Gate_.onEntryLost(P.entry(), now()));
+}
+
+void AgentNode::onMessage(const PeerId &From, const Message &M) {
+  if (const auto *Known = std::get_if<KnownEntries>(&M))
+    Directory_.learn(*Known, now());
+  else
+    apply(Gate_.onMessage(From.entry(), M, now()));
+}
+
+void AgentNode::onTick() {
+  apply(Gate_.onTimer(now()));
+  const EntriesHeard Heard{Links_.entriesHeard()};
+  for (const EntryId &Entry : Heard.Entries_)
+    send(PeerId::of(Entry), Heard);
+  if (Gate_.drained() && !Links_.hasUnacknowledged())
+    end(false);
+}
+
+void AgentNode::apply(GateOutputs Out) {
+  for (GateOutput &O : Out) {
+    if (auto *Send = std::get_if<SendToEntry>(&O))
+      send(PeerId::of(Send->To_), std::move(Send->Message_));
+    else if (auto *Run = std::get_if<RunTask>(&O))
+      World_.startRun(Self_.Name_, *Run);
+    else if (auto *Stop = std::get_if<StopTask>(&O))
+      World_.stopRun(Self_.Name_, Stop->Run_);
+  }
+}
+
+} // namespace chivelanding::fuzz
--- /dev/null
+++ b/tests/fuzz_node.h
@@ -0,0 +1,99 @@
+#ifndef CHIVELANDING_TESTS_FUZZ_NODE_H
+#define CHIVELANDING_TESTS_FUZZ_NODE_H
+
+#include "agent_gate.h"
+#include "fuzz_network.h"
+#include "fuzz_oracle.h"
+#include "job_owner.h"
+#include "link.h"
+#include "membership.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chivelanding::fuzz {
+
+/// What a process may ask of the world around it.
+class Environment {
+public:
+  virtual ~Environment() = default;
+  virtual Timeline &line() = 0;
+  virtual Network &network() = 0;
+  virtual void startRun(const std::string &Agent, const RunTask &Run) = 0;
+  virtual void stopRun(const std::string &Agent, RunId Run) = 0;
+  virtual void answer(const std::string &Entry, RequestId Request,
+                      const JobAnswer &Answer) = 0;
+  /// The process has ended by itself; Rejoin asks for a new incarnation.
+  virtual void exited(const std::string &Name, bool Rejoin) = 0;
+};
+
+/// One process: its links, and the loop that a real one runs with sockets.
+class Node : public Receiver {
+public:
+  Node(Environment &World, const PeerId &Self, const std::string &Zone,
+       std::vector<std::string> Seeds);
+
+  void onDialled(ConnectionId C) override;
+  void onAccepted(ConnectionId C) override;
+  void onBytes(ConnectionId C, const std::string &Bytes) override;
+  void onClosed(ConnectionId C) override;
+  void onTimer();
+  virtual void drain() = 0;
+
+  const PeerId &self() const { return Self_; }
+  bool ended() const { return Ended_; }
+
+protected:
+  virtual void onPeerUp(const PeerId &P) = 0;
+  virtual void onPeerSuspected(const PeerId &P) = 0;
+  virtual void onPeerHeard(const PeerId &P) = 0;
+  virtual void onPeerLost(const PeerId &P) = 0;
+  virtual void onMessage(const PeerId &From, const Message &M) = 0;
+  virtual void onTick() = 0;
+
+  Time now() { return World_.line().now(); }
+  void send(const PeerId &To, Message M);
+  void apply(LinkOutputs Out);
+  void finish();
+  void end(bool Rejoin);
+
+  Environment &World_;
+  PeerId Self_;
+  Links Links_;
+  EntryDirectory Directory_;
+  std::vector<std::string> Seeds_;
+  bool Ended_ = false;
+
+private:
+  Time LastDial_;
+};
+
+/// An agent with the decision modules of the real one.
+class AgentNode : public Node {
+public:
+  AgentNode(Environment &World, const PeerId &Self, const EndpointInfo &Info,
+            std::vector<std::string> Seeds);
+
+  void drain() override;
+  void runEnded(RunId Run, RunOutcome Outcome, const std::string &Result,
+                Duration RunTime);
+  std::size_t running() const { return Gate_.running(); }
+
+private:
+  void onPeerUp(const PeerId &P) override;
+  void onPeerSuspected(const PeerId &) override {}
+  void onPeerHeard(const PeerId &) override {}
+  void onPeerLost(const PeerId &P) override;
+  void onMessage(const PeerId &From, const Message &M) override;
+  void onTick() override;
+  void apply(GateOutputs Out);
+
+  AgentGate Gate_;
+};
+
+} // namespace chivelanding::fuzz
+
+#endif
--- /dev/null
+++ b/tests/fuzz_test.cpp
@@ -0,0 +1,48 @@
+#include "fuzz_commands.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace chivelanding;
+using namespace chivelanding::fuzz;
+
+namespace {
+
+// Prints what is needed to repeat a failure as a regression test.
+void report(const SearchReport &R, std::uint64_t Seed) {
+  std::cout << "seed " << Seed << ": " << R.Runs_ << " runs, " << R.Steps_
+            << " steps, " << R.Starts_ << " task starts, " << R.Completed_
+            << " jobs completed\n";
+  if (!R.Violation_)
+    return;
+  std::cout << "invariant " << R.Violation_->Invariant_ << ": "
+            << R.Violation_->Text_ << "\nworld seed " << R.WorldSeed_
+            << ", commands:\n"
+            << describe(R.Shrunk_);
+}
+
+std::uint64_t fromEnvironment(const char *Name, std::uint64_t Otherwise) {
+  const char *Text = std::getenv(Name);
+  return Text ? std::strtoull(Text, nullptr, 10) : Otherwise;
+}
+
+} // namespace
+
+// Guards the invariants against two and more faults at once.
+TEST_CASE("No sequence of the fixed seeds breaks an invariant", "[fuzz]") {
+  const std::uint64_t Seed = GENERATE(1, 2, 3);
+  const SearchReport R = search(Seed, 1000);
+  report(R, Seed);
+  CHECK_FALSE(R.Violation_);
+  CHECK(R.Completed_ > 0);
+}
+
+// Runs on from CI's seeds; scripts/fuzz.sh sets the seed and the steps.
+TEST_CASE("Further sequences", "[.fuzz-more]") {
+  const std::uint64_t Seed = fromEnvironment("FUZZ_SEED", 1);
+  const SearchReport R = search(Seed, fromEnvironment("FUZZ_STEPS", 10000));
+  report(R, Seed);
+  CHECK_FALSE(R.Violation_);
+}
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -113,6 +113,19 @@
   CHECK(count<CloseConnection>(P.AtAgent_) == 1);
 }
 
+// Guards against a last message that is lost on a connection that goes on, so
+// that no gap ever shows. Found by the fuzzer.
+TEST_CASE("A message that is never acknowledged is sent again", "[link]") {
+  Pair P;
+  P.connect();
+  P.Cut_ = true;
+  P.sendFromEntry(1);
+  P.Cut_ = false;
+  P.run(4000);
+  CHECK(P.deliveredAtAgent() == std::vector<std::uint64_t>{1});
+  CHECK(count<PeerUp>(P.AtAgent_) == 1);
+}
+
 // Guards against a silent connection that holds up its link while a new one
 // would work.
 TEST_CASE("A silent connection is replaced by a second one", "[link]") {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -74,6 +74,19 @@
   CHECK(M.isUsable(First));
 }
 
+// Guards against an entry that waits for ever for a dead peer, with every agent
+// gone that could confirm its close. Found by the fuzzer.
+TEST_CASE("An entry without usable agents gives up its incarnation",
+          "[membership]") {
+  Membership M(Self, std::chrono::seconds(5));
+  synchronize(M);
+  M.onEntryDown(Other, Now);
+  M.onAgentDown(First, Now);
+  announce(M, Second);
+  CHECK(count<Stranded>(M.onTimer(Now)) == 0);
+  CHECK(count<Stranded>(M.onTimer(Now + std::chrono::seconds(15))) == 1);
+}
+
 // Guards against two live entries that close each other when only the link
 // between them is cut.
 TEST_CASE("An entry that an agent hears is not lost", "[membership]") {
