--- a/src/message.h
+++ b/src/message.h
@@ -54,8 +54,12 @@
 struct TaskStart {
   TaskIndex Index_;
   std::string Payload_;
+  /// Counts the sender's starts of this task, so that a late copy of a refused
+  /// start is told from a new one.
+  std::uint32_t Attempt_ = 1;
   static constexpr auto fields() {
-    return std::make_tuple(&TaskStart::Index_, &TaskStart::Payload_);
+    return std::make_tuple(&TaskStart::Index_, &TaskStart::Payload_,
+                           &TaskStart::Attempt_);
   }
 };
 
@@ -95,9 +99,10 @@
   JobId Job_;
   std::vector<TaskIndex> Tasks_;
   RejectReason Reason_ = RejectReason::NoRoom;
+  std::uint32_t Attempt_ = 1;
   static constexpr auto fields() {
     return std::make_tuple(&TasksRejected::Job_, &TasksRejected::Tasks_,
-                           &TasksRejected::Reason_);
+                           &TasksRejected::Reason_, &TasksRejected::Attempt_);
   }
 };
 
@@ -181,9 +186,12 @@
   bool Finished_ = false;
   RunOutcome Outcome_ = RunOutcome::Failure;
   std::string Result_;
+  /// True if the agent has dropped the result to stay within its bound.
+  bool Evicted_ = false;
   static constexpr auto fields() {
     return std::make_tuple(&HeldTask::Index_, &HeldTask::Finished_,
-                           &HeldTask::Outcome_, &HeldTask::Result_);
+                           &HeldTask::Outcome_, &HeldTask::Result_,
+                           &HeldTask::Evicted_);
   }
 };
 
@@ -343,6 +351,16 @@
   }
 };
 
+/// Entry to agent: the sender's jobs of token epochs before Oldest_ are all
+/// answered and no new key is accepted under them, so the agent may drop its
+/// records of them; it refuses late starts of such jobs.
+struct EpochsExpired {
+  Epoch Oldest_;
+  static constexpr auto fields() {
+    return std::make_tuple(&EpochsExpired::Oldest_);
+  }
+};
+
 /// Entry to entry: the receiver has acknowledged every agent that the sender
 /// uses, and the sender uses no further agent without its acknowledgement,
 /// until an agent of those confirms that it closed the receiver.
@@ -359,7 +377,7 @@
                  IncarnationClosed, TransferGrant, YouAreClosed, EntriesHeard,
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
-                 ConfigState, UsageSummary, AgentsSynchronized>;
+                 ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
