--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -357,7 +357,7 @@
 }
 
 bool PeerHub::allDelivered() const {
-  return Impl_->Reports_.empty() && Impl_->!Links_.hasUnacknowledged();
+  return Impl_->Reports_.empty() && !Impl_->Links_.hasUnacknowledged();
 }
 
 Result<Done> PeerHub::start() {
