--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build, the linters and the tests need.
 set -euo pipefail
-PACKAGES=(g++ cmake ninja-build ccache clang-format clang-tidy curl
+PACKAGES=(g++ cmake ninja-build ccache clang-format clang-tidy curl python3
   libboost-dev libboost-program-options-dev libboost-system-dev
   libwebsocketpp-dev prometheus-cpp-dev liblog4cplus-dev catch2
   nlohmann-json3-dev libtomlplusplus-dev librapidcheck-dev libssl-dev
--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -236,7 +236,7 @@
 void AgentService::Impl::endIfDrained(Time Now) {
   if (!DrainEnd_)
     return;
-  if ((Gate_.drained() && Hub_.allDelivered()) || *DrainEnd_ <= Now)
+  if ((Gate_.drained() && Hub_.allDelivered(false)) || *DrainEnd_ <= Now)
     Io_.stop();
 }
 
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -40,7 +40,7 @@
 // A submission that a peer relayed is not relayed again, so that two entries
 // with different views cannot pass it back and forth.
 void EntryCore::route(JobSpec Spec, ReplyId Reply,
-                      std::optional<EntryId> RelayedBy, Time Now) {
+                      const std::optional<EntryId> &RelayedBy, Time Now) {
   const EntryId Owner = Spec.Id_.Token_.Owner_;
   apply(Members_.onEntryNamed(Owner, Now), Now);
   const EntryStatus Status = Members_.status(Owner);
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -76,8 +76,8 @@
     std::uint64_t RelayId_ = 0;
   };
 
-  void route(JobSpec Spec, ReplyId Reply, std::optional<EntryId> RelayedBy,
-             Time Now);
+  void route(JobSpec Spec, ReplyId Reply,
+             const std::optional<EntryId> &RelayedBy, Time Now);
   void relay(PendingRelay Relay);
   void unreachable(ReplyId Reply, const JobId &Job, const EntryId &Owner);
   void answer(ReplyId Reply, const JobId &Job, const JobAnswer &Answer);
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -292,7 +292,7 @@
   if (!DrainEnd_)
     return;
   const bool IsDone = Core_->idle() && Waiters_.empty() &&
-                      Http_.connections() == 0 && Hub_.allDelivered();
+                      Http_.connections() == 0 && Hub_.allDelivered(true);
   if (IsDone || *DrainEnd_ <= Now)
     Io_.stop();
 }
--- a/src/link.cpp
+++ b/src/link.cpp
@@ -34,10 +34,11 @@
   return State && State->Session_ && !State->Suspected_;
 }
 
-bool Links::allAcknowledged() const {
-  return std::all_of(Peers_.begin(), Peers_.end(), [](const auto &Item) {
+bool Links::allAcknowledged(bool HeardOnly) const {
+  return std::all_of(Peers_.begin(), Peers_.end(), [&](const auto &Item) {
     const auto &Session = Item.second.Session_;
-    return !Session || Session->acknowledged() == Session->sent();
+    return !Session || (HeardOnly && Item.second.Suspected_) ||
+           Session->acknowledged() == Session->sent();
   });
 }
 
--- a/src/link.h
+++ b/src/link.h
@@ -147,8 +147,9 @@
   bool isUp(const PeerId &P) const;
   /// True if isUp and the peer is not suspected.
   bool isHeard(const PeerId &P) const;
-  /// True if no peer still has to acknowledge a message.
-  bool allAcknowledged() const;
+  /// True if no peer still has to acknowledge a message; with HeardOnly, peers
+  /// that are suspected do not count.
+  bool allAcknowledged(bool HeardOnly) const;
   /// Entry incarnations heard, for EntriesHeard.
   std::vector<EntryId> entriesHeard() const;
 
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -356,8 +356,8 @@
   I.Transport_.closeAll("rejoin");
 }
 
-bool PeerHub::allDelivered() const {
-  return Impl_->Reports_.empty() && Impl_->Links_.allAcknowledged();
+bool PeerHub::allDelivered(bool HeardOnly) const {
+  return Impl_->Reports_.empty() && Impl_->Links_.allAcknowledged(HeardOnly);
 }
 
 Result<Done> PeerHub::start() {
--- a/src/peer_hub.h
+++ b/src/peer_hub.h
@@ -49,8 +49,9 @@
   void send(const PeerId &To, Message M);
   /// Ends every session and connection, and continues as another incarnation.
   void rejoin(const PeerId &Self);
-  /// True if every message has been acknowledged by its receiver.
-  bool allDelivered() const;
+  /// True if every message has been acknowledged by its receiver; with
+  /// HeardOnly, receivers that are suspected do not count.
+  bool allDelivered(bool HeardOnly) const;
 
   Result<Done> start() override;
   void stop() override;
