--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -228,14 +228,10 @@
   return Out;
 }
 
-// What a suspected agent last said of the entries it hears is old, so it counts
-// again only with its next EntriesHeard.
 MembershipOutputs Membership::onAgentHeard(const AgentId &Agent, Time) {
   const auto It = Agents_.find(Agent);
-  if (It != Agents_.end()) {
+  if (It != Agents_.end())
     It->second.Suspected_ = false;
-    It->second.Hears_.reset();
-  }
   return {};
 }
 
@@ -390,10 +386,9 @@
   const auto It = Entries_.find(Entry);
   if (It != Entries_.end())
     List = It->second.Announced_;
-  if (!knowsAllAgentsOf(Entry))
-    for (const auto &[Id, Agent] : Agents_)
-      if (Agent.Info_)
-        List.insert({Id, Agent.Info_->Service_});
+  for (const auto &[Id, Agent] : Agents_)
+    if (Agent.Info_)
+      List.insert({Id, Agent.Info_->Service_, false});
   return {List.begin(), List.end()};
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -95,6 +95,8 @@
 struct AnnouncedAgent {
   AgentId Agent_;
   ServiceName Service_;
+  /// False if the entry did not announce the agent, which is known here only.
+  bool Announced_ = true;
 
   friend bool operator==(const AnnouncedAgent &A, const AnnouncedAgent &B) {
     return A.Agent_ == B.Agent_ && A.Service_ == B.Service_;
@@ -162,8 +164,7 @@
   EntryStatus status(const EntryId &Entry) const;
   /// True if the agent may be used.
   bool isUsable(const AgentId &Agent) const;
-  /// Agents that the entry announced here; if knowsAllAgentsOf is false, those
-  /// and every agent known here.
+  /// Agents that the entry announced here, and every other agent known here.
   std::vector<AnnouncedAgent> agentsOf(const EntryId &Entry) const;
   /// True if agentsOf names every agent that the entry may have used.
   bool knowsAllAgentsOf(const EntryId &Entry) const;
--- /dev/null
+++ b/src/peer_hub.cpp
@@ -0,0 +1,377 @@
+#include "peer_hub.h"
+
+#include "clock.h"
+#include "membership.h"
+#include "ws_transport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+
+namespace chivelanding {
+namespace {
+
+namespace asio = boost::asio;
+
+// Bounds of the pause before an address is dialled again. It doubles with each
+// failure, and a random part keeps the processes of a zone apart when they
+// return together.
+constexpr std::int64_t FirstDialPauseUs = 200'000;
+constexpr std::int64_t LastDialPauseUs = 2'000'000;
+
+EntryDirectory directoryOf(const PeerId &Self, const RegionName &Region) {
+  return {Self.entry(), Region, Self.Role_ == Role::Agent};
+}
+
+LinkLimits limitsOf(const ProcessSettings &S) {
+  LinkLimits L;
+  L.Heartbeat_ = S.Heartbeat_;
+  L.SuspectAfter_ = S.SuspectAfter_;
+  L.LostAfter_ = S.LostAfter_;
+  return L;
+}
+
+} // namespace
+
+struct PeerHub::Impl : std::enable_shared_from_this<PeerHub::Impl> {
+  /// An address to dial, from the settings or from the directory.
+  struct Target {
+    SocketAddress Address_;
+    bool IsSeed_ = false;
+    std::optional<ConnectionId> Connection_;
+    Time NextDial_;
+    std::int64_t PauseUs_ = FirstDialPauseUs;
+  };
+
+  Impl(asio::io_context &Io, const ProcessSettings &Settings, PeerId Self,
+       EventLog &Log, PeerHandler Handler);
+
+  void onOpened(ConnectionId Id, bool Dialled);
+  void onReceived(ConnectionId Id, const std::string &Bytes);
+  void onClosed(ConnectionId Id);
+  void apply(LinkOutputs Outputs);
+  void onUp(const PeerUp &Up);
+  void onLost(const PeerLost &Lost);
+  void onDelivered(const PeerId &From, const Message &M);
+  void onRefused(const CloseConnection &Close);
+  void redial(const PeerId &Peer);
+  Target &targetFor(const SocketAddress &Address);
+  void dial(Target &T, Time Now);
+  void dialTargets(Time Now);
+  void tellEntries();
+  void scheduleFlush();
+  void flush();
+  void tick();
+
+  asio::io_context &Io_;
+  ProcessSettings Settings_;
+  PeerId Self_;
+  EventLog &Log_;
+  PeerHandler Handler_;
+  WsTransport Transport_;
+  Links Links_;
+  EntryDirectory Directory_;
+  asio::steady_timer Timer_;
+  std::mt19937_64 Random_;
+  std::optional<SocketAddress> Listen_;
+  std::vector<Target> Targets_;
+  /// Address at which each peer was dialled last.
+  std::map<std::string, SocketAddress> DialledAt_;
+  std::map<ConnectionId, SocketAddress> DialledTo_;
+  /// Latest report per entry that has not left yet.
+  std::map<PeerId, AgentReport> Reports_;
+  std::vector<PeerId> Up_;
+  std::vector<EntryId> ToldHeard_;
+  bool KnownChanged_ = false;
+  bool FlushScheduled_ = false;
+  bool Stopped_ = false;
+};
+
+PeerHub::Impl::Impl(asio::io_context &Io, const ProcessSettings &Settings,
+                    PeerId Self, EventLog &Log, PeerHandler Handler)
+    : Io_(Io), Settings_(Settings), Self_(std::move(Self)), Log_(Log),
+      Handler_(std::move(Handler)),
+      Transport_(
+          Io, Settings.MaxFrameBytes_,
+          {[this](ConnectionId Id, bool Dialled) { onOpened(Id, Dialled); },
+           [this](ConnectionId Id, const std::string &Bytes) {
+             onReceived(Id, Bytes);
+           },
+           [this](ConnectionId Id, const std::string &) { onClosed(Id); }}),
+      Links_(Self_, Settings.Zone_, Settings.Region_, limitsOf(Settings)),
+      Directory_(directoryOf(Self_, Settings.Region_)), Timer_(Io),
+      Random_(Self_.Incarnation_.value()) {}
+
+void PeerHub::Impl::onOpened(ConnectionId Id, bool Dialled) {
+  const Time Now = steadyNow();
+  if (Dialled)
+    apply(Links_.onDialled(Id, Now));
+  else
+    Links_.onAccepted(Id, Now);
+}
+
+void PeerHub::Impl::onReceived(ConnectionId Id, const std::string &Bytes) {
+  const auto F = decodeFrame(Bytes, Settings_.MaxFrameBytes_);
+  if (ok(F)) {
+    // A confirming Hello of a dialled connection names the process there.
+    if (const auto *H = std::get_if<Hello>(&value(F))) {
+      const auto It = DialledTo_.find(Id);
+      if (It != DialledTo_.end())
+        DialledAt_[H->Name_] = It->second;
+    }
+    apply(Links_.onFrame(Id, value(F), steadyNow()));
+    return;
+  }
+  Log_.write(events::FrameRefused, {{"code", error(F).Code_},
+                                    {"peer", "connection"},
+                                    {"detail", error(F).Detail_}});
+  Transport_.close(Id, error(F).Code_);
+  apply(Links_.onClosed(Id, steadyNow()));
+}
+
+void PeerHub::Impl::onClosed(ConnectionId Id) {
+  const Time Now = steadyNow();
+  DialledTo_.erase(Id);
+  for (Target &T : Targets_) {
+    if (T.Connection_ != Id)
+      continue;
+    T.Connection_.reset();
+    std::uniform_int_distribution<std::int64_t> Jitter(0, T.PauseUs_ / 2);
+    T.NextDial_ = Now + Duration(T.PauseUs_ + Jitter(Random_));
+    T.PauseUs_ = std::min(2 * T.PauseUs_, LastDialPauseUs);
+  }
+  apply(Links_.onClosed(Id, Now));
+}
+
+void PeerHub::Impl::apply(LinkOutputs Outputs) {
+  for (LinkOutput &O : Outputs) {
+    if (const auto *D = std::get_if<Deliver>(&O))
+      onDelivered(D->From_, D->Message_);
+    else if (const auto *Send = std::get_if<SendFrame>(&O))
+      Transport_.send(Send->Connection_, encodeFrame(Send->Frame_));
+    else if (const auto *Close = std::get_if<CloseConnection>(&O))
+      onRefused(*Close);
+    else if (const auto *Dial = std::get_if<DialPeer>(&O))
+      redial(Dial->Peer_);
+    else if (const auto *Up = std::get_if<PeerUp>(&O))
+      onUp(*Up);
+    else if (const auto *Lost = std::get_if<PeerLost>(&O))
+      onLost(*Lost);
+    else if (const auto *Silent = std::get_if<PeerSuspected>(&O)) {
+      Log_.write(events::PeerSuspected, {{"peer", Silent->Peer_.str()}});
+      Handler_.Suspected_(Silent->Peer_);
+    } else if (const auto *Heard = std::get_if<PeerHeard>(&O)) {
+      Handler_.Heard_(Heard->Peer_);
+    } else if (std::holds_alternative<SelfSuperseded>(O)) {
+      Handler_.Superseded_();
+    }
+  }
+}
+
+void PeerHub::Impl::onUp(const PeerUp &Up) {
+  Log_.write(events::LinkUp,
+             {{"peer", Up.Peer_.str()}, {"zone", Up.Zone_.str()}});
+  Up_.push_back(Up.Peer_);
+  const auto Dialled = DialledAt_.find(Up.Peer_.Name_);
+  if (Dialled != DialledAt_.end())
+    targetFor(Dialled->second).PauseUs_ = FirstDialPauseUs;
+  if (Up.Peer_.Role_ == Role::Entry) {
+    Directory_.onUp(Up.Peer_.entry(), steadyNow());
+    KnownChanged_ = true;
+  }
+  if (Self_.Role_ == Role::Agent)
+    apply(Links_.send(Up.Peer_, EntriesHeard{ToldHeard_}, steadyNow()));
+  else
+    KnownChanged_ = true;
+  Handler_.Up_(Up);
+  scheduleFlush();
+}
+
+void PeerHub::Impl::onLost(const PeerLost &Lost) {
+  Log_.write(events::PeerLost,
+             {{"peer", Lost.Peer_.str()}, {"reason", Lost.Reason_.Code_}});
+  Up_.erase(std::remove(Up_.begin(), Up_.end(), Lost.Peer_), Up_.end());
+  Reports_.erase(Lost.Peer_);
+  if (Lost.Peer_.Role_ == Role::Entry) {
+    Directory_.onDown(Lost.Peer_.entry(), steadyNow());
+    KnownChanged_ = true;
+  }
+  Handler_.Lost_(Lost.Peer_);
+}
+
+void PeerHub::Impl::onDelivered(const PeerId &From, const Message &M) {
+  if (const auto *Known = std::get_if<KnownEntries>(&M)) {
+    Directory_.learn(*Known, steadyNow());
+    return;
+  }
+  Handler_.Received_(From, M);
+}
+
+void PeerHub::Impl::onRefused(const CloseConnection &Close) {
+  const Error &E = Close.Reason_;
+  const bool Ordinary = E.Code_ == "replaced" || E.Code_ == "session_ended";
+  Log_.write(Ordinary ? events::LinkDown : events::FrameRefused,
+             {{"code", E.Code_}, {"peer", E.Peer_}, {"detail", E.Detail_}});
+  Transport_.close(Close.Connection_, E.Code_);
+}
+
+// A connection beside a silent one is not bound to a target: the target's own
+// connection may still look open.
+void PeerHub::Impl::redial(const PeerId &Peer) {
+  const auto It = DialledAt_.find(Peer.Name_);
+  if (It == DialledAt_.end() || Stopped_)
+    return;
+  const auto Id = Transport_.dial(It->second);
+  if (ok(Id))
+    DialledTo_[value(Id)] = It->second;
+}
+
+PeerHub::Impl::Target &PeerHub::Impl::targetFor(const SocketAddress &Address) {
+  for (Target &T : Targets_)
+    if (T.Address_.Host_ == Address.Host_ && T.Address_.Port_ == Address.Port_)
+      return T;
+  Targets_.push_back({Address, false, {}, steadyNow()});
+  return Targets_.back();
+}
+
+void PeerHub::Impl::dial(Target &T, Time Now) {
+  if (T.Connection_ || T.NextDial_ > Now)
+    return;
+  const auto Id = Transport_.dial(T.Address_);
+  if (!ok(Id))
+    return;
+  T.Connection_ = value(Id);
+  DialledTo_[value(Id)] = T.Address_;
+}
+
+// A seed that is this process's own listener, or at which a connected entry
+// listens, needs no connection of its own.
+void PeerHub::Impl::dialTargets(Time Now) {
+  for (const EntryAddress &A : Directory_.toDial(Now))
+    dial(targetFor({A.Host_, A.Port_}), Now);
+  for (Target &T : Targets_) {
+    const bool IsSelf = Listen_ && Listen_->str() == T.Address_.str();
+    if (T.IsSeed_ && !IsSelf &&
+        !Directory_.covers(T.Address_.Host_, T.Address_.Port_))
+      dial(T, Now);
+  }
+}
+
+// Links deliver in order, so a change is told once and needs no repetition.
+void PeerHub::Impl::tellEntries() {
+  if (Self_.Role_ == Role::Agent) {
+    auto Heard = Links_.entriesHeard();
+    if (Heard == ToldHeard_)
+      return;
+    ToldHeard_ = std::move(Heard);
+    for (const PeerId &Peer : std::vector<PeerId>(Up_))
+      apply(Links_.send(Peer, EntriesHeard{ToldHeard_}, steadyNow()));
+    return;
+  }
+  if (!KnownChanged_ || !Listen_)
+    return;
+  KnownChanged_ = false;
+  KnownEntries Known = Directory_.known();
+  Known.Entries_.push_back(
+      {Self_.entry(), Settings_.Region_, Listen_->Host_, Listen_->Port_});
+  for (const PeerId &Peer : std::vector<PeerId>(Up_))
+    apply(Links_.send(Peer, Known, steadyNow()));
+}
+
+// Posting the flush lets every handler that is ready now add its messages, so
+// that they share a frame and a system call.
+void PeerHub::Impl::scheduleFlush() {
+  if (FlushScheduled_ || Stopped_)
+    return;
+  FlushScheduled_ = true;
+  asio::post(Io_, [Self = shared_from_this()] {
+    Self->FlushScheduled_ = false;
+    if (!Self->Stopped_)
+      Self->flush();
+  });
+}
+
+void PeerHub::Impl::flush() {
+  const Time Now = steadyNow();
+  const auto Reports = std::move(Reports_);
+  Reports_.clear();
+  for (const auto &[To, Report] : Reports)
+    apply(Links_.send(To, Report, Now));
+  apply(Links_.flush(Now));
+}
+
+void PeerHub::Impl::tick() {
+  Timer_.expires_after(Settings_.Heartbeat_ / 4);
+  Timer_.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Ec) {
+        if (Ec || Self->Stopped_)
+          return;
+        const Time Now = steadyNow();
+        Self->tellEntries();
+        Self->apply(Self->Links_.onTimer(Now));
+        Self->dialTargets(Now);
+        Self->tick();
+      });
+}
+
+PeerHub::PeerHub(asio::io_context &Io, const ProcessSettings &Settings,
+                 PeerId Self, EventLog &Log, PeerHandler Handler)
+    : Impl_(std::make_shared<Impl>(Io, Settings, std::move(Self), Log,
+                                   std::move(Handler))) {}
+
+PeerHub::~PeerHub() { PeerHub::stop(); }
+
+Result<SocketAddress> PeerHub::listen(const SocketAddress &Address) {
+  auto Bound = Impl_->Transport_.listen(Address);
+  if (ok(Bound))
+    Impl_->Listen_ = value(Bound);
+  return Bound;
+}
+
+void PeerHub::addSeed(const SocketAddress &Address) {
+  Impl_->targetFor(Address).IsSeed_ = true;
+}
+
+void PeerHub::send(const PeerId &To, Message M) {
+  if (const auto *Report = std::get_if<AgentReport>(&M))
+    Impl_->Reports_[To] = *Report;
+  else
+    Impl_->apply(Impl_->Links_.send(To, std::move(M), steadyNow()));
+  Impl_->scheduleFlush();
+}
+
+void PeerHub::rejoin(const PeerId &Self) {
+  Impl &I = *Impl_;
+  I.Self_ = Self;
+  I.Links_ = Links(Self, I.Settings_.Zone_, I.Settings_.Region_,
+                   limitsOf(I.Settings_));
+  I.Directory_ = directoryOf(Self, I.Settings_.Region_);
+  I.Up_.clear();
+  I.Reports_.clear();
+  I.Transport_.closeAll("rejoin");
+}
+
+bool PeerHub::allDelivered(bool HeardOnly) const {
+  return Impl_->Reports_.empty() && Impl_->Links_.allAcknowledged(HeardOnly);
+}
+
+Result<Done> PeerHub::start() {
+  Impl_->dialTargets(steadyNow());
+  Impl_->tick();
+  return Done();
+}
+
+void PeerHub::stop() {
+  if (Impl_->Stopped_)
+    return;
+  Impl_->Stopped_ = true;
+  Impl_->Timer_.cancel();
+  Impl_->Transport_.stop();
+}
+
+} // namespace chivelanding
--- a/tests/fuzz_entry.cpp
+++ b/tests/fuzz_entry.cpp
@@ -10,79 +10,72 @@
 
 EntryNode::EntryNode(Environment &World, const PeerId &Self,
                      const std::string &Zone, std::vector<std::string> Seeds)
-    : Node(World, Self, Zone, std::move(Seeds)),
-      Owner_(Self.entry(), OwnerLimits(), Sched_, World.line().now()),
-      Membership_(Self.entry(), LinkLimits().LostAfter_) {}
+    : Node(World, Self, Zone, std::move(Seeds)), Core_(makeCore()) {}
+
+std::unique_ptr<EntryCore> EntryNode::makeCore() {
+  EntryActions Actions{
+      [this](const PeerId &To, Message M) { send(To, std::move(M)); },
+      [this](ReplyId To, const JobId &, const JobAnswer &Answer) {
+        give(To, Answer);
+      },
+      [](const Event &) {}, [this](const EntryId &) { MustRejoin_ = true; }};
+  return std::make_unique<EntryCore>(
+      Self_.entry(), OwnerLimits(), LinkLimits().LostAfter_,
+      Self_.Incarnation_.value(), std::move(Actions), now());
+}
+
+void EntryNode::rejoin(const PeerId &Self) {
+  auto Relays = Core_->takeRelays();
+  Self_ = Self;
+  restartLinks();
+  MustRejoin_ = false;
+  Core_ = makeCore();
+  auto Left = std::move(Waiting_);
+  Waiting_.clear();
+  for (PendingRelay &Relay : Relays) {
+    const auto It = Left.find(Relay.Reply_);
+    if (It == Left.end())
+      continue;
+    Waiting_.insert(Left.extract(It));
+    Core_->resumeRelay(std::move(Relay), now());
+  }
+  JobAnswer Unknown;
+  Unknown.Code_ = "owner_unreachable";
+  for (const auto &[Reply, Request] : Left)
+    World_.answer(Self_.Name_, Request, Unknown);
+  if (DrainUntil_)
+    Core_->onDrain(now());
+}
 
 void EntryNode::submit(RequestId Request, JobSpec Spec) {
-  Target To;
-  To.Request_ = Request;
-  route(std::move(Spec), To);
+  const ReplyId Reply(NextReply_++);
+  Waiting_[Reply] = Request;
+  Core_->onSubmit(std::move(Spec), Reply, now());
   finish();
 }
 
 void EntryNode::cancel(const JobId &Job) {
-  const EntryId &Owner = Job.Token_.Owner_;
-  if (Owner == Self_.entry())
-    apply(Owner_.onCancel(Job, now()));
-  else if (Links_.isUp(PeerId::of(Owner)))
-    send(PeerId::of(Owner), RelayCancel{Job});
+  Core_->onCancel(Job, now());
   finish();
 }
 
-void EntryNode::drain() { DrainUntil_ = now() + DrainLimit; }
-
-// A submission for another owner is relayed to it while it is heard. Nothing
-// is said of whether the job ran while its owner cannot be asked.
-void EntryNode::route(JobSpec Spec, const Target &To) {
-  const ReplyId Reply(NextReply_++);
-  Replies_[Reply] = To;
-  const EntryId Owner = Spec.Id_.Token_.Owner_;
-  if (Owner == Self_.entry()) {
-    apply(Owner_.onSubmit(std::move(Spec), Reply, now()));
-    return;
-  }
-  apply(Membership_.onEntryNamed(Owner, now()));
-  if (To.Request_ && Membership_.status(Owner) == EntryStatus::Heard)
-    relay(Owner, Reply, std::move(Spec));
-  else
-    refuse(Reply, Outcome::Unknown, "owner_unreachable");
-}
-
-void EntryNode::relay(const EntryId &To, ReplyId Reply, JobSpec Spec) {
-  if (!Links_.isUp(PeerId::of(To))) {
-    refuse(Reply, Outcome::Unknown, "owner_unreachable");
-    return;
-  }
-  const std::uint64_t Id = NextRelay_++;
-  Relays_[Id] = {To, Reply};
-  send(PeerId::of(To), RelaySubmit{Id, std::move(Spec)});
-}
-
-void EntryNode::refuse(ReplyId Reply, Outcome O, const char *Code) {
-  JobAnswer Answer;
-  Answer.Outcome_ = O;
-  Answer.Code_ = Code;
-  give(Reply, Answer);
+void EntryNode::drain() {
+  DrainUntil_ = now() + DrainLimit;
+  Core_->onDrain(now());
+  finish();
 }
 
 void EntryNode::give(ReplyId Reply, const JobAnswer &Answer) {
-  const auto It = Replies_.find(Reply);
-  if (It == Replies_.end())
+  const auto It = Waiting_.find(Reply);
+  if (It == Waiting_.end())
     return;
-  const Target To = It->second;
-  Replies_.erase(It);
-  if (To.Request_)
-    World_.answer(Self_.Name_, *To.Request_, Answer);
-  else
-    send(PeerId::of(To.Entry_), RelayAnswer{To.RelayId_, Answer});
+  const RequestId Request = It->second;
+  Waiting_.erase(It);
+  World_.answer(Self_.Name_, Request, Answer);
 }
 
 void EntryNode::onPeerUp(const PeerId &P) {
-  if (P.Role_ == Role::Agent)
-    Membership_.onAgentUp(P.agent(), now());
-  else
-    apply(Membership_.onEntryUp(P.entry(), now()));
+  Core_->onPeerUp(P, now());
   KnownEntries Known = Directory_.known();
   Known.Entries_.push_back(
       {Self_.entry(), RegionName("region"), Self_.Name_, 1});
@@ -90,141 +83,32 @@
 }
 
 void EntryNode::onPeerSuspected(const PeerId &P) {
-  if (P.Role_ == Role::Agent)
-    apply(Membership_.onAgentSuspected(P.agent(), now()));
-  else
-    apply(Membership_.onEntrySuspected(P.entry(), now()));
+  Core_->onPeerSuspected(P, now());
 }
 
-void EntryNode::onPeerHeard(const PeerId &P) {
-  if (P.Role_ == Role::Agent)
-    apply(Membership_.onAgentHeard(P.agent(), now()));
-  else
-    apply(Membership_.onEntryHeard(P.entry(), now()));
-}
+void EntryNode::onPeerHeard(const PeerId &P) { Core_->onPeerHeard(P, now()); }
 
-// The answer of a relayed submission is not known once the session with its
-// owner is over.
-void EntryNode::onPeerLost(const PeerId &P) {
-  if (P.Role_ == Role::Agent) {
-    apply(Membership_.onAgentDown(P.agent(), now()));
-    return;
-  }
-  apply(Membership_.onEntryDown(P.entry(), now()));
-  std::vector<ReplyId> Unknown;
-  for (auto It = Relays_.begin(); It != Relays_.end();) {
-    if (It->second.To_ == P.entry()) {
-      Unknown.push_back(It->second.Reply_);
-      It = Relays_.erase(It);
-    } else {
-      ++It;
-    }
-  }
-  for (const ReplyId Reply : Unknown)
-    refuse(Reply, Outcome::Unknown, "owner_unreachable");
-  for (auto It = Replies_.begin(); It != Replies_.end();) {
-    const bool Theirs = !It->second.Request_ && It->second.Entry_ == P.entry();
-    if (Theirs)
-      Owner_.onReplyGone(It->first);
-    It = Theirs ? Replies_.erase(It) : std::next(It);
-  }
-}
+void EntryNode::onPeerLost(const PeerId &P) { Core_->onPeerLost(P, now()); }
 
 void EntryNode::onMessage(const PeerId &From, const Message &M) {
-  if (From.Role_ == Role::Agent)
-    onAgentMessage(From.agent(), M);
+  if (const auto *Known = std::get_if<KnownEntries>(&M))
+    Directory_.learn(*Known, now());
   else
-    onEntryMessage(From.entry(), M);
+    Core_->onMessage(From, M, now());
 }
 
-// Reports and announcements reach the scheduler only of agents that may be
-// used.
-void EntryNode::onAgentMessage(const AgentId &From, const Message &M) {
-  if (const auto *Closed = std::get_if<YouAreClosed>(&M)) {
-    onSelfClosed(Closed->Holder_);
-    return;
-  }
-  apply(Membership_.onAgentMessage(From, M, now()));
-  const bool Gated = std::holds_alternative<AgentReport>(M);
-  if (std::holds_alternative<AnnounceEndpoint>(M) ||
-      (Gated && !Membership_.isUsable(From)))
+void EntryNode::onTick() {
+  Core_->onTimer(now());
+  if (MustRejoin_) {
+    rejoin(World_.newIncarnation(Self_));
     return;
-  apply(Owner_.onAgentMessage(From, M, now()));
-}
-
-void EntryNode::onEntryMessage(const EntryId &From, const Message &M) {
-  if (const auto *Known = std::get_if<KnownEntries>(&M)) {
-    Directory_.learn(*Known, now());
-  } else if (const auto *Submit = std::get_if<RelaySubmit>(&M)) {
-    Target To;
-    To.Entry_ = From;
-    To.RelayId_ = Submit->RelayId_;
-    route(Submit->Spec_, To);
-  } else if (const auto *Answer = std::get_if<RelayAnswer>(&M)) {
-    const auto It = Relays_.find(Answer->RelayId_);
-    if (It == Relays_.end() || It->second.To_ != From)
-      return;
-    const ReplyId Reply = It->second.Reply_;
-    Relays_.erase(It);
-    give(Reply, Answer->Answer_);
-  } else if (const auto *Cancel = std::get_if<RelayCancel>(&M)) {
-    apply(Owner_.onCancel(Cancel->Job_, now()));
-  } else {
-    apply(Membership_.onEntryMessage(From, M, now()));
   }
-}
-
-// The jobs go on under the entry that closed this one; its callers are not
-// told anything of them that may turn out wrong.
-void EntryNode::onSelfClosed(const EntryId &Holder) {
-  if (ClosedBy_)
-    return;
-  ClosedBy_ = Holder;
-  std::vector<ReplyId> Open;
-  for (const auto &[Reply, To] : Replies_)
-    Open.push_back(Reply);
-  for (const ReplyId Reply : Open)
-    refuse(Reply, Outcome::Unknown, "owner_closed");
-  end(true);
-}
-
-void EntryNode::onTick() {
-  apply(Membership_.onTimer(now()));
-  apply(Owner_.onTimer(now()));
   if (!DrainUntil_)
     return;
-  const bool Idle = Owner_.openJobs() == 0 && Replies_.empty() &&
-                    Relays_.empty() && !Links_.hasUnacknowledged();
+  const bool Idle =
+      Core_->idle() && Waiting_.empty() && Links_.allAcknowledged(true);
   if (Idle || now() >= *DrainUntil_)
     end(false);
 }
 
-void EntryNode::apply(MembershipOutputs Out) {
-  for (MembershipOutput &O : Out) {
-    if (auto *Send = std::get_if<SendToPeer>(&O)) {
-      send(PeerId::of(Send->To_), std::move(Send->Message_));
-    } else if (auto *Usable = std::get_if<AgentUsable>(&O)) {
-      apply(Owner_.onAgentUp(Usable->Agent_, Usable->Info_, now()));
-      if (Usable->Report_)
-        apply(Owner_.onAgentMessage(Usable->Agent_, *Usable->Report_, now()));
-    } else if (auto *Gone = std::get_if<AgentGone>(&O)) {
-      apply(Owner_.onAgentLost(Gone->Agent_, now()));
-    } else if (auto *Close = std::get_if<CloseAtAgent>(&O)) {
-      send(PeerId::of(Close->Agent_), CloseIncarnation{Close->Entry_});
-    } else if (std::holds_alternative<Stranded>(O)) {
-      onSelfClosed(Self_.entry());
-      return;
-    }
-  }
-}
-
-void EntryNode::apply(OwnerOutputs Out) {
-  for (OwnerOutput &O : Out) {
-    if (auto *Send = std::get_if<SendToAgent>(&O))
-      send(PeerId::of(Send->To_), std::move(Send->Message_));
-    else if (auto *Answer = std::get_if<GiveAnswer>(&O))
-      give(Answer->To_, Answer->Answer_);
-  }
-}
-
 } // namespace chivelanding::fuzz
--- a/tests/fuzz_world.h
+++ b/tests/fuzz_world.h
@@ -88,6 +88,9 @@
   void stopRun(const std::string &Agent, RunId Run) override;
   void answer(const std::string &Entry, RequestId Request,
               const JobAnswer &Answer) override;
+  PeerId newIncarnation(const PeerId &Old) override {
+    return {Old.Role_, Old.Name_, Incarnation(Random_() | 1)};
+  }
   void exited(const std::string &Name, bool Rejoin) override;
 
 private:
