--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -16,21 +16,13 @@
                      std::uint64_t Seed, EntryActions Actions, Time Now)
     : Self_(std::move(Self)), Actions_(std::move(Actions)),
       Owner_(Self_, Limits, Sched_, Now, Seed), Members_(Self_, LostAfter),
-      NextRelayer_(FirstRelayer) {}
+      Recovery_(Self_), NextRelayer_(FirstRelayer) {}
 
 void EntryCore::log(const EventType &Type, std::vector<EventField> Fields) {
   Actions_.Log_(Event{&Type, std::move(Fields)});
 }
 
 void EntryCore::onSubmit(JobSpec Spec, ReplyId Reply, Time Now) {
-  if (Draining_ && !Owner_.knows(Spec.Id_)) {
-    JobAnswer A;
-    A.Outcome_ = Outcome::NotRun;
-    A.Code_ = "draining";
-    A.Detail_ = "this entry is leaving; submit elsewhere with a new token";
-    answer(Reply, Spec.Id_, A);
-    return;
-  }
   if (Spec.Id_.Token_.Owner_ == Self_ || Owner_.knows(Spec.Id_))
     apply(Owner_.onSubmit(std::move(Spec), Reply, Now), Now);
   else
@@ -44,7 +36,11 @@
   const EntryId Owner = Spec.Id_.Token_.Owner_;
   apply(Members_.onEntryNamed(Owner, Now), Now);
   const EntryStatus Status = Members_.status(Owner);
-  if (Status == EntryStatus::Heard && !RelayedBy)
+  if (Status == EntryStatus::Lost)
+    apply(Recovery_.onSubmit({std::move(Spec), Reply, RelayedBy},
+                             lostEntry(Owner), Now),
+          Now);
+  else if (Status == EntryStatus::Heard && !RelayedBy)
     relay({Reply, Owner, std::move(Spec), Now, false});
   else
     unreachable(Reply, Spec.Id_, Owner);
@@ -101,6 +97,7 @@
   if (Relays_.erase(Reply.value()) > 0)
     return;
   Owner_.onReplyGone(Reply);
+  Recovery_.onReplyGone(Reply);
 }
 
 void EntryCore::onCancel(const JobId &Job, Time Now) {
@@ -137,11 +134,12 @@
         Now);
 }
 
-// Submissions relayed to a lost entry are routed once more, and their outcome
-// is unknown.
+// Submissions relayed to a lost entry are routed once more: if the entry counts
+// as lost they enter recovery here, otherwise their outcome is unknown.
 void EntryCore::onPeerLost(const PeerId &Peer, Time Now) {
   if (Peer.Role_ == Role::Agent) {
     apply(Members_.onAgentDown(Peer.agent(), Now), Now);
+    apply(Recovery_.onAgentLost(Peer.agent(), Now), Now);
     return;
   }
   const EntryId Lost = Peer.entry();
@@ -157,6 +155,7 @@
   for (auto It = Relayers_.begin(); It != Relayers_.end();) {
     if (It->second.Entry_ == Lost) {
       Owner_.onReplyGone(ReplyId(It->first));
+      Recovery_.onReplyGone(ReplyId(It->first));
       It = Relayers_.erase(It);
     } else {
       ++It;
@@ -213,6 +212,8 @@
     log(events::SelfClosed, {{"entry", Self_.str()},
                              {"agent", From.str()},
                              {"holder", Closed->Holder_.str()}});
+    apply(Owner_.onSelfClosed(Closed->Holder_, Now), Now);
+    apply(Recovery_.onSelfClosed(Closed->Holder_, Now), Now);
     Actions_.Closed_(Closed->Holder_);
     return;
   }
@@ -222,11 +223,15 @@
     return;
   if (std::holds_alternative<AgentReport>(M) && !Members_.isUsable(From))
     return;
+  if (std::holds_alternative<IncarnationClosed>(M) ||
+      std::holds_alternative<TaskFinished>(M))
+    apply(Recovery_.onAgentMessage(From, M, Now), Now);
   apply(Owner_.onAgentMessage(From, M, Now), Now);
 }
 
 void EntryCore::onTimer(Time Now) {
   apply(Members_.onTimer(Now), Now);
+  apply(Recovery_.onTimer(Now), Now);
   apply(Owner_.onTimer(Now), Now);
   std::vector<PendingRelay> Late;
   for (const auto &[Id, Relay] : Relays_)
@@ -238,10 +243,18 @@
   }
 }
 
-void EntryCore::onDrain(Time) { Draining_ = true; }
+void EntryCore::onDrain(Time Now) { apply(Owner_.onDrain(Now), Now); }
 
 bool EntryCore::idle() const {
-  return Owner_.openJobs() == 0 && Relays_.empty() && Relayers_.empty();
+  return Owner_.openJobs() == 0 && Relays_.empty() &&
+         Recovery_.waiting() == 0 && Relayers_.empty();
+}
+
+LostEntry EntryCore::lostEntry(const EntryId &Entry) const {
+  LostEntry L{Entry, {}, Members_.knowsAllAgentsOf(Entry)};
+  for (const AnnouncedAgent &A : Members_.agentsOf(Entry))
+    L.Agents_.push_back({A.Agent_, A.Service_});
+  return L;
 }
 
 void EntryCore::apply(OwnerOutputs Outputs, Time Now) {
@@ -259,6 +272,21 @@
   }
 }
 
+void EntryCore::apply(RecoveryOutputs Outputs, Time Now) {
+  for (RecoveryOutput &O : Outputs) {
+    if (auto *Send = std::get_if<SendToAgent>(&O))
+      Actions_.Send_(PeerId::of(Send->To_), std::move(Send->Message_));
+    else if (const auto *Give = std::get_if<GiveAnswer>(&O))
+      answer(Give->To_, Give->Job_, Give->Answer_);
+    else if (auto *Adopt = std::get_if<AdoptJob>(&O))
+      apply(Owner_.onAdopt(std::move(Adopt->Job_), Adopt->Reply_, Now), Now);
+    else if (auto *Relay = std::get_if<RelayToEntry>(&O))
+      relay({Relay->Reply_, Relay->To_, std::move(Relay->Spec_), Now, false});
+    else if (const auto *Log = std::get_if<LogEvent>(&O))
+      Actions_.Log_(Log->Event_);
+  }
+}
+
 void EntryCore::apply(MembershipOutputs Outputs, Time Now) {
   for (MembershipOutput &O : Outputs) {
     if (auto *Send = std::get_if<SendToPeer>(&O)) {
@@ -275,6 +303,8 @@
               Now);
     } else if (const auto *Gone = std::get_if<AgentGone>(&O)) {
       apply(Owner_.onAgentLost(Gone->Agent_, Now), Now);
+    } else if (const auto *Lost = std::get_if<EntryLost>(&O)) {
+      apply(Recovery_.onEntryLost(lostEntry(Lost->Entry_), Now), Now);
     } else if (const auto *Close = std::get_if<CloseAtAgent>(&O)) {
       Actions_.Send_(PeerId::of(Close->Agent_),
                      CloseIncarnation{Close->Entry_});
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -5,6 +5,7 @@
 #include "job_owner.h"
 #include "link.h"
 #include "membership.h"
+#include "recovery.h"
 #include "scheduler.h"
 
 #include <functional>
@@ -35,8 +36,8 @@
 };
 
 /// The decision modules of one entry incarnation and the flow between them:
-/// routes each submission to this entry's own jobs or to the owner. No I/O and
-/// no clock.
+/// routes each submission to this entry's own jobs, to the owner, or to the
+/// recovery of a lost owner's jobs. No I/O and no clock.
 class EntryCore {
 public:
   EntryCore(EntryId Self, OwnerLimits Limits, Duration LostAfter,
@@ -85,9 +86,11 @@
   void onAgentMessage(const AgentId &From, const Message &M, Time Now);
   void onRelaySubmit(const EntryId &From, const RelaySubmit &Submit, Time Now);
   void onRelayAnswer(const EntryId &From, const RelayAnswer &Answer);
+  LostEntry lostEntry(const EntryId &Entry) const;
   void log(const EventType &Type, std::vector<EventField> Fields);
 
   void apply(OwnerOutputs Outputs, Time Now);
+  void apply(RecoveryOutputs Outputs, Time Now);
   void apply(MembershipOutputs Outputs, Time Now);
 
   EntryId Self_;
@@ -95,12 +98,12 @@
   Scheduler Sched_;
   JobOwner Owner_;
   Membership Members_;
+  Recovery Recovery_;
   std::map<std::uint64_t, PendingRelay> Relays_;
   std::map<std::uint64_t, Relayer> Relayers_;
   /// Numbers of relaying peers; callers' numbers come from the process.
   std::uint64_t NextRelayer_;
   bool Closed_ = false;
-  bool Draining_ = false;
 };
 
 } // namespace chivelanding
