--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -253,7 +253,7 @@
 LostEntry EntryCore::lostEntry(const EntryId &Entry) const {
   LostEntry L{Entry, {}, Members_.knowsAllAgentsOf(Entry)};
   for (const AnnouncedAgent &A : Members_.agentsOf(Entry))
-    L.Agents_.push_back({A.Agent_, A.Service_});
+    L.Agents_.push_back({A.Agent_, A.Service_, A.Announced_, {}});
   return L;
 }
 
