Refuse a recoverer's start of a job that its owner ended

Change: only the entry that ended the job gets no answer; any other is told that the start is refused.

--- a/src/agent_gate.cpp
+++ b/src/agent_gate.cpp
@@ -175,16 +175,20 @@
 
 // A task that this agent has a record of is never started again: a started one
 // is answered with what is known, and a refused attempt stays refused. A start
-// of an ended job gets no answer, since its task records are gone and a
-// rejection would claim that the task never ran.
+// by the entry that ended the job is a late copy and gets no answer, since its
+// task records are gone and a rejection would claim that it never ran. Another
+// entry, which resumes the job, is told that its start is refused.
 bool AgentGate::answerKnown(const EntryId &From, const JobId &Job,
                             const TaskStart &Task, GateOutputs &Out) {
   const JobRecord *Record = Records_.find(Job);
   if (!Record)
     return false;
-  if (Record->Ended_)
-    return true;
   const auto Known = Record->Tasks_.find(Task.Index_);
+  if (Record->Ended_) {
+    if (Record->EndedBy_ != From && Known == Record->Tasks_.end())
+      reject(From, Job, Task.Index_, Task.Attempt_, RejectReason::Closed);
+    return true;
+  }
   if (Known == Record->Tasks_.end())
     return false;
   if (const Refusal *Old =
@@ -302,7 +306,7 @@
   send(Records_.receiverOf(Ended.Job_.Token_.Owner_),
        TaskFinished{Ended.Job_, Ended.Index_, Outcome, Result, RunTime}, Out);
   if (Job.Ended_)
-    Records_.end(Job);
+    Records_.end(Job, {});
   else
     Records_.keepResult(Ended.Job_, Ended.Index_, Task, std::move(Result));
 }
@@ -319,7 +323,7 @@
 void AgentGate::onEnded(const EntryId &From, const JobEnded &Ended) {
   JobRecord *Job = Records_.find(Ended.Job_);
   if (Job && Records_.receiverOf(Ended.Job_.Token_.Owner_) == From)
-    Records_.end(*Job);
+    Records_.end(*Job, From);
 }
 
 void AgentGate::onExpired(const EntryId &From, const EpochsExpired &Expired) {
--- a/src/gate_records.cpp
+++ b/src/gate_records.cpp
@@ -110,7 +110,9 @@
 }
 
 // The job's id refuses all later starts, so its tasks need no records.
-void GateRecords::end(JobRecord &Job) {
+void GateRecords::end(JobRecord &Job, const EntryId &By) {
+  if (!Job.Ended_)
+    Job.EndedBy_ = By;
   Job.Ended_ = true;
   for (auto It = Job.Tasks_.begin(); It != Job.Tasks_.end();) {
     dropResult(It->second);
@@ -126,7 +128,7 @@
       ++It;
       continue;
     }
-    end(It->second);
+    end(It->second, {});
     It = It->second.Live_.empty() ? Owner.Jobs_.erase(It) : std::next(It);
   }
 }
--- a/src/gate_records.h
+++ b/src/gate_records.h
@@ -48,6 +48,8 @@
 /// every start and has no records of tasks that have ended.
 struct JobRecord {
   bool Ended_ = false;
+  /// The entry that ended the job, if it was not ended by age.
+  EntryId EndedBy_;
   std::map<TaskIndex, TaskRecord> Tasks_;
   /// Queued and running tasks.
   std::set<TaskIndex> Live_;
@@ -93,7 +95,7 @@
   void keepResult(const JobId &Id, TaskIndex Index, TaskRecord &Task,
                   std::string Result);
   /// Shrinks a job to its tombstone, except for its live tasks.
-  void end(JobRecord &Job);
+  void end(JobRecord &Job, const EntryId &By);
   /// Drops the jobs of epochs before Oldest.
   void forget(OwnerRecord &Owner, Epoch Oldest);
   /// Drops the records of owners that have been gone or closed for Retention.
--- a/src/message.h
+++ b/src/message.h
@@ -216,7 +216,7 @@
   bool Complete_ = true;
   std::vector<HeldJob> Jobs_;
   /// Records of jobs of earlier token epochs are dropped.
-  Epoch Oldest_;
+  Epoch Oldest_{};
   bool Last_ = true;
   static constexpr auto fields() {
     return std::make_tuple(
@@ -362,7 +362,7 @@
 /// answered and no new key is accepted under them, so the agent may drop its
 /// records of them; it refuses late starts of such jobs.
 struct EpochsExpired {
-  Epoch Oldest_;
+  Epoch Oldest_{};
   static constexpr auto fields() {
     return std::make_tuple(&EpochsExpired::Oldest_);
   }
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -325,6 +325,24 @@
   CHECK(W.noneTwice());
 }
 
+// Guards against an idempotent request that hangs because the agent, which
+// holds a tombstone of it, ignores the retry.
+TEST_CASE("An ended idempotent request is refused to the recoverer",
+          "[recovery]") {
+  World W;
+  JobSpec Spec = W.spec("j", 1);
+  Spec.Idempotent_ = true;
+  W.submit(Owner, Spec);
+  W.finishAll();
+  W.lose(Owner);
+  W.lose(Q);
+  const ReplyId R = W.submit(X, Spec);
+  W.finishAll();
+  W.pass(RecoveryWait);
+  W.pass(1s);
+  CHECK(W.answer(R).Outcome_ == Outcome::Unknown);
+}
+
 // Guards against two recoverers that both start the unstarted tasks.
 TEST_CASE("A second recoverer relays to the holder", "[recovery]") {
   World W;
