--- a/src/link.h
+++ b/src/link.h
@@ -147,9 +147,9 @@
   bool isUp(const PeerId &P) const;
   /// True if isUp and the peer is not suspected.
   bool isHeard(const PeerId &P) const;
-  /// True if a session holds messages that its peer has not acknowledged; a
-  /// process that ends gracefully waits for this to be false.
-  bool hasUnacknowledged() const;
+  /// True if no peer still has to acknowledge a message; with HeardOnly, peers
+  /// that are suspected do not count.
+  bool allAcknowledged(bool HeardOnly) const;
   /// Entry incarnations heard, for EntriesHeard.
   std::vector<EntryId> entriesHeard() const;
 
--- a/tests/fuzz_entry.h
+++ b/tests/fuzz_entry.h
@@ -1,8 +1,11 @@
 #ifndef CHIVELANDING_TESTS_FUZZ_ENTRY_H
 #define CHIVELANDING_TESTS_FUZZ_ENTRY_H
 
+#include "entry_core.h"
 #include "fuzz_node.h"
 
+#include <memory>
+
 namespace chivelanding::fuzz {
 
 /// An entry with the decision modules of the real one.
@@ -11,51 +14,30 @@
   EntryNode(Environment &World, const PeerId &Self, const std::string &Zone,
             std::vector<std::string> Seeds);
 
-  OwnerToken token() { return Owner_.token(now()); }
+  OwnerToken token() { return Core_->token(now()); }
   void submit(RequestId Request, JobSpec Spec);
   void cancel(const JobId &Job);
   void drain() override;
-  std::size_t openJobs() const { return Owner_.openJobs(); }
-  bool accepts() const { return !DrainUntil_ && !ClosedBy_; }
+  std::size_t openJobs() const { return Core_->openJobs(); }
+  /// Starts anew after a close: waiting submissions that another entry is to
+  /// answer pass to the new incarnation, the others are answered as unknown.
+  void rejoin(const PeerId &Self);
 
 private:
-  /// Where an answer goes: to a caller here, or to a relaying entry.
-  struct Target {
-    std::optional<RequestId> Request_;
-    EntryId Entry_;
-    std::uint64_t RelayId_ = 0;
-  };
-  struct Relay {
-    EntryId To_;
-    ReplyId Reply_;
-  };
-
   void onPeerUp(const PeerId &P) override;
   void onPeerSuspected(const PeerId &P) override;
   void onPeerHeard(const PeerId &P) override;
   void onPeerLost(const PeerId &P) override;
   void onMessage(const PeerId &From, const Message &M) override;
   void onTick() override;
-
-  void onAgentMessage(const AgentId &From, const Message &M);
-  void onEntryMessage(const EntryId &From, const Message &M);
-  void onSelfClosed(const EntryId &Holder);
-  void route(JobSpec Spec, const Target &To);
-  void relay(const EntryId &To, ReplyId Reply, JobSpec Spec);
+  std::unique_ptr<EntryCore> makeCore();
   void give(ReplyId Reply, const JobAnswer &Answer);
-  void refuse(ReplyId Reply, Outcome O, const char *Code);
-  void apply(MembershipOutputs Out);
-  void apply(OwnerOutputs Out);
-
-  Scheduler Sched_;
-  JobOwner Owner_;
-  Membership Membership_;
-  std::map<ReplyId, Target> Replies_;
-  std::map<std::uint64_t, Relay> Relays_;
+
+  std::unique_ptr<EntryCore> Core_;
+  std::map<ReplyId, RequestId> Waiting_;
   std::uint64_t NextReply_ = 1;
-  std::uint64_t NextRelay_ = 1;
   std::optional<Time> DrainUntil_;
-  std::optional<EntryId> ClosedBy_;
+  bool MustRejoin_ = false;
 };
 
 } // namespace chivelanding::fuzz
--- a/tests/fuzz_network.cpp
+++ b/tests/fuzz_network.cpp
@@ -168,6 +168,15 @@
   });
 }
 
+void Network::closeAll(const std::string &Name) {
+  std::vector<ConnectionId> Mine;
+  for (const auto &[Id, C] : Connections_)
+    if (sideOf(C, Name) >= 0)
+      Mine.push_back(Id);
+  for (const ConnectionId Id : Mine)
+    close(Id, Name);
+}
+
 void Network::cut(const std::string &From, const std::string &To) {
   Cuts_.insert({From, To});
 }
--- a/tests/fuzz_network.h
+++ b/tests/fuzz_network.h
@@ -74,6 +74,9 @@
   void send(ConnectionId C, const std::string &From, std::string Bytes);
   void close(ConnectionId C, const std::string &From);
 
+  /// Closes every connection of a process that goes on.
+  void closeAll(const std::string &Name);
+
   void cut(const std::string &From, const std::string &To);
   void heal();
   /// Silences the connections between two processes, in one or both
--- a/tests/fuzz_node.cpp
+++ b/tests/fuzz_node.cpp
@@ -14,7 +14,7 @@
     : World_(World), Self_(Self),
       Links_(Self, ZoneName(Zone), RegionName("region"), LinkLimits()),
       Directory_(Self.entry(), RegionName("region"), Self.Role_ == Role::Agent),
-      Seeds_(std::move(Seeds)) {}
+      Seeds_(std::move(Seeds)), Zone_(Zone) {}
 
 void Node::onDialled(ConnectionId C) {
   apply(Links_.onDialled(C, now()));
@@ -61,6 +61,13 @@
   apply(Links_.send(To, std::move(M), now()));
 }
 
+void Node::restartLinks() {
+  World_.network().closeAll(Self_.Name_);
+  Links_ = Links(Self_, ZoneName(Zone_), RegionName("region"), LinkLimits());
+  Directory_ = EntryDirectory(Self_.entry(), RegionName("region"),
+                              Self_.Role_ == Role::Agent);
+}
+
 // The end of one turn of the process's loop: what was queued goes out.
 void Node::finish() {
   if (!Ended_)
@@ -125,6 +132,7 @@
 
 void AgentNode::onPeerUp(const PeerId &P) {
   apply(Gate_.onEntryConnected(P.entry(), now()));
+  send(P, EntriesHeard{Told_});
 }
 
 void AgentNode::onPeerLost(const PeerId &P) {
@@ -140,10 +148,13 @@
 
 void AgentNode::onTick() {
   apply(Gate_.onTimer(now()));
-  const EntriesHeard Heard{Links_.entriesHeard()};
-  for (const EntryId &Entry : Heard.Entries_)
-    send(PeerId::of(Entry), Heard);
-  if (Gate_.drained() && !Links_.hasUnacknowledged())
+  auto Heard = Links_.entriesHeard();
+  if (Heard != Told_) {
+    Told_ = std::move(Heard);
+    for (const EntryId &Entry : Told_)
+      send(PeerId::of(Entry), EntriesHeard{Told_});
+  }
+  if (Gate_.drained() && Links_.allAcknowledged(false))
     end(false);
 }
 
--- a/tests/fuzz_node.h
+++ b/tests/fuzz_node.h
@@ -26,6 +26,8 @@
   virtual void stopRun(const std::string &Agent, RunId Run) = 0;
   virtual void answer(const std::string &Entry, RequestId Request,
                       const JobAnswer &Answer) = 0;
+  /// The identity under which a closed process goes on.
+  virtual PeerId newIncarnation(const PeerId &Old) = 0;
   /// The process has ended by itself; Rejoin asks for a new incarnation.
   virtual void exited(const std::string &Name, bool Rejoin) = 0;
 };
@@ -59,6 +61,8 @@
   void apply(LinkOutputs Out);
   void finish();
   void end(bool Rejoin);
+  /// Drops every connection and session and begins as Self_.
+  void restartLinks();
 
   Environment &World_;
   PeerId Self_;
@@ -68,6 +72,7 @@
   bool Ended_ = false;
 
 private:
+  std::string Zone_;
   Time LastDial_;
 };
 
@@ -92,6 +97,7 @@
   void apply(GateOutputs Out);
 
   AgentGate Gate_;
+  std::vector<EntryId> Told_;
 };
 
 } // namespace chivelanding::fuzz
