--- a/standin/standin_main.cpp
+++ b/standin/standin_main.cpp
@@ -8,6 +8,7 @@
 
 constexpr Command Commands[] = {
     {"endpoint", "an endpoint that runs tasks", runEndpointStandin},
+    {"load", "a load driver", runLoad},
     {"log", "the platform's log, in memory", runLogStandin},
 };
 
