Replace the thin scheduler by the real policy

Cause: most-room placement in order of arrival misses nearly every target. Change: the scheduler is built of placement (strategies by name), fair_share (classes, guaranteed shares, teams by virtual start, quotas, rates, limits), admission, service_times and endpoint_health, with PolicyConfig as input.

--- /dev/null
+++ b/src/fair_share.cpp
@@ -0,0 +1,315 @@
+#include "fair_share.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace chivelanding {
+
+namespace {
+
+constexpr Duration RateCheckPeriod = std::chrono::milliseconds(10);
+
+} // namespace
+
+void FairShare::setConfig(const PolicyConfig &Config) {
+  Config_ = Config;
+  Weights_ = 0;
+  for (const auto &[Name, Policy] : Config_.Kinds_)
+    Weights_ += Policy.Weight_;
+  for (Kind &K : Kinds_)
+    applyPolicy(K);
+  for (std::uint32_t T = 0; T < Teams_.size(); ++T) {
+    applyPolicy(Teams_[T]);
+    unpark(T);
+  }
+}
+
+void FairShare::applyPolicy(Kind &K) const {
+  const auto Policy = Config_.Kinds_.find(K.Name_);
+  K.Policy_ = Policy == Config_.Kinds_.end() ? KindPolicy() : Policy->second;
+  const auto Service = Config_.Services_.find(K.Service_);
+  K.ServiceLimit_ =
+      Service == Config_.Services_.end() ? 0 : Service->second.Limit_;
+}
+
+void FairShare::applyPolicy(Team &T) const {
+  const auto Policy = Config_.Teams_.find(T.Name_);
+  T.Policy_ = Policy == Config_.Teams_.end() ? TeamPolicy() : Policy->second;
+}
+
+std::uint32_t FairShare::kind(const ServiceName &Service,
+                              const KindName &Name) {
+  const auto Next = static_cast<std::uint32_t>(Kinds_.size());
+  const auto [It, IsNew] = KindNumbers_.emplace(std::pair(Service, Name), Next);
+  if (IsNew) {
+    Kinds_.emplace_back();
+    Kinds_.back().Service_ = Service;
+    Kinds_.back().Name_ = Name;
+    applyPolicy(Kinds_.back());
+  }
+  return It->second;
+}
+
+std::optional<std::uint32_t> FairShare::findKind(const ServiceName &Service,
+                                                 const KindName &Name) const {
+  const auto It = KindNumbers_.find({Service, Name});
+  if (It == KindNumbers_.end())
+    return {};
+  return It->second;
+}
+
+std::uint32_t FairShare::team(const TeamName &Name) {
+  const auto Next = static_cast<std::uint32_t>(Teams_.size());
+  const auto [It, IsNew] = TeamNumbers_.emplace(Name, Next);
+  if (IsNew) {
+    Teams_.emplace_back();
+    Teams_.back().Name_ = Name;
+    applyPolicy(Teams_.back());
+    Teams_.back().Tokens_ = Teams_.back().Policy_.Rate_;
+  }
+  return It->second;
+}
+
+void FairShare::onUsage(const EntryId &Entry, const UsageSummary &Usage) {
+  const auto Add = [&](const UsageSummary &S, bool Plus) {
+    for (const TeamUsage &U : S.Teams_) {
+      const std::uint32_t Number = team(U.Team_);
+      Team &T = Teams_[Number];
+      const std::uint32_t Active = U.Waiting_ > 0 ? 1 : 0;
+      T.OthersRunning_ += Plus ? U.Running_ : 0 - U.Running_;
+      T.OthersActive_ += Plus ? Active : 0 - Active;
+      unpark(Number);
+    }
+  };
+  const auto Old = Others_.find(Entry);
+  if (Old != Others_.end()) {
+    Add(Old->second, false);
+    Others_.erase(Old);
+  }
+  if (Usage.Teams_.empty())
+    return;
+  Add(Usage, true);
+  Others_.emplace(Entry, Usage);
+}
+
+double FairShare::share(std::uint32_t Kind) const {
+  const double Weight = Kinds_[Kind].Policy_.Weight_;
+  return Weight / std::max(Weights_, Weight);
+}
+
+// A job is placed by its virtual start: the kind's progress when it comes, or
+// the end of the team's jobs before it if that is later. A team that floods the
+// kind queues behind itself, and a job that has begun stays before later ones,
+// so that its last tasks are not left behind.
+void FairShare::addJob(JobSlot Slot, std::uint32_t KindNo, std::uint32_t TeamNo,
+                       PriorityClass Class) {
+  if (Jobs_.size() <= Slot)
+    Jobs_.resize(Slot + 1);
+  Kind &K = Kinds_[KindNo];
+  K.Class_ = Class;
+  TeamQueue &Queue = K.Teams_[TeamNo];
+  const double Tag = std::max(K.Virtual_, Queue.LastTag_);
+  Queue.LastTag_ = Tag;
+  Jobs_[Slot] = {KindNo, TeamNo, Tag, false};
+  Teams_[TeamNo].Kinds_.insert(KindNo);
+  insert(Slot);
+}
+
+void FairShare::restoreJob(JobSlot Slot) {
+  if (!Jobs_[Slot].Queued_)
+    insert(Slot);
+}
+
+void FairShare::setReady(std::uint32_t KindNo, std::uint32_t TeamNo,
+                         bool Ready) {
+  Kind &K = Kinds_[KindNo];
+  const auto Queue = K.Teams_.find(TeamNo);
+  if (Queue == K.Teams_.end() || Queue->second.Jobs_.empty())
+    return;
+  const auto Entry = std::pair(*Queue->second.Jobs_.begin(), TeamNo);
+  if (Ready && !Teams_[TeamNo].Parked_)
+    K.Ready_.insert(Entry);
+  else
+    K.Ready_.erase(Entry);
+}
+
+void FairShare::insert(JobSlot Slot) {
+  Job &J = Jobs_[Slot];
+  J.Queued_ = true;
+  setReady(J.Kind_, J.Team_, false);
+  Kinds_[J.Kind_].Teams_[J.Team_].Jobs_.insert({J.Tag_, Slot});
+  setReady(J.Kind_, J.Team_, true);
+  Active_.insert(J.Kind_);
+}
+
+void FairShare::removeJob(JobSlot Slot) {
+  Job &J = Jobs_[Slot];
+  if (!J.Queued_)
+    return;
+  J.Queued_ = false;
+  setReady(J.Kind_, J.Team_, false);
+  Kind &K = Kinds_[J.Kind_];
+  const auto Queue = K.Teams_.find(J.Team_);
+  Queue->second.Jobs_.erase({J.Tag_, Slot});
+  setReady(J.Kind_, J.Team_, true);
+  // A queue whose last job was before the kind's progress says nothing more.
+  if (Queue->second.Jobs_.empty() && Queue->second.LastTag_ <= K.Virtual_)
+    K.Teams_.erase(Queue);
+}
+
+void FairShare::onWaiting(JobSlot Slot, std::int64_t Change) {
+  const Job &J = Jobs_[Slot];
+  if (Change > 0)
+    Kinds_[J.Kind_].Teams_[J.Team_].LastTag_ += static_cast<double>(Change);
+  const auto Add = [&](std::uint32_t &Count) {
+    Count = static_cast<std::uint32_t>(Count + Change);
+  };
+  Add(Kinds_[J.Kind_].Waiting_);
+  Add(Teams_[J.Team_].Waiting_);
+  if (Kinds_[J.Kind_].Waiting_ == 0)
+    Active_.erase(J.Kind_);
+  else
+    Active_.insert(J.Kind_);
+}
+
+// What is left of a quota is divided among the entries that have work for the
+// team, because each sees the others' usage late; an entry that is alone with
+// its work uses all of it.
+bool FairShare::mayStart(Team &T, Time Now) const {
+  if (T.Policy_.Quota_ > 0) {
+    const std::uint32_t Used = T.Running_ + T.OthersRunning_;
+    if (Used >= T.Policy_.Quota_)
+      return false;
+    const std::uint32_t Part = T.Policy_.Quota_ / (T.OthersActive_ + 1);
+    if (T.OthersActive_ > 0 && T.Running_ >= std::max(Part, 1u))
+      return false;
+  }
+  if (T.Policy_.Rate_ <= 0)
+    return true;
+  const double Rate = T.Policy_.Rate_ / (T.OthersActive_ + 1);
+  const double Burst = std::max(1.0, Rate);
+  const auto Us = static_cast<double>((Now - T.Filled_).count());
+  T.Tokens_ = std::min(Burst, T.Tokens_ + Rate * Us / 1e6);
+  T.Filled_ = Now;
+  return T.Tokens_ >= 1;
+}
+
+void FairShare::park(std::uint32_t TeamNo) {
+  Team &T = Teams_[TeamNo];
+  for (const std::uint32_t K : T.Kinds_)
+    setReady(K, TeamNo, false);
+  T.Parked_ = true;
+  if (T.Policy_.Rate_ > 0)
+    ParkedTeams_.insert(TeamNo);
+}
+
+void FairShare::unpark(std::uint32_t TeamNo) {
+  Team &T = Teams_[TeamNo];
+  if (!T.Parked_)
+    return;
+  T.Parked_ = false;
+  ParkedTeams_.erase(TeamNo);
+  for (const std::uint32_t K : T.Kinds_)
+    setReady(K, TeamNo, true);
+}
+
+// Tokens come with time, without any event that could return a team.
+void FairShare::unparkRated(Time Now) {
+  if (ParkedTeams_.empty() || Now < NextRateCheck_)
+    return;
+  NextRateCheck_ = Now + RateCheckPeriod;
+  std::vector<std::uint32_t> Free;
+  for (const std::uint32_t T : ParkedTeams_)
+    if (mayStart(Teams_[T], Now))
+      Free.push_back(T);
+  for (const std::uint32_t T : Free)
+    unpark(T);
+}
+
+// Limits of kinds and services are divided evenly among the entries, because
+// only the usage per team is exchanged.
+bool FairShare::withinLimits(const Kind &K) const {
+  const auto Part = [&](std::uint32_t Limit) {
+    return std::max(1u, Limit / entries());
+  };
+  if (K.Policy_.Limit_ > 0 && K.Running_ >= Part(K.Policy_.Limit_))
+    return false;
+  if (K.ServiceLimit_ == 0)
+    return true;
+  const auto Running = ServiceRunning_.find(K.Service_);
+  return Running == ServiceRunning_.end() ||
+         Running->second < Part(K.ServiceLimit_);
+}
+
+// Kinds below their guaranteed share come first, then the others by class; the
+// guarantee is a part of the slots that this owner uses, the one at hand
+// included. Share that a kind does not ask for thus goes to the others until it
+// asks again.
+std::optional<NextJob>
+FairShare::next(const std::function<bool(const ServiceName &)> &HasRoom,
+                Time Now) {
+  unparkRated(Now);
+  while (true) {
+    const Kind *Best = nullptr;
+    std::tuple<bool, PriorityClass, double> BestKey;
+    for (const std::uint32_t Number : Active_) {
+      const Kind &K = Kinds_[Number];
+      if (K.Ready_.empty() || !withinLimits(K) || !HasRoom(K.Service_))
+        continue;
+      const auto Service = ServiceRunning_.find(K.Service_);
+      const double Slots =
+          1.0 + (Service == ServiceRunning_.end() ? 0 : Service->second);
+      const double Guaranteed = share(Number) * Slots;
+      const std::tuple Key(K.Running_ >= Guaranteed, K.Class_,
+                           K.Running_ / std::max(K.Policy_.Weight_, 1e-9));
+      if (!Best || Key < BestKey) {
+        Best = &K;
+        BestKey = Key;
+      }
+    }
+    if (!Best)
+      return {};
+    const auto [First, TeamNo] = *Best->Ready_.begin();
+    if (!mayStart(Teams_[TeamNo], Now)) {
+      park(TeamNo);
+      continue;
+    }
+    char Text[96];
+    std::snprintf(Text, sizeof Text, "class %u, %s share, %u running",
+                  Best->Class_.value(),
+                  std::get<0>(BestKey) ? "above" : "below", Best->Running_);
+    return NextJob{First.second, Text};
+  }
+}
+
+void FairShare::onStarted(JobSlot Slot, Time) {
+  const Job &J = Jobs_[Slot];
+  Kind &K = Kinds_[J.Kind_];
+  ++K.Running_;
+  K.Virtual_ = std::max(K.Virtual_, J.Tag_);
+  ++ServiceRunning_[K.Service_];
+  Team &T = Teams_[J.Team_];
+  ++T.Running_;
+  if (T.Policy_.Rate_ > 0)
+    T.Tokens_ -= 1;
+}
+
+void FairShare::onEnded(JobSlot Slot) {
+  const Job &J = Jobs_[Slot];
+  --Kinds_[J.Kind_].Running_;
+  --ServiceRunning_[Kinds_[J.Kind_].Service_];
+  --Teams_[J.Team_].Running_;
+  unpark(J.Team_);
+}
+
+UsageSummary FairShare::usage() const {
+  UsageSummary Summary;
+  for (const auto &[Name, Number] : TeamNumbers_) {
+    const Team &T = Teams_[Number];
+    if (T.Running_ > 0 || T.Waiting_ > 0)
+      Summary.Teams_.push_back({Name, T.Running_, T.Waiting_});
+  }
+  return Summary;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/fair_share.h
@@ -0,0 +1,135 @@
+#ifndef CHIVELANDING_FAIR_SHARE_H
+#define CHIVELANDING_FAIR_SHARE_H
+
+#include "message.h"
+#include "policy_config.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// Number of a waiting job at one scheduler.
+using JobSlot = std::uint32_t;
+
+/// The next job to serve and why.
+struct NextJob {
+  JobSlot Job_ = 0;
+  std::string Reason_;
+};
+
+/// Order of waiting jobs: classes with a guaranteed share for each kind, teams
+/// in turn within a kind, and the bounds of teams, kinds and services. Counts
+/// tasks; the caller keeps the jobs.
+class FairShare {
+public:
+  void setConfig(const PolicyConfig &Config);
+  /// Usage at another entry; an empty summary removes it.
+  void onUsage(const EntryId &Entry, const UsageSummary &Usage);
+
+  /// Numbers for the other functions; a kind belongs to one service.
+  std::uint32_t kind(const ServiceName &Service, const KindName &Kind);
+  std::optional<std::uint32_t> findKind(const ServiceName &Service,
+                                        const KindName &Kind) const;
+  std::uint32_t team(const TeamName &Team);
+
+  /// A job is going to have waiting tasks.
+  void addJob(JobSlot Job, std::uint32_t Kind, std::uint32_t Team,
+              PriorityClass Class);
+  /// A job has waiting tasks again; it keeps its place.
+  void restoreJob(JobSlot Job);
+  /// A job has no more waiting tasks.
+  void removeJob(JobSlot Job);
+  /// The number of waiting tasks of a job changes.
+  void onWaiting(JobSlot Job, std::int64_t Change);
+
+  /// Next job to serve among the services for which HasRoom is true.
+  std::optional<NextJob>
+  next(const std::function<bool(const ServiceName &)> &HasRoom, Time Now);
+  /// A task of the job returned by next() was sent.
+  void onStarted(JobSlot Job, Time Now);
+  /// A task that was sent has ended or was returned.
+  void onEnded(JobSlot Job);
+
+  std::uint32_t kindWaiting(std::uint32_t Kind) const {
+    return Kinds_[Kind].Waiting_;
+  }
+  /// Part of the fleet that the kind is guaranteed.
+  double share(std::uint32_t Kind) const;
+  std::uint32_t entries() const {
+    return static_cast<std::uint32_t>(Others_.size()) + 1;
+  }
+  /// Running and waiting tasks per team, for the other entries.
+  UsageSummary usage() const;
+
+private:
+  using Place = std::pair<double, JobSlot>;
+  struct TeamQueue {
+    std::set<Place> Jobs_;
+    double LastTag_ = 0;
+  };
+  struct Kind {
+    ServiceName Service_;
+    KindName Name_;
+    KindPolicy Policy_;
+    PriorityClass Class_;
+    std::uint32_t ServiceLimit_ = 0;
+    std::uint32_t Running_ = 0;
+    std::uint32_t Waiting_ = 0;
+    double Virtual_ = 0;
+    std::map<std::uint32_t, TeamQueue> Teams_;
+    /// First job of each team that may start tasks.
+    std::set<std::pair<Place, std::uint32_t>> Ready_;
+  };
+  struct Team {
+    TeamName Name_;
+    TeamPolicy Policy_;
+    std::uint32_t Running_ = 0;
+    std::uint32_t Waiting_ = 0;
+    std::uint32_t OthersRunning_ = 0;
+    std::uint32_t OthersActive_ = 0;
+    double Tokens_ = 0;
+    Time Filled_;
+    bool Parked_ = false;
+    std::set<std::uint32_t> Kinds_;
+  };
+  struct Job {
+    std::uint32_t Kind_ = 0;
+    std::uint32_t Team_ = 0;
+    double Tag_ = 0;
+    bool Queued_ = false;
+  };
+
+  void applyPolicy(Kind &K) const;
+  void applyPolicy(Team &T) const;
+  void setReady(std::uint32_t Kind, std::uint32_t Team, bool Ready);
+  void insert(JobSlot Slot);
+  bool mayStart(Team &T, Time Now) const;
+  void park(std::uint32_t Team);
+  void unpark(std::uint32_t Team);
+  void unparkRated(Time Now);
+  bool withinLimits(const Kind &K) const;
+
+  PolicyConfig Config_;
+  double Weights_ = 0;
+  std::vector<Kind> Kinds_;
+  std::map<std::pair<ServiceName, KindName>, std::uint32_t> KindNumbers_;
+  std::set<std::uint32_t> Active_;
+  std::map<ServiceName, std::uint32_t> ServiceRunning_;
+  std::vector<Team> Teams_;
+  std::map<TeamName, std::uint32_t> TeamNumbers_;
+  /// Teams that wait for tokens.
+  std::set<std::uint32_t> ParkedTeams_;
+  Time NextRateCheck_;
+  std::vector<Job> Jobs_;
+  std::map<EntryId, UsageSummary> Others_;
+};
+
+} // namespace chivelanding
+
+#endif
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -1,122 +1,352 @@
 #include "scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chivelanding {
 
+namespace {
+
+/// Time constant of the measured start rate of a kind.
+constexpr double RateTimeUs = 2e6;
+constexpr Duration RateTime = std::chrono::seconds(2);
+
+} // namespace
+
+Scheduler::Scheduler() : Scheduler(PolicyConfig(), 0, ZoneName()) {}
+
 Scheduler::Scheduler(PolicyConfig Config, std::uint64_t Seed, ZoneName Zone)
-    : Config_(std::move(Config)), Zone_(std::move(Zone)), Random_(Seed) {}
+    : Zone_(std::move(Zone)), Random_(Seed) {
+  setConfig(std::move(Config), Time());
+}
 
-void Scheduler::setConfig(PolicyConfig Config, Time) {
+void Scheduler::setConfig(PolicyConfig Config, Time Now) {
   Config_ = std::move(Config);
+  Strategy_ = findPlacement(Config_.Placement_);
+  if (!Strategy_)
+    Strategy_ = findPlacement("credits");
+  LeastUrgent_ = PriorityClass();
+  for (const auto &[Name, Kind] : Config_.Kinds_)
+    LeastUrgent_ = std::max(LeastUrgent_, Kind.Class_);
+  Fair_.setConfig(isFair() ? Config_ : PolicyConfig());
+  Health_.setCap(Config_.SetAsideCap_);
+  for (std::uint32_t A = 0; A < Agents_.size(); ++A)
+    refresh(A, Now);
 }
 
-void Scheduler::addAgent(const AgentId &Agent, const EndpointInfo &Info, Time) {
-  Agents_[Agent].Info_ = Info;
+JobSlot Scheduler::slotOf(const WaitingTask &Task, Time Now) {
+  const auto Known = JobSlots_.find(Task.Task_.Job_);
+  if (Known != JobSlots_.end())
+    return Known->second;
+  JobSlot Slot = static_cast<JobSlot>(Jobs_.size());
+  if (FreeJobs_.empty()) {
+    Jobs_.emplace_back();
+  } else {
+    Slot = FreeJobs_.back();
+    FreeJobs_.pop_back();
+  }
+  JobState &J = Jobs_[Slot];
+  J = JobState();
+  J.Id_ = Task.Task_.Job_;
+  J.Service_ = Task.Service_;
+  J.KindName_ = Task.Kind_;
+  J.Class_ = Task.Class_;
+  J.Deadline_ = Task.Deadline_;
+  J.Since_ = Now;
+  J.Kind_ = Fair_.kind(Task.Service_, isFair() ? Task.Kind_ : KindName());
+  const std::uint32_t Team = Fair_.team(isFair() ? J.Id_.Team_ : TeamName());
+  if (Rates_.size() <= J.Kind_)
+    Rates_.resize(J.Kind_ + 1);
+  Fair_.addJob(Slot, J.Kind_, Team, Task.Class_);
+  JobSlots_.emplace(J.Id_, Slot);
+  if (J.Deadline_)
+    Deadlines_.emplace(*J.Deadline_, Slot);
+  ServiceState &Service = Services_[J.Service_];
+  if (Service.Usable_.empty()) {
+    if (!Service.EmptySince_)
+      Service.EmptySince_ = Now;
+    Stranded_[J.Service_].insert(Slot);
+  }
+  return Slot;
 }
 
-void Scheduler::removeAgent(const AgentId &Agent, Time) {
-  Agents_.erase(Agent);
+// A task that comes back is served before the tasks of its job that were never
+// sent.
+void Scheduler::enqueue(const WaitingTask &Task, Time Now) {
+  const JobSlot Slot = slotOf(Task, Now);
+  JobState &J = Jobs_[Slot];
+  Times_.onHint(Task.Kind_, Task.TimeHint_);
+  if (Fair_.kindWaiting(J.Kind_) == 0)
+    Rates_[J.Kind_].BackloggedSince_ = Now;
+  const std::uint32_t Index = Task.Task_.Index_.value();
+  if (!J.Waiting_.empty() && Index < J.Waiting_.front())
+    J.Waiting_.push_front(Index);
+  else
+    J.Waiting_.push_back(Index);
+  Fair_.restoreJob(Slot);
+  Fair_.onWaiting(Slot, 1);
+  ++Waiting_;
 }
 
-void Scheduler::onReport(const AgentId &Agent, const AgentReport &Report,
-                         Time) {
-  const auto It = Agents_.find(Agent);
-  if (It != Agents_.end())
-    It->second.Report_ = Report;
+void Scheduler::dropWaiting(JobSlot Slot) {
+  JobState &J = Jobs_[Slot];
+  Waiting_ -= J.Waiting_.size();
+  Fair_.onWaiting(Slot, -static_cast<std::int64_t>(J.Waiting_.size()));
+  Fair_.removeJob(Slot);
+  J.Waiting_.clear();
+  IdleJobs_.push_back(Slot);
 }
 
-void Scheduler::enqueue(WaitingTask Task, Time) {
-  Queue_.push_back(std::move(Task));
+// Jobs are released late, so that a rejected task that is enqueued again at
+// once keeps its place.
+void Scheduler::releaseIdle() {
+  for (const JobSlot Slot : IdleJobs_) {
+    JobState &J = Jobs_[Slot];
+    if (J.Id_.Key_.empty() || !J.Waiting_.empty() || J.InFlight_ > 0)
+      continue;
+    if (J.Deadline_)
+      Deadlines_.erase({*J.Deadline_, Slot});
+    const auto Stranded = Stranded_.find(J.Service_);
+    if (Stranded != Stranded_.end())
+      Stranded->second.erase(Slot);
+    JobSlots_.erase(J.Id_);
+    J = JobState();
+    FreeJobs_.push_back(Slot);
+  }
+  IdleJobs_.clear();
 }
 
 std::vector<TaskIndex> Scheduler::cancel(const JobId &Job, Time) {
   std::vector<TaskIndex> Removed;
-  const auto IsOfJob = [&](const WaitingTask &T) {
-    if (T.Task_.Job_ != Job)
-      return false;
-    Removed.push_back(T.Task_.Index_);
-    return true;
-  };
-  Queue_.erase(std::remove_if(Queue_.begin(), Queue_.end(), IsOfJob),
-               Queue_.end());
+  const auto It = JobSlots_.find(Job);
+  if (It == JobSlots_.end())
+    return Removed;
+  for (const std::uint32_t Index : Jobs_[It->second].Waiting_)
+    Removed.emplace_back(Index);
+  dropWaiting(It->second);
   return Removed;
 }
 
 std::vector<TaskRef> Scheduler::expire(Time Now) {
   std::vector<TaskRef> Expired;
-  const auto IsPast = [&](const WaitingTask &T) {
-    if (!T.Deadline_ || *T.Deadline_ > Now)
-      return false;
-    Expired.push_back(T.Task_);
-    return true;
-  };
-  Queue_.erase(std::remove_if(Queue_.begin(), Queue_.end(), IsPast),
-               Queue_.end());
+  while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now) {
+    const JobSlot Slot = Deadlines_.begin()->second;
+    Deadlines_.erase(Deadlines_.begin());
+    for (const std::uint32_t Index : Jobs_[Slot].Waiting_)
+      Expired.push_back({Jobs_[Slot].Id_, TaskIndex(Index)});
+    dropWaiting(Slot);
+  }
+  releaseIdle();
   return Expired;
 }
 
-void Scheduler::onFinished(const TaskRef &, const AgentId &, RunOutcome,
-                           Duration, Time) {}
-void Scheduler::onRejected(const TaskRef &, const AgentId &, RejectReason,
-                           Time) {}
-void Scheduler::onLost(const TaskRef &, const AgentId &, Time) {}
-
-// A report counts the starts that the agent had received when it made it, so
-// starts that are still on their way are taken off the credit.
-std::uint32_t Scheduler::room(const AgentState &Agent) const {
-  if (Agent.Info_.Leaving_)
-    return 0;
-  const std::uint64_t OnTheWay =
-      Agent.StartsSent_ -
-      std::min(Agent.StartsSent_, Agent.Report_.StartsSeen_);
-  if (OnTheWay >= Agent.Report_.Credit_)
-    return 0;
-  return Agent.Report_.Credit_ - static_cast<std::uint32_t>(OnTheWay);
-}
-
-// Takes the agent with the most room for each task, until no agent has any. A
-// task whose service has no room does not hold back the tasks of other
-// services.
-std::vector<Placement> Scheduler::place(Time) {
-  std::vector<Placement> Placements;
-  std::deque<WaitingTask> Left;
-  const bool IsRandom = Config_.Placement_ == "random" && !Agents_.empty();
-  const auto HasRoom = [&](const auto &A) { return room(A.second) > 0; };
-  while (!Queue_.empty() &&
-         (IsRandom || std::any_of(Agents_.begin(), Agents_.end(), HasRoom))) {
-    WaitingTask Task = std::move(Queue_.front());
-    Queue_.pop_front();
-    if (IsRandom) {
-      const auto It = std::next(Agents_.begin(),
-                                static_cast<long>(Random_() % Agents_.size()));
-      Placements.push_back({Task.Task_, It->first, "random"});
-      ++It->second.StartsSent_;
+std::vector<Withdrawal> Scheduler::withdraw(Time Now) {
+  std::vector<Withdrawal> Gone;
+  for (TaskRef &Task : expire(Now))
+    Gone.push_back(
+        {std::move(Task), "deadline", "deadline passed before start"});
+  for (auto &[Name, Jobs] : Stranded_) {
+    const auto &Since = Services_[Name].EmptySince_;
+    if (!Since || *Since + Config_.NoEndpointWait_ > Now)
       continue;
-    }
-    AgentState *Best = nullptr;
-    const AgentId *BestId = nullptr;
-    for (auto &[Id, Agent] : Agents_) {
-      if (Agent.Info_.Service_ != Task.Service_ || room(Agent) == 0)
+    for (auto It = Jobs.begin(); It != Jobs.end();) {
+      const JobSlot Slot = *It;
+      if (Jobs_[Slot].Since_ + Config_.NoEndpointWait_ > Now) {
+        ++It;
         continue;
-      if (!Best || room(Agent) > room(*Best)) {
-        Best = &Agent;
-        BestId = &Id;
       }
+      for (const std::uint32_t Index : Jobs_[Slot].Waiting_)
+        Gone.push_back({{Jobs_[Slot].Id_, TaskIndex(Index)},
+                        "no_endpoint",
+                        "service " + Name.str() + " has no endpoint"});
+      It = Jobs.erase(It);
+      dropWaiting(Slot);
     }
-    if (!Best) {
-      Left.push_back(std::move(Task));
+  }
+  releaseIdle();
+  return Gone;
+}
+
+void Scheduler::countStart(std::uint32_t Kind, Time Now) {
+  KindRate &R = Rates_[Kind];
+  const auto Us = static_cast<double>((Now - R.Updated_).count());
+  R.PerSecond_ = R.PerSecond_ * std::exp(-Us / RateTimeUs) + 1e6 / RateTimeUs;
+  R.Updated_ = Now;
+}
+
+// The measured rate holds once the kind has been waiting for a while; before,
+// it may only show that little was asked for, and the guaranteed share counts.
+double Scheduler::startRate(std::uint32_t Kind, const KindName &Name,
+                            const ServiceName &Service, Time Now) const {
+  const KindRate &R = Rates_[Kind];
+  const auto Us = static_cast<double>((Now - R.Updated_).count());
+  const double Measured = R.PerSecond_ * std::exp(-Us / RateTimeUs);
+  if (R.BackloggedSince_ + RateTime < Now)
+    return Measured;
+  std::uint64_t Slots = 0;
+  const auto It = Services_.find(Service);
+  if (It != Services_.end())
+    for (const std::uint32_t A : It->second.Usable_)
+      Slots += Agents_[A].Info_.Slots_;
+  const auto MeanUs = static_cast<double>(Times_.expected(Name).count());
+  const double Guaranteed = Fair_.share(Kind) * static_cast<double>(Slots) /
+                            Fair_.entries() * 1e6 / std::max(MeanUs, 1.0);
+  return std::max(Measured, Guaranteed);
+}
+
+std::optional<Refusal> Scheduler::admitJob(const JobSpec &Spec,
+                                           Time Now) const {
+  if (!isFair())
+    return {};
+  AdmissionInput In;
+  In.Tasks_ = static_cast<std::uint32_t>(Spec.Tasks_.size());
+  In.Waiting_ = static_cast<std::uint32_t>(Waiting_);
+  In.MaxWaiting_ = Config_.MaxWaiting_;
+  In.MaxWait_ = Config_.MaxWait_;
+  In.Deadline_ = Spec.Deadline_;
+  In.NoEndpointWait_ = Config_.NoEndpointWait_;
+  const auto Kind = Fair_.findKind(Spec.Service_, Spec.Kind_);
+  if (Kind) {
+    In.KindWaiting_ = Fair_.kindWaiting(*Kind);
+    if (In.KindWaiting_ > 0)
+      In.KindRate_ = startRate(*Kind, Spec.Kind_, Spec.Service_, Now);
+  }
+  const auto Service = Services_.find(Spec.Service_);
+  if (Service != Services_.end() && Service->second.EmptySince_)
+    In.NoEndpointFor_ = Now - *Service->second.EmptySince_;
+  return admit(In);
+}
+
+// The job's state is kept until its last task has come back, because its place
+// in the order and its racks are still of use.
+std::optional<Scheduler::Flight> Scheduler::land(const TaskRef &Task,
+                                                 const AgentId &Agent,
+                                                 JobSlot &Slot, Time Now) {
+  const auto Job = JobSlots_.find(Task.Job_);
+  if (Job == JobSlots_.end())
+    return {};
+  Slot = Job->second;
+  const auto It = Flights_.find(flightKey(Slot, Task.Index_));
+  if (It == Flights_.end() || Agents_[It->second.Agent_].Id_ != Agent)
+    return {};
+  const Flight F = It->second;
+  Flights_.erase(It);
+  Fair_.onEnded(Slot);
+  JobState &J = Jobs_[Slot];
+  --J.InFlight_;
+  if (J.InFlight_ == 0 && J.Waiting_.empty())
+    IdleJobs_.push_back(Slot);
+  AgentState &A = Agents_[F.Agent_];
+  --A.InFlight_;
+  if (!A.Present_ && A.InFlight_ == 0)
+    FreeAgents_.push_back(F.Agent_);
+  else
+    refresh(F.Agent_, Now);
+  return F;
+}
+
+void Scheduler::onFinished(const TaskRef &Task, const AgentId &Agent,
+                           RunOutcome Outcome, Duration RunTime, Time Now) {
+  JobSlot Slot = 0;
+  const auto F = land(Task, Agent, Slot, Now);
+  if (!F || !Agents_[F->Agent_].Present_)
+    return;
+  const KindName &Kind = Jobs_[Slot].KindName_;
+  const bool Success = Outcome == RunOutcome::Success;
+  const bool Counts = Success && !Health_.isSetAside(F->Agent_);
+  Times_.onFinished(F->Agent_, Kind, flightKey(Slot, Task.Index_), RunTime,
+                    Counts, Now);
+  if (Counts) {
+    constexpr double Weight = 1.0 / 64;
+    const auto Us = static_cast<double>(RunTime.count());
+    RunMeanUs_ += (Us - RunMeanUs_) * (RunMeanUs_ > 0 ? Weight : 1);
+  }
+  if (Outcome != RunOutcome::Stopped)
+    Health_.onFinished(F->Agent_, Kind, Success, Now);
+  noteHealth(F->Agent_);
+  refresh(F->Agent_, Now);
+}
+
+void Scheduler::onRejected(const TaskRef &Task, const AgentId &Agent,
+                           RejectReason, Time Now) {
+  JobSlot Slot = 0;
+  if (const auto F = land(Task, Agent, Slot, Now))
+    Times_.onLost(F->Agent_, flightKey(Slot, Task.Index_));
+}
+
+void Scheduler::onLost(const TaskRef &Task, const AgentId &Agent, Time Now) {
+  JobSlot Slot = 0;
+  if (const auto F = land(Task, Agent, Slot, Now))
+    Times_.onLost(F->Agent_, flightKey(Slot, Task.Index_));
+}
+
+// A trial takes the least urgent work that is configured, because it may be
+// lost or late.
+std::optional<std::uint32_t> Scheduler::trialFor(ServiceState &Service,
+                                                 const JobState &Job) const {
+  if (Service.Trials_.empty() || Job.Class_ < LeastUrgent_)
+    return {};
+  return *Service.Trials_.begin();
+}
+
+Placement Scheduler::send(JobSlot Slot, std::uint32_t Agent, std::string Reason,
+                          Time Now) {
+  JobState &J = Jobs_[Slot];
+  AgentState &A = Agents_[Agent];
+  const TaskIndex Index(J.Waiting_.front());
+  J.Waiting_.pop_front();
+  --Waiting_;
+  Fair_.onWaiting(Slot, -1);
+  Fair_.onStarted(Slot, Now);
+  if (J.Waiting_.empty())
+    Fair_.removeJob(Slot);
+  ++J.InFlight_;
+  ++J.Racks_[A.Info_.Rack_];
+  ++A.InFlight_;
+  ++A.StartsSent_;
+  Flights_[flightKey(Slot, Index)] = {Agent};
+  Times_.onStarted(Agent, J.KindName_, flightKey(Slot, Index), Now);
+  countStart(J.Kind_, Now);
+  refresh(Agent, Now);
+  return {{J.Id_, Index}, A.Id_, std::move(Reason)};
+}
+
+std::vector<Placement> Scheduler::place(Time Now) {
+  releaseIdle();
+  if (Now >= NextEvaluation_)
+    evaluate(Now);
+  std::vector<Placement> Placements;
+  if (Waiting_ == 0)
+    return Placements;
+  const auto HasRoom = [&](const ServiceName &Name) {
+    return !Services_[Name].Index_.empty();
+  };
+  while (const auto Next = Fair_.next(HasRoom, Now)) {
+    const JobState &J = Jobs_[Next->Job_];
+    ServiceState &Service = Services_[J.Service_];
+    if (const auto Trial = trialFor(Service, J)) {
+      Health_.onTrial(*Trial, Now);
+      Placements.push_back(send(
+          Next->Job_, *Trial,
+          "trial of an endpoint set aside: " + Health_.reason(*Trial), Now));
       continue;
     }
-    Placements.push_back(
-        {Task.Task_, *BestId, "most room: " + std::to_string(room(*Best))});
-    ++Best->StartsSent_;
-  }
-  while (!Left.empty()) {
-    Queue_.push_front(std::move(Left.back()));
-    Left.pop_back();
+    const PlacementChoice Choice =
+        Strategy_(Service.Index_, {Zone_, &J.Racks_}, Random_);
+    Placements.push_back(send(Next->Job_, Choice.Agent_,
+                              Next->Reason_ + "; " + Choice.Reason_, Now));
   }
   return Placements;
 }
 
+void Scheduler::onUsage(const EntryId &Entry, const UsageSummary &Usage, Time) {
+  Fair_.onUsage(Entry, Usage);
+}
+
+std::vector<HealthChange> Scheduler::takeHealthChanges() {
+  std::vector<HealthChange> Changes;
+  Changes.swap(HealthChanges_);
+  return Changes;
+}
+
 } // namespace chivelanding
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -1,14 +1,20 @@
 #ifndef CHIVELANDING_SCHEDULER_H
 #define CHIVELANDING_SCHEDULER_H
 
+#include "admission.h"
+#include "endpoint_health.h"
+#include "fair_share.h"
 #include "job.h"
 #include "message.h"
+#include "placement.h"
 #include "policy_config.h"
+#include "service_times.h"
 
 #include <deque>
 #include <map>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace chivelanding {
@@ -43,11 +49,26 @@
   std::string Reason_;
 };
 
+/// A waiting task that will never be placed. Codes: deadline, no_endpoint.
+struct Withdrawal {
+  TaskRef Task_;
+  std::string Code_;
+  std::string Detail_;
+};
+
+/// A change of an endpoint's standing, for the decision log.
+struct HealthChange {
+  AgentId Agent_;
+  bool SetAside_ = false;
+  std::string Reason_;
+};
+
 /// Orders waiting tasks and chooses an agent for each, from the agents' last
 /// reports less the starts sent since.
 class Scheduler {
 public:
-  Scheduler() = default;
+  /// Default policy, seed 0, no availability zone.
+  Scheduler();
   /// Seed is that of random choices; Zone is the availability zone of the
   /// owner.
   Scheduler(PolicyConfig Config, std::uint64_t Seed, ZoneName Zone);
@@ -58,11 +79,16 @@
   void removeAgent(const AgentId &Agent, Time Now);
   void onReport(const AgentId &Agent, const AgentReport &Report, Time Now);
 
-  void enqueue(WaitingTask Task, Time Now);
+  /// Whether a new job may be taken; asked before its tasks are enqueued.
+  std::optional<Refusal> admitJob(const JobSpec &Spec, Time Now) const;
+  void enqueue(const WaitingTask &Task, Time Now);
   /// Removes the waiting tasks of a job and returns their indices.
   std::vector<TaskIndex> cancel(const JobId &Job, Time Now);
   /// Removes and returns waiting tasks whose deadline has passed.
   std::vector<TaskRef> expire(Time Now);
+  /// Removes and returns waiting tasks that can never run: their deadline has
+  /// passed, or their service has had no endpoint for too long.
+  std::vector<Withdrawal> withdraw(Time Now);
 
   void onFinished(const TaskRef &Task, const AgentId &Agent, RunOutcome Outcome,
                   Duration RunTime, Time Now);
@@ -74,21 +100,102 @@
   /// Sends as many waiting tasks as the agents have room for.
   std::vector<Placement> place(Time Now);
 
-  std::size_t waiting() const { return Queue_.size(); }
+  std::size_t waiting() const { return Waiting_; }
+
+  /// Usage at another entry, for quotas that the entries share; empty if the
+  /// entry is gone.
+  void onUsage(const EntryId &Entry, const UsageSummary &Usage, Time Now);
+  /// Usage at this entry, for the others.
+  UsageSummary usage() const { return Fair_.usage(); }
+  /// Changes since the last call.
+  std::vector<HealthChange> takeHealthChanges();
 
 private:
   struct AgentState {
+    AgentId Id_;
     EndpointInfo Info_;
     AgentReport Report_;
     std::uint64_t StartsSent_ = 0;
+    std::uint32_t InFlight_ = 0;
+    bool Present_ = false;
+    bool SetAside_ = false;
+  };
+  struct ServiceState {
+    PlacementIndex Index_;
+    /// Agents set aside that may get a trial task.
+    std::set<std::uint32_t> Trials_;
+    std::set<std::uint32_t> Usable_;
+    std::optional<Time> EmptySince_;
+  };
+  struct JobState {
+    JobId Id_;
+    ServiceName Service_;
+    KindName KindName_;
+    std::uint32_t Kind_ = 0;
+    PriorityClass Class_;
+    std::optional<Time> Deadline_;
+    Time Since_;
+    std::deque<std::uint32_t> Waiting_;
+    std::uint32_t InFlight_ = 0;
+    std::map<RackName, std::uint32_t> Racks_;
+  };
+  struct Flight {
+    std::uint32_t Agent_ = 0;
   };
-  std::uint32_t room(const AgentState &Agent) const;
+  /// Starts per second, and since when tasks of the kind are waiting.
+  struct KindRate {
+    double PerSecond_ = 0;
+    Time Updated_;
+    Time BackloggedSince_;
+  };
+
+  static std::uint64_t flightKey(JobSlot Job, TaskIndex Index) {
+    return (std::uint64_t{Job} << 32) | Index.value();
+  }
+  bool isFair() const { return Config_.Order_ == "fair_share"; }
+  JobSlot slotOf(const WaitingTask &Task, Time Now);
+  void releaseIdle();
+  void dropWaiting(JobSlot Job);
+  std::uint32_t room(std::uint32_t Agent, Time Now) const;
+  void refresh(std::uint32_t Agent, Time Now);
+  void refreshUsable(std::uint32_t Agent, Time Now);
+  void evaluate(Time Now);
+  void noteHealth(std::uint32_t Agent);
+  std::optional<std::uint32_t> trialFor(ServiceState &Service,
+                                        const JobState &Job) const;
+  std::optional<Flight> land(const TaskRef &Task, const AgentId &Agent,
+                             JobSlot &Slot, Time Now);
+  Placement send(JobSlot Slot, std::uint32_t Agent, std::string Reason,
+                 Time Now);
+  void countStart(std::uint32_t Kind, Time Now);
+  double startRate(std::uint32_t Kind, const KindName &Name,
+                   const ServiceName &Service, Time Now) const;
 
   PolicyConfig Config_;
   ZoneName Zone_;
   std::mt19937_64 Random_;
-  std::map<AgentId, AgentState> Agents_;
-  std::deque<WaitingTask> Queue_;
+  PlacementStrategy Strategy_ = nullptr;
+  PriorityClass LeastUrgent_;
+  FairShare Fair_;
+  ServiceTimes Times_;
+  EndpointHealth Health_;
+  double RunMeanUs_ = 0;
+  std::vector<AgentState> Agents_;
+  std::vector<std::uint32_t> FreeAgents_;
+  std::map<AgentId, std::uint32_t> AgentNumbers_;
+  std::map<ServiceName, ServiceState> Services_;
+  std::vector<JobState> Jobs_;
+  std::vector<JobSlot> FreeJobs_;
+  std::vector<JobSlot> IdleJobs_;
+  std::unordered_map<JobId, JobSlot> JobSlots_;
+  std::unordered_map<std::uint64_t, Flight> Flights_;
+  std::set<std::pair<Time, JobSlot>> Deadlines_;
+  /// Jobs by service, for those that wait for a service without endpoints.
+  std::map<ServiceName, std::set<JobSlot>> Stranded_;
+  std::vector<KindRate> Rates_;
+  std::vector<HealthChange> HealthChanges_;
+  std::size_t Waiting_ = 0;
+  Time NextEvaluation_;
 };
 
 } // namespace chivelanding
--- /dev/null
+++ b/src/scheduler_agents.cpp
@@ -0,0 +1,161 @@
+#include "scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivelanding {
+
+namespace {
+
+/// Round trip that an agent's local queue is to hide.
+constexpr double RoundTripUs = 3000;
+/// Part of a task below which a queue is not worth its effect on the order.
+constexpr double QueueSlack = 0.1;
+/// Time between two judgements of the endpoints' speed.
+constexpr Duration EvaluationPeriod = std::chrono::milliseconds(100);
+
+} // namespace
+
+void Scheduler::addAgent(const AgentId &Id, const EndpointInfo &Info,
+                         Time Now) {
+  auto It = AgentNumbers_.find(Id);
+  if (It == AgentNumbers_.end()) {
+    auto Number = static_cast<std::uint32_t>(Agents_.size());
+    if (FreeAgents_.empty()) {
+      Agents_.emplace_back();
+    } else {
+      Number = FreeAgents_.back();
+      FreeAgents_.pop_back();
+    }
+    Agents_[Number] = AgentState();
+    Agents_[Number].Id_ = Id;
+    It = AgentNumbers_.emplace(Id, Number).first;
+  }
+  AgentState &A = Agents_[It->second];
+  if (A.Present_ && A.Info_.Service_ != Info.Service_) {
+    Services_[A.Info_.Service_].Index_.remove(It->second);
+    Services_[A.Info_.Service_].Trials_.erase(It->second);
+    A.Present_ = false;
+    refreshUsable(It->second, Now);
+  }
+  A.Info_ = Info;
+  A.Present_ = true;
+  Health_.addAgent(It->second, Info.Service_);
+  refreshUsable(It->second, Now);
+  refresh(It->second, Now);
+}
+
+void Scheduler::removeAgent(const AgentId &Id, Time Now) {
+  const auto It = AgentNumbers_.find(Id);
+  if (It == AgentNumbers_.end())
+    return;
+  const std::uint32_t Number = It->second;
+  AgentNumbers_.erase(It);
+  AgentState &A = Agents_[Number];
+  A.Present_ = false;
+  refresh(Number, Now);
+  refreshUsable(Number, Now);
+  Health_.removeAgent(Number);
+  Times_.removeAgent(Number);
+  if (A.InFlight_ == 0)
+    FreeAgents_.push_back(Number);
+}
+
+void Scheduler::onReport(const AgentId &Id, const AgentReport &Report,
+                         Time Now) {
+  const auto It = AgentNumbers_.find(Id);
+  if (It == AgentNumbers_.end())
+    return;
+  Agents_[It->second].Report_ = Report;
+  refresh(It->second, Now);
+}
+
+// A report counts the starts that the agent had received when it made it, so
+// starts that are still on their way are taken off. Beyond the free slots only
+// as many tasks are sent as one round trip takes at the usual run time: a task
+// that waits at an agent is bound to its few slots, while a task that waits
+// here takes the first slot of the whole fleet.
+std::uint32_t Scheduler::room(std::uint32_t Number, Time Now) const {
+  const AgentState &A = Agents_[Number];
+  if (!A.Present_ || A.Info_.Leaving_)
+    return 0;
+  std::uint64_t Room = A.Report_.Credit_;
+  if (isFair() && Config_.Placement_ == "credits") {
+    const double Ahead =
+        RunMeanUs_ > 0 ? A.Info_.Slots_ * RoundTripUs / RunMeanUs_ : 0;
+    const auto Queue = static_cast<std::uint64_t>(
+        std::ceil(std::max(0.0, Ahead - QueueSlack)));
+    Room = std::min<std::uint64_t>(Room, A.Report_.FreeSlots_ + Queue);
+  }
+  const std::uint64_t OnTheWay =
+      A.StartsSent_ - std::min(A.StartsSent_, A.Report_.StartsSeen_);
+  Room -= std::min(Room, OnTheWay);
+  if (isFair()) {
+    const std::uint64_t Window = Health_.window(Number, Now);
+    Room =
+        std::min(Room, Window - std::min<std::uint64_t>(Window, A.InFlight_));
+  }
+  return static_cast<std::uint32_t>(Room);
+}
+
+void Scheduler::refresh(std::uint32_t Number, Time Now) {
+  const AgentState &A = Agents_[Number];
+  const auto It = Services_.find(A.Info_.Service_);
+  if (It == Services_.end())
+    return;
+  const std::uint32_t Room = room(Number, Now);
+  const bool IsTrial = isFair() && Health_.isSetAside(Number) &&
+                       Health_.window(Number, Now) <= 1;
+  It->second.Index_.set(Number, A.Info_.Zone_, A.Info_.Rack_,
+                        IsTrial ? 0 : Room);
+  if (IsTrial && Room > 0)
+    It->second.Trials_.insert(Number);
+  else
+    It->second.Trials_.erase(Number);
+}
+
+// A service is without endpoints while no agent of it has slots.
+void Scheduler::refreshUsable(std::uint32_t Number, Time Now) {
+  const AgentState &A = Agents_[Number];
+  ServiceState &S = Services_[A.Info_.Service_];
+  if (A.Present_ && !A.Info_.Leaving_ && A.Info_.Slots_ > 0) {
+    S.Usable_.insert(Number);
+    S.EmptySince_.reset();
+    Stranded_.erase(A.Info_.Service_);
+    return;
+  }
+  S.Usable_.erase(Number);
+  if (!S.Usable_.empty() || S.EmptySince_)
+    return;
+  S.EmptySince_ = Now;
+  for (JobSlot Slot = 0; Slot < Jobs_.size(); ++Slot)
+    if (!Jobs_[Slot].Id_.Key_.empty() &&
+        Jobs_[Slot].Service_ == A.Info_.Service_)
+      Stranded_[A.Info_.Service_].insert(Slot);
+}
+
+void Scheduler::noteHealth(std::uint32_t Number) {
+  AgentState &A = Agents_[Number];
+  const bool SetAside = Health_.isSetAside(Number);
+  if (SetAside == A.SetAside_)
+    return;
+  A.SetAside_ = SetAside;
+  HealthChanges_.push_back(
+      {A.Id_, SetAside,
+       SetAside ? Health_.reason(Number) : "trial tasks succeeded"});
+}
+
+void Scheduler::evaluate(Time Now) {
+  NextEvaluation_ = Now + EvaluationPeriod;
+  if (!isFair())
+    return;
+  for (std::uint32_t A = 0; A < Agents_.size(); ++A) {
+    if (!Agents_[A].Present_)
+      continue;
+    Health_.onSlowness(A, Times_.slowness(A, Now), Now);
+    noteHealth(A);
+    refresh(A, Now);
+  }
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/service_times.cpp
@@ -0,0 +1,107 @@
+#include "service_times.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivelanding {
+
+namespace {
+
+constexpr Duration UnknownTime = std::chrono::milliseconds(250);
+/// Runs over which the mean of a kind is taken.
+constexpr double MeanRuns = 256;
+/// Half-life of what is known about an endpoint.
+constexpr double HalfLifeUs = 10e6;
+/// Runs at the usual speed that an endpoint is credited with; fewer would let
+/// one long task make an idle endpoint look slow.
+constexpr double PriorRuns = 4;
+/// A single run counts for at most this many expected run times, so that the
+/// tail of the run times does not look like a slow endpoint.
+constexpr double RunCap = 4;
+
+} // namespace
+
+void ServiceTimes::onHint(const KindName &Kind, Duration Hint) {
+  if (Hint.count() > 0)
+    Kinds_[Kind].Hint_ = Hint;
+}
+
+Duration ServiceTimes::expected(const KindName &Kind) const {
+  const auto It = Kinds_.find(Kind);
+  if (It == Kinds_.end())
+    return UnknownTime;
+  if (It->second.Runs_ > 0)
+    return Duration(static_cast<std::int64_t>(It->second.MeanUs_));
+  return It->second.Hint_.count() > 0 ? It->second.Hint_ : UnknownTime;
+}
+
+// The expected time is taken at the start of a run: a later change of the mean
+// must not make old runs look slow.
+void ServiceTimes::onStarted(std::uint32_t Agent, const KindName &Kind,
+                             std::uint64_t Task, Time Now) {
+  const auto It = Kinds_.find(Kind);
+  const bool IsKnown = It != Kinds_.end() && It->second.Runs_ > 0;
+  Agents_[Agent].Running_.push_back(
+      {Task, Now, IsKnown ? It->second.MeanUs_ : 0});
+}
+
+void ServiceTimes::decay(AgentTimes &Agent, Time Now) {
+  const auto Us = static_cast<double>((Now - Agent.Decayed_).count());
+  const double Factor = std::exp2(-Us / HalfLifeUs);
+  Agent.Taken_ *= Factor;
+  Agent.Ended_ *= Factor;
+  Agent.Decayed_ = Now;
+}
+
+void ServiceTimes::onFinished(std::uint32_t Agent, const KindName &Kind,
+                              std::uint64_t Task, Duration RunTime, bool Counts,
+                              Time Now) {
+  AgentTimes &A = Agents_[Agent];
+  const auto It =
+      std::find_if(A.Running_.begin(), A.Running_.end(),
+                   [&](const Running &R) { return R.Task_ == Task; });
+  const auto Us = static_cast<double>(RunTime.count());
+  if (It != A.Running_.end()) {
+    if (It->ExpectedUs_ > 0) {
+      decay(A, Now);
+      A.Taken_ += std::min(Us / It->ExpectedUs_, RunCap);
+      A.Ended_ += 1;
+    }
+    *It = A.Running_.back();
+    A.Running_.pop_back();
+  }
+  if (!Counts)
+    return;
+  KindTimes &K = Kinds_[Kind];
+  ++K.Runs_;
+  const double Runs = std::min(static_cast<double>(K.Runs_), MeanRuns);
+  K.MeanUs_ += (Us - K.MeanUs_) / Runs;
+}
+
+void ServiceTimes::onLost(std::uint32_t Agent, std::uint64_t Task) {
+  const auto A = Agents_.find(Agent);
+  if (A == Agents_.end())
+    return;
+  auto &List = A->second.Running_;
+  List.erase(std::remove_if(List.begin(), List.end(),
+                            [&](const Running &R) { return R.Task_ == Task; }),
+             List.end());
+}
+
+void ServiceTimes::removeAgent(std::uint32_t Agent) { Agents_.erase(Agent); }
+
+double ServiceTimes::slowness(std::uint32_t Agent, Time Now) const {
+  const auto It = Agents_.find(Agent);
+  if (It == Agents_.end())
+    return 1;
+  AgentTimes A = It->second;
+  decay(A, Now);
+  for (const Running &R : A.Running_)
+    if (R.ExpectedUs_ > 0)
+      A.Taken_ += std::min(static_cast<double>((Now - R.Start_).count()) /
+                               R.ExpectedUs_,
+                           RunCap);
+  return (A.Taken_ + PriorRuns) / (A.Ended_ + PriorRuns);
+}
+
+} // namespace chivelanding
