--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,8 @@
     {"bench", "run a built-in benchmark", runBench},
     {"settings", "print the page of all settings", runSettings},
     {"events", "print the catalogue of log events", runEvents},
+    {"entry", "run an entry", runEntry},
+    {"agent", "run the agent beside an endpoint", runAgent},
     {"version", "print the version", runVersion},
 };
 
