--- a/src/config_runner.cpp
+++ b/src/config_runner.cpp
@@ -13,11 +13,6 @@
 
 } // namespace
 
-Time steadyNow() {
-  return Time(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 ConfigRunner::ConfigRunner(boost::asio::io_context &Context,
                            LogTransport &Transport, FollowerOptions Options,
                            Callbacks Calls)
--- a/src/log_client.h
+++ b/src/log_client.h
@@ -2,6 +2,7 @@
 #define CHIVELANDING_LOG_CLIENT_H
 
 #include "config_follower.h"
+#include "http.h"
 #include "result.h"
 
 #include <cstdint>
@@ -10,28 +11,14 @@
 
 namespace chivelanding {
 
-/// One HTTP request to the log.
-struct LogRequest {
-  std::string Method_;
-  std::string Target_;
-  std::string Body_;
-  /// Time after which the request is given up.
-  Duration Timeout_{0};
-};
-
-struct LogResponse {
-  unsigned Status_ = 0;
-  std::string Body_;
-};
-
 /// Sends requests to one address. The callback is called exactly once, later
-/// than send returns. Error codes: not_sent (no connection; nothing of the
-/// request has left), timeout, connection_lost.
+/// than send returns. Error codes: connect_failed (nothing of the request has
+/// left), timeout, connection_lost, cancelled, bad_response.
 class LogTransport {
 public:
   virtual ~LogTransport() = default;
-  using Callback = std::function<void(Result<LogResponse>)>;
-  virtual void send(LogRequest Request, Callback Done) = 0;
+  using Callback = std::function<void(Result<HttpResponse>)>;
+  virtual void send(HttpRequest Request, Duration Timeout, Callback Done) = 0;
 };
 
 /// True if the failed append has certainly not been written and will not be.
