--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -194,8 +194,8 @@
   return std::max(Measured, Guaranteed);
 }
 
-std::optional<Refusal> Scheduler::admitJob(const JobSpec &Spec,
-                                           Time Now) const {
+std::optional<AdmissionRefusal> Scheduler::admitJob(const JobSpec &Spec,
+                                                    Time Now) const {
   if (!isFair())
     return {};
   AdmissionInput In;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -80,7 +80,7 @@
   void onReport(const AgentId &Agent, const AgentReport &Report, Time Now);
 
   /// Whether a new job may be taken; asked before its tasks are enqueued.
-  std::optional<Refusal> admitJob(const JobSpec &Spec, Time Now) const;
+  std::optional<AdmissionRefusal> admitJob(const JobSpec &Spec, Time Now) const;
   void enqueue(const WaitingTask &Task, Time Now);
   /// Removes the waiting tasks of a job and returns their indices.
   std::vector<TaskIndex> cancel(const JobId &Job, Time Now);
