--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -9,6 +9,10 @@
 // a replaced VM usually returns under another address.
 constexpr Duration ForgetAddressAfter = std::chrono::minutes(10);
 
+// Lost times that an entry without any usable agent waits for its peers before
+// it gives up its incarnation; a recovery that would help ends within two.
+constexpr int StrandedAfter = 3;
+
 // Entries that callers named in tokens and that were never heard; callers may
 // send any number of made-up tokens.
 constexpr std::size_t MaxEntries = 4096;
@@ -92,9 +96,32 @@
   MembershipOutputs Out;
   Now_ = Now;
   judgeEntries(Out);
+  if (!isStranded()) {
+    StrandedSince_.reset();
+  } else if (!StrandedSince_) {
+    StrandedSince_ = Now;
+  } else if (Now - *StrandedSince_ >= StrandedAfter * LostAfter_) {
+    StrandedSince_.reset();
+    Out.push_back(Stranded());
+  }
   return Out;
 }
 
+// The close of a silent peer must be confirmed by an agent that it knows from
+// us. If all of these are gone too, it cannot be, and the peer might still
+// reach them and resume our jobs.
+bool Membership::isStranded() const {
+  bool Blocked = false;
+  for (const auto &[Id, Agent] : Agents_) {
+    if (!Agent.Up_ || Agent.Suspected_ || !Agent.Info_)
+      continue;
+    if (Agent.Usable_)
+      return false;
+    Blocked = true;
+  }
+  return Blocked;
+}
+
 bool Membership::isHeard(const AgentId &Agent) const {
   const auto It = Agents_.find(Agent);
   return It != Agents_.end() && It->second.Up_ && !It->second.Suspected_;
@@ -201,14 +228,10 @@
   return Out;
 }
 
-// What a suspected agent last said of the entries it hears is old, so it counts
-// again only with its next EntriesHeard.
 MembershipOutputs Membership::onAgentHeard(const AgentId &Agent, Time) {
   const auto It = Agents_.find(Agent);
-  if (It != Agents_.end()) {
+  if (It != Agents_.end())
     It->second.Suspected_ = false;
-    It->second.Hears_.reset();
-  }
   return {};
 }
 
@@ -363,10 +386,9 @@
   const auto It = Entries_.find(Entry);
   if (It != Entries_.end())
     List = It->second.Announced_;
-  if (!knowsAllAgentsOf(Entry))
-    for (const auto &[Id, Agent] : Agents_)
-      if (Agent.Info_)
-        List.insert({Id, Agent.Info_->Service_});
+  for (const auto &[Id, Agent] : Agents_)
+    if (Agent.Info_)
+      List.insert({Id, Agent.Info_->Service_, false});
   return {List.begin(), List.end()};
 }
 
--- /dev/null
+++ b/tests/fuzz_entry.h
@@ -0,0 +1,45 @@
+#ifndef CHIVELANDING_TESTS_FUZZ_ENTRY_H
+#define CHIVELANDING_TESTS_FUZZ_ENTRY_H
+
+#include "entry_core.h"
+#include "fuzz_node.h"
+
+#include <memory>
+
+namespace chivelanding::fuzz {
+
+/// An entry with the decision modules of the real one.
+class EntryNode : public Node {
+public:
+  EntryNode(Environment &World, const PeerId &Self, const std::string &Zone,
+            std::vector<std::string> Seeds);
+
+  OwnerToken token() { return Core_->token(now()); }
+  void submit(RequestId Request, JobSpec Spec);
+  void cancel(const JobId &Job);
+  void drain() override;
+  std::size_t openJobs() const { return Core_->openJobs(); }
+  /// Starts anew after a close: waiting submissions that another entry is to
+  /// answer pass to the new incarnation, the others are answered as unknown.
+  void rejoin(const PeerId &Self);
+
+private:
+  void onPeerUp(const PeerId &P) override;
+  void onPeerSuspected(const PeerId &P) override;
+  void onPeerHeard(const PeerId &P) override;
+  void onPeerLost(const PeerId &P) override;
+  void onMessage(const PeerId &From, const Message &M) override;
+  void onTick() override;
+  std::unique_ptr<EntryCore> makeCore();
+  void give(ReplyId Reply, const JobAnswer &Answer);
+
+  std::unique_ptr<EntryCore> Core_;
+  std::map<ReplyId, RequestId> Waiting_;
+  std::uint64_t NextReply_ = 1;
+  std::optional<Time> DrainUntil_;
+  bool MustRejoin_ = false;
+};
+
+} // namespace chivelanding::fuzz
+
+#endif
