--- a/src/cli.h
+++ b/src/cli.h
@@ -53,7 +53,7 @@
 /// Prints a version of the configuration.
 int runShow(const Arguments &Args);
 /// Shows which processes have which version.
-int runStatus(const Arguments &Args);
+int runVersions(const Arguments &Args);
 
 } // namespace chivelanding
 
--- a/src/cli_admin.cpp
+++ b/src/cli_admin.cpp
@@ -119,8 +119,8 @@
   }
 }
 
-int runStatus(const Arguments &Args) {
-  CommandOptions Options("status",
+int runVersions(const Arguments &Args) {
+  CommandOptions Options("versions",
                          "Shows which processes have which version of the "
                          "configuration: the entry that is\nasked and every "
                          "process connected to it.",
--- a/src/cli_config_publish.cpp
+++ b/src/cli_config_publish.cpp
@@ -193,7 +193,7 @@
   if (IsDone)
     return ExitOk;
   std::fprintf(stderr, "chivelanding: accepted, but not known to be in force "
-                       "everywhere; see chivelanding status\n");
+                       "everywhere; see chivelanding versions\n");
   return ExitUnknown;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,7 +12,7 @@
     {"publish", "publish a change of the configuration", runPublish},
     {"history", "list the changes in the log", runHistory},
     {"show", "print a version of the configuration", runShow},
-    {"status", "show which processes have which version", runStatus},
+    {"versions", "show which processes have which version", runVersions},
     {"bench", "run a built-in benchmark", runBench},
     {"settings", "print the page of all settings", runSettings},
     {"events", "print the catalogue of log events", runEvents},
