Answer accepted jobs as not_run only after an agent's confirmation

Change: WithdrawJobs makes a tombstone at one agent before the answer; adopted tasks in doubt are never sent again; proof needs a grant at an agent that the owner announced.

--- a/src/agent_gate.cpp
+++ b/src/agent_gate.cpp
@@ -130,6 +130,8 @@
     onCancel(From, *Cancel, Now, Out);
   else if (const auto *Ended = std::get_if<JobEnded>(&M))
     onEnded(From, *Ended);
+  else if (const auto *Withdraw = std::get_if<WithdrawJobs>(&M))
+    onWithdraw(From, *Withdraw, Now, Out);
   else if (const auto *Expired = std::get_if<EpochsExpired>(&M))
     onExpired(From, *Expired);
   else if (const auto *Close = std::get_if<CloseIncarnation>(&M))
@@ -326,6 +328,18 @@
     Records_.end(*Job, From);
 }
 
+// Makes tombstones of jobs that this agent may never have seen.
+void AgentGate::onWithdraw(const EntryId &From, const WithdrawJobs &Withdraw,
+                           Time Now, GateOutputs &Out) {
+  JobsWithdrawn Reply;
+  for (const JobId &Id : Withdraw.Jobs_) {
+    const bool Done = Records_.receiverOf(Id.Token_.Owner_) == From &&
+                      Records_.withdraw(Id, From, Now);
+    (Done ? Reply.Jobs_ : Reply.Refused_).push_back(Id);
+  }
+  send(From, std::move(Reply), Out);
+}
+
 void AgentGate::onExpired(const EntryId &From, const EpochsExpired &Expired) {
   const auto It = Records_.owners().find(From);
   if (It != Records_.owners().end())
--- a/src/agent_gate.h
+++ b/src/agent_gate.h
@@ -112,6 +112,8 @@
   void onCancel(const EntryId &From, const CancelTasks &Cancel, Time Now,
                 GateOutputs &Out);
   void onEnded(const EntryId &From, const JobEnded &Ended);
+  void onWithdraw(const EntryId &From, const WithdrawJobs &Withdraw, Time Now,
+                  GateOutputs &Out);
   void onExpired(const EntryId &From, const EpochsExpired &Expired);
   void onClose(const EntryId &From, const EntryId &Entry, Time Now,
                GateOutputs &Out);
--- a/src/agent_table.cpp
+++ b/src/agent_table.cpp
@@ -6,6 +6,7 @@
   AgentState &State = Agents_[Agent];
   const bool IsNew = State.Service_ != Info.Service_;
   State.Service_ = Info.Service_;
+  Served_.insert(Info.Service_);
   return IsNew;
 }
 
@@ -13,10 +14,9 @@
   Agents_[Agent].Sent_.insert(Task);
 }
 
-void AgentTable::removeSent(const AgentId &Agent, TaskKey Task) {
+bool AgentTable::removeSent(const AgentId &Agent, TaskKey Task) {
   const auto It = Agents_.find(Agent);
-  if (It != Agents_.end())
-    It->second.Sent_.erase(Task);
+  return It != Agents_.end() && It->second.Sent_.erase(Task) != 0;
 }
 
 std::set<TaskKey> AgentTable::remove(const AgentId &Agent) {
@@ -37,6 +37,16 @@
     State.Sent_.clear();
 }
 
+std::vector<AgentId> AgentTable::withdrawers(const ServiceName &Service,
+                                             const EntryId *ClosedOwner) const {
+  std::vector<AgentId> Found;
+  for (const auto &[Agent, State] : Agents_)
+    if (ClosedOwner ? State.Granted_.count(*ClosedOwner) != 0
+                    : State.Service_ == Service)
+      Found.push_back(Agent);
+  return Found;
+}
+
 std::vector<AgentId> AgentTable::all() const {
   std::vector<AgentId> Found;
   for (const auto &[Agent, State] : Agents_)
--- a/src/agent_table.h
+++ b/src/agent_table.h
@@ -19,13 +19,22 @@
   /// Returns true if the agent is new or serves another service now.
   bool announce(const AgentId &Agent, const EndpointInfo &Info);
   void addSent(const AgentId &Agent, TaskKey Task);
-  void removeSent(const AgentId &Agent, TaskKey Task);
+  /// Returns false if the task was not recorded as sent to the agent.
+  bool removeSent(const AgentId &Agent, TaskKey Task);
   /// Forgets the agent and returns the tasks sent to it.
   std::set<TaskKey> remove(const AgentId &Agent);
   /// Records the grant for a closed owner's jobs; returns false if it was
   /// recorded before.
   bool addGrant(const AgentId &Agent, const EntryId &Owner);
   void clearSent();
+  /// Agents at which a job of this owner and service can be withdrawn: those of
+  /// the service, or those with the grant if the owner is closed.
+  std::vector<AgentId> withdrawers(const ServiceName &Service,
+                                   const EntryId *ClosedOwner) const;
+  /// True if an agent of the service was ever used.
+  bool everServed(const ServiceName &Service) const {
+    return Served_.count(Service) != 0;
+  }
 
   std::vector<AgentId> all() const;
   std::vector<AgentId> ofService(const ServiceName &Service) const;
@@ -37,6 +46,7 @@
     std::set<EntryId> Granted_;
   };
   std::map<AgentId, AgentState> Agents_;
+  std::set<ServiceName> Served_;
 };
 
 } // namespace chivelanding
--- a/src/gate_records.cpp
+++ b/src/gate_records.cpp
@@ -120,6 +120,19 @@
   }
 }
 
+// A forgotten epoch refuses all its jobs and needs no tombstone.
+bool GateRecords::withdraw(const JobId &Id, const EntryId &By, Time Now) {
+  OwnerRecord &Owner = owner(Id.Token_.Owner_, Now);
+  if (Id.Token_.Epoch_ < Owner.Oldest_)
+    return true;
+  JobRecord &Job = Owner.Jobs_[Id];
+  if (std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
+                  [](const auto &T) { return T.second.started(); }))
+    return false;
+  end(Job, By);
+  return true;
+}
+
 // Jobs with live tasks stay as tombstones until the next call.
 void GateRecords::forget(OwnerRecord &Owner, Epoch Oldest) {
   Owner.Oldest_ = std::max(Owner.Oldest_, Oldest);
--- a/src/gate_records.h
+++ b/src/gate_records.h
@@ -96,6 +96,9 @@
                   std::string Result);
   /// Shrinks a job to its tombstone, except for its live tasks.
   void end(JobRecord &Job, const EntryId &By);
+  /// Makes the job a tombstone, known or not; returns false if a task of it has
+  /// started.
+  bool withdraw(const JobId &Id, const EntryId &By, Time Now);
   /// Drops the jobs of epochs before Oldest.
   void forget(OwnerRecord &Owner, Epoch Oldest);
   /// Drops the records of owners that have been gone or closed for Retention.
--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -13,24 +13,15 @@
 
 JobOwner::JobOwner(EntryId Self, OwnerLimits Limits, Scheduler &Sched,
                    Time Start, std::uint64_t Seed)
-    : Self_(std::move(Self)), Limits_(Limits), Sched_(Sched), Start_(Start),
-      Retries_(Seed), Jobs_(Limits.ResultBytes_,
-                            Limits.TokenEpoch_ * (Limits.EpochsAccepted_ + 1)) {
-}
+    : JobProgress(Sched, Limits.ResultBytes_,
+                  Limits.TokenEpoch_ * (Limits.EpochsAccepted_ + 1), Seed),
+      Self_(std::move(Self)), Limits_(Limits), Start_(Start) {}
 
 OwnerToken JobOwner::token(Time Now) const {
   const auto Steps = (Now - Start_) / Limits_.TokenEpoch_;
   return {Self_, Epoch(static_cast<std::uint64_t>(Steps))};
 }
 
-void JobOwner::refuse(const JobId &Id, ReplyId Reply, JobAnswer Answer,
-                      OwnerOutputs &Out) const {
-  Out.push_back(jobEvent(
-      events::JobRefused, Id,
-      {{"code", Answer.Code_}, {"outcome", outcomeName(Answer.Outcome_)}}));
-  Out.push_back(GiveAnswer{Reply, Id, std::move(Answer)});
-}
-
 // A key of an accepted epoch without a record has never been accepted, so its
 // refusal is "not run".
 std::optional<JobAnswer> JobOwner::refusalOf(const JobSpec &Spec,
@@ -62,7 +53,7 @@
     return Out;
   }
   if (auto Refusal = refusalOf(Spec, Now)) {
-    refuse(Spec.Id_, Reply, std::move(*Refusal), Out);
+    refuseSubmission(Spec.Id_, Reply, std::move(*Refusal), Out);
     return Out;
   }
   OwnedJob &J = Jobs_.add(std::move(Spec), false, Now);
@@ -85,10 +76,11 @@
                       OwnerOutputs &Out) {
   const JobId &Id = J.Spec_.Id_;
   if (bodyHash(Spec) != J.BodyHash_)
-    return refuse(Id, Reply,
-                  plainAnswer(Outcome::Unknown, "body_mismatch",
-                              "this key was used for another request"),
-                  Out);
+    return refuseSubmission(
+        Id, Reply,
+        plainAnswer(Outcome::Unknown, "body_mismatch",
+                    "this key was used for another request"),
+        Out);
   Out.push_back(jobEvent(events::JobAttached, Id,
                          {{"answered", J.Answered_ ? "true" : "false"}}));
   if (J.Answered_) {
@@ -98,9 +90,10 @@
   Jobs_.addReply(J, Reply);
 }
 
-// Tasks that are running elsewhere are awaited like tasks that were sent from
-// here: their ends come from the agents, which know this entry as the holder of
-// the grant.
+// A task in doubt is not sent again, not even of an idempotent request: its
+// owner may have answered already. Running tasks are awaited like tasks that
+// were sent from here: their ends come from the agents, which know this entry
+// as the holder of the grant.
 OwnerOutputs JobOwner::onAdopt(AdoptedJob Job, ReplyId Reply, Time Now) {
   const JobId Id = Job.Spec_.Id_;
   if (Jobs_.contains(Id) || ClosedBy_)
@@ -144,11 +137,10 @@
       return enqueue(J, Index, Now);
     return settle(J, Index, TaskPhase::Cancelled);
   case TaskState::Unknown:
-    T.Phase_ = TaskPhase::Sent;
-    return loseTask(J, Index,
-                    "the owner was lost, and not every agent proved "
-                    "that the task had not started",
-                    Now, Out);
+    settle(J, Index, TaskPhase::Unknown);
+    return fail(J, "owner_lost",
+                "the owner was lost, and no agent knows the task's end", Now,
+                Out);
   }
 }
 
@@ -162,6 +154,7 @@
   Out.push_back(jobEvent(events::JobCancelled, Id));
   fail(*J, "cancelled", "cancelled by the caller", Now, Out);
   answerIfDone(*J, Now, Out);
+  place(Now, Out);
   return Out;
 }
 
@@ -223,6 +216,8 @@
     onFinished(Agent, *End, Now, Out);
   else if (const auto *Rejected = std::get_if<TasksRejected>(&M))
     onRejected(Agent, *Rejected, Now, Out);
+  else if (const auto *Withdrawn = std::get_if<JobsWithdrawn>(&M))
+    onWithdrawn(Agent, *Withdrawn, Now, Out);
   place(Now, Out);
   return Out;
 }
@@ -280,40 +275,20 @@
   answerIfDone(*Jobs_.find(Rejected.Job_), Now, Out);
 }
 
-// A rejection is proof, so the task may be sent again. An adopted job whose
-// grant is gone is the exception: another entry may start the task now.
-void JobOwner::rejectTask(OwnedJob &J, std::uint32_t Index, RejectReason Reason,
-                          Time Now, OwnerOutputs &Out) {
-  const bool Refused =
-      Reason == RejectReason::NotOwner || Reason == RejectReason::Closed;
-  if (J.Adopted_ && Refused) {
-    settle(J, Index, TaskPhase::Unknown);
-    return fail(J, "grant_lost", "another entry resumes this job", Now, Out);
-  }
-  if (!J.FailCode_.empty())
-    return settle(J, Index, TaskPhase::Cancelled);
-  if (Reason == RejectReason::Deadline) {
-    settle(J, Index, TaskPhase::Cancelled);
-    return fail(J, "deadline", "deadline passed before start", Now, Out);
-  }
-  if (Reason == RejectReason::Closed) {
-    settle(J, Index, TaskPhase::Cancelled);
-    return fail(J, "epoch_refused", "an agent refuses the token's epoch", Now,
-                Out);
-  }
-  enqueue(J, Index, Now);
-}
-
 OwnerOutputs JobOwner::onAgentLost(const AgentId &Agent, Time Now) {
   OwnerOutputs Out;
   Sched_.removeAgent(Agent, Now);
   std::set<std::uint64_t> Touched;
   for (const auto &[Number, Index] : Agents_.remove(Agent)) {
     OwnedJob &J = Jobs_.byNumber(Number);
+    Touched.insert(Number);
+    if (Index == WithdrawalIndex) {
+      J.Withdrawing_ = false;
+      continue;
+    }
     if (J.Tasks_[Index].Placed_)
       Sched_.onLost({J.Spec_.Id_, TaskIndex(Index)}, Agent, Now);
     loseTask(J, Index, "agent " + Agent.str() + " was lost", Now, Out);
-    Touched.insert(Number);
   }
   for (const std::uint64_t Number : Touched)
     answerIfDone(Jobs_.byNumber(Number), Now, Out);
@@ -321,140 +296,6 @@
   return Out;
 }
 
-// Collects the placements of one job and agent into one message. Before the
-// first start of an adopted job at an agent that its owner had not used, the
-// owner is closed there too; the agent then takes starts from here.
-void JobOwner::place(Time Now, OwnerOutputs &Out) {
-  std::map<std::pair<AgentId, std::uint64_t>, StartTasks> Starts;
-  for (Placement &P : Sched_.place(Now)) {
-    OwnedJob &J = *Jobs_.find(P.Task_.Job_);
-    const std::uint32_t Index = P.Task_.Index_.value();
-    OwnedTask &Task = J.Tasks_[Index];
-    --J.Waiting_;
-    Demand_.remove(J.Spec_.Service_, J.Spec_.Class_, Now);
-    Task.Placed_ = true;
-    markSent(J, Index, P.Agent_);
-    const EntryId &Owner = P.Task_.Job_.Token_.Owner_;
-    if (J.Adopted_ && Agents_.addGrant(P.Agent_, Owner))
-      Out.push_back(SendToAgent{P.Agent_, CloseIncarnation{Owner}});
-    StartTasks &Start = Starts[{P.Agent_, J.Number_}];
-    Start.Job_ = P.Task_.Job_;
-    Start.Kind_ = J.Spec_.Kind_;
-    Start.Class_ = J.Spec_.Class_;
-    if (J.Deadline_)
-      Start.Deadline_ = *J.Deadline_ - Now;
-    Start.Tasks_.push_back(
-        {P.Task_.Index_, J.Spec_.Tasks_[Index].Payload_, ++Task.Attempt_});
-    Out.push_back(LogPlacement{std::move(P)});
-  }
-  for (auto &[Key, Start] : Starts)
-    Out.push_back(SendToAgent{Key.first, std::move(Start)});
-}
-
-void JobOwner::enqueue(OwnedJob &J, std::uint32_t Index, Time Now) {
-  J.Tasks_[Index].Phase_ = TaskPhase::Waiting;
-  ++J.Waiting_;
-  Demand_.add(J.Spec_.Service_, J.Spec_.Class_, Now);
-  Sched_.enqueue({{J.Spec_.Id_, TaskIndex(Index)},
-                  J.Spec_.Service_,
-                  J.Spec_.Kind_,
-                  J.Spec_.Class_,
-                  J.Deadline_,
-                  J.Spec_.Tasks_[Index].TimeHint_},
-                 Now);
-}
-
-// Withdraws the job's waiting tasks, whether in the scheduler or delayed.
-void JobOwner::leaveQueue(OwnedJob &J, Time Now) {
-  if (J.Waiting_ > 0)
-    for (const TaskIndex Index : Sched_.cancel(J.Spec_.Id_, Now)) {
-      --J.Waiting_;
-      Demand_.remove(J.Spec_.Service_, J.Spec_.Class_, Now);
-      settle(J, Index.value(), TaskPhase::Cancelled);
-    }
-  for (std::uint32_t I = 0; J.Spec_.Idempotent_ && I < J.Tasks_.size(); ++I) {
-    if (J.Tasks_[I].Phase_ != TaskPhase::Delayed)
-      continue;
-    Retries_.remove({J.Number_, I}, J.Tasks_[I].RetryAt_);
-    settle(J, I, TaskPhase::Cancelled);
-  }
-}
-
-void JobOwner::markSent(OwnedJob &J, std::uint32_t Index,
-                        const AgentId &Agent) {
-  J.Tasks_[Index].Phase_ = TaskPhase::Sent;
-  J.Tasks_[Index].Agent_ = Agent;
-  J.Agents_.insert(Agent);
-  Agents_.addSent(Agent, {J.Number_, Index});
-}
-
-void JobOwner::settle(OwnedJob &J, std::uint32_t Index, TaskPhase Phase) {
-  J.Tasks_[Index].Phase_ = Phase;
-  --J.Open_;
-}
-
-// The first failure decides the job: its waiting tasks are withdrawn, and those
-// that were sent are cancelled; the answer waits until each has an end.
-void JobOwner::fail(OwnedJob &J, const char *Code, const std::string &Detail,
-                    Time Now, OwnerOutputs &Out) {
-  if (!J.FailCode_.empty())
-    return;
-  J.FailCode_ = Code;
-  J.FailDetail_ = Detail;
-  leaveQueue(J, Now);
-  std::set<AgentId> Agents;
-  for (const OwnedTask &Task : J.Tasks_)
-    if (Task.Phase_ == TaskPhase::Sent && Agents_.contains(Task.Agent_))
-      Agents.insert(Task.Agent_);
-  for (const AgentId &Agent : Agents)
-    Out.push_back(SendToAgent{Agent, CancelTasks{J.Spec_.Id_, {}}});
-}
-
-void JobOwner::answerIfDone(OwnedJob &J, Time Now, OwnerOutputs &Out) {
-  if (J.Answered_ || J.Open_ > 0)
-    return;
-  const JobId &Id = J.Spec_.Id_;
-  for (const AgentId &Agent : J.Agents_)
-    if (Agents_.contains(Agent))
-      Out.push_back(SendToAgent{Agent, JobEnded{Id}});
-  const auto Replies = Jobs_.close(J, makeAnswer(J), Now);
-  Out.push_back(jobEvent(events::JobAnswered, Id,
-                         {{"outcome", outcomeName(J.Answer_.Outcome_)},
-                          {"code", J.Answer_.Code_}}));
-  for (const ReplyId Reply : Replies)
-    Out.push_back(GiveAnswer{Reply, Id, J.Answer_});
-}
-
-// The task may have run, and may be running still. Only a request that its
-// caller marked idempotent is sent again.
-void JobOwner::loseTask(OwnedJob &J, std::uint32_t Index,
-                        const std::string &Detail, Time Now,
-                        OwnerOutputs &Out) {
-  if (J.FailCode_.empty() && J.Spec_.Idempotent_ && J.Tasks_.size() == 1 &&
-      retryLater(J, Index, Now, Out))
-    return;
-  settle(J, Index, TaskPhase::Unknown);
-  fail(J, "agent_lost", Detail, Now, Out);
-}
-
-bool JobOwner::retryLater(OwnedJob &J, std::uint32_t Index, Time Now,
-                          OwnerOutputs &Out) {
-  OwnedTask &T = J.Tasks_[Index];
-  const auto At = Retries_.add({J.Number_, Index}, J.Spec_.Service_, T.Retries_,
-                               J.Deadline_, Now);
-  if (!At)
-    return false;
-  ++T.Retries_;
-  T.MayHaveRun_ = true;
-  T.Phase_ = TaskPhase::Delayed;
-  T.RetryAt_ = *At;
-  Out.push_back(jobEvent(events::TaskRetried, J.Spec_.Id_,
-                         {{"retry", std::to_string(T.Retries_)},
-                          {"delay_us", std::to_string((*At - Now).count())},
-                          {"lost_agent", T.Agent_.str()}}));
-  return true;
-}
-
 OwnerOutputs JobOwner::onTimer(Time Now) {
   OwnerOutputs Out;
   if (ClosedBy_)
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -1,19 +1,12 @@
 #ifndef CHIVELANDING_JOB_OWNER_H
 #define CHIVELANDING_JOB_OWNER_H
 
-#include "agent_table.h"
-#include "events.h"
-#include "job_table.h"
+#include "job_progress.h"
 #include "message.h"
 #include "owner_output.h"
-#include "retry_queue.h"
-#include "scheduler.h"
-#include "waiting_demand.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace chivelanding {
@@ -48,7 +41,7 @@
 
 /// The jobs that one entry incarnation owns, from submission to the end of
 /// their retention. Decides without I/O.
-class JobOwner {
+class JobOwner : private JobProgress {
 public:
   /// Start is the time from which epochs are counted; Seed is that of the retry
   /// delays.
@@ -100,27 +93,12 @@
   std::uint64_t retainedBytes() const { return Jobs_.retainedBytes(); }
 
 private:
-  void refuse(const JobId &Id, ReplyId Reply, JobAnswer Answer,
-              OwnerOutputs &Out) const;
   std::optional<JobAnswer> refusalOf(const JobSpec &Spec, Time Now) const;
   void attach(OwnedJob &J, const JobSpec &Spec, ReplyId Reply,
               OwnerOutputs &Out);
   void adoptTask(OwnedJob &J, std::uint32_t Index, AdoptedTask Task, Time Now,
                  OwnerOutputs &Out);
 
-  void enqueue(OwnedJob &J, std::uint32_t Index, Time Now);
-  void leaveQueue(OwnedJob &J, Time Now);
-  void markSent(OwnedJob &J, std::uint32_t Index, const AgentId &Agent);
-  void place(Time Now, OwnerOutputs &Out);
-  void settle(OwnedJob &J, std::uint32_t Index, TaskPhase Phase);
-  void fail(OwnedJob &J, const char *Code, const std::string &Detail, Time Now,
-            OwnerOutputs &Out);
-  void loseTask(OwnedJob &J, std::uint32_t Index, const std::string &Detail,
-                Time Now, OwnerOutputs &Out);
-  bool retryLater(OwnedJob &J, std::uint32_t Index, Time Now,
-                  OwnerOutputs &Out);
-  void answerIfDone(OwnedJob &J, Time Now, OwnerOutputs &Out);
-
   void onAnnounce(const AgentId &Agent, const EndpointInfo &Info, Time Now,
                   OwnerOutputs &Out);
   OwnedTask *sentTask(const JobId &Id, TaskIndex Index, const AgentId &Agent);
@@ -128,22 +106,15 @@
                   OwnerOutputs &Out);
   void onRejected(const AgentId &Agent, const TasksRejected &Rejected, Time Now,
                   OwnerOutputs &Out);
-  void rejectTask(OwnedJob &J, std::uint32_t Index, RejectReason Reason,
-                  Time Now, OwnerOutputs &Out);
   void stateDemand(Time Now, OwnerOutputs &Out);
   void dropExpired(Time Now, OwnerOutputs &Out);
 
   EntryId Self_;
   OwnerLimits Limits_;
-  Scheduler &Sched_;
   Time Start_;
   bool Draining_ = false;
   /// The entry that closed this one.
   std::optional<EntryId> ClosedBy_;
-  RetryQueue Retries_;
-  JobTable Jobs_;
-  AgentTable Agents_;
-  WaitingDemand Demand_;
   /// What the agents were last told of epochs.
   Epoch OldestStated_;
 };
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -64,6 +64,10 @@
   /// The job belonged to a closed owner.
   bool Adopted_ = false;
   bool Answered_ = false;
+  /// An agent has been asked to record, or has recorded, that the job never
+  /// ran and never will.
+  bool Withdrawing_ = false;
+  bool Withdrawn_ = false;
   std::string FailCode_;
   std::string FailDetail_;
   JobAnswer Answer_;
--- a/src/message.cpp
+++ b/src/message.cpp
@@ -222,15 +222,15 @@
 
 const char *messageName(const Message &M) {
   static constexpr const char *Names[] = {
-      "AnnounceEndpoint",  "StartTasks",     "TasksRejected",
-      "TaskFinished",      "CancelTasks",    "JobEnded",
-      "AgentReport",       "Demand",         "CloseIncarnation",
-      "IncarnationClosed", "TransferGrant",  "YouAreClosed",
-      "EntriesHeard",      "AgentAnnounced", "AgentAnnouncedAck",
-      "KnownEntries",      "RelaySubmit",    "RelayAnswer",
-      "RelayCancel",       "ConfigDigest",   "ConfigRequest",
-      "ConfigState",       "UsageSummary",   "EpochsExpired",
-      "AgentsSynchronized"};
+      "AnnounceEndpoint",   "StartTasks",     "TasksRejected",
+      "TaskFinished",       "CancelTasks",    "JobEnded",
+      "AgentReport",        "Demand",         "CloseIncarnation",
+      "IncarnationClosed",  "TransferGrant",  "YouAreClosed",
+      "EntriesHeard",       "AgentAnnounced", "AgentAnnouncedAck",
+      "KnownEntries",       "RelaySubmit",    "RelayAnswer",
+      "RelayCancel",        "ConfigDigest",   "ConfigRequest",
+      "ConfigState",        "UsageSummary",   "EpochsExpired",
+      "AgentsSynchronized", "WithdrawJobs",   "JobsWithdrawn"};
   static_assert(std::size(Names) == std::variant_size_v<Message>);
   return Names[M.index()];
 }
--- a/src/message.h
+++ b/src/message.h
@@ -375,6 +375,26 @@
   static constexpr auto fields() { return std::make_tuple(); }
 };
 
+/// Entry to agent: no task of these jobs has started, and none may ever start.
+/// The agent records them as ended and confirms; from then on no recoverer can
+/// take them for unstarted, so the sender may answer "not run".
+struct WithdrawJobs {
+  std::vector<JobId> Jobs_;
+  static constexpr auto fields() {
+    return std::make_tuple(&WithdrawJobs::Jobs_);
+  }
+};
+
+/// Agent to entry: Jobs_ are recorded as ended. Refused_ are not, because a
+/// task has started here or another entry holds the grant.
+struct JobsWithdrawn {
+  std::vector<JobId> Jobs_;
+  std::vector<JobId> Refused_{};
+  static constexpr auto fields() {
+    return std::make_tuple(&JobsWithdrawn::Jobs_, &JobsWithdrawn::Refused_);
+  }
+};
+
 /// Every message that `link` numbers and delivers in order, exactly once
 /// between two incarnations. The position in the list is the type number on the
 /// wire, so new messages go to the end.
@@ -384,7 +404,8 @@
                  IncarnationClosed, TransferGrant, YouAreClosed, EntriesHeard,
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
-                 ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized>;
+                 ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized,
+                 WithdrawJobs, JobsWithdrawn>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
--- a/src/owner_output.cpp
+++ b/src/owner_output.cpp
@@ -19,4 +19,12 @@
   return {std::move(E)};
 }
 
+void refuseSubmission(const JobId &Id, ReplyId Reply, JobAnswer Answer,
+                      OwnerOutputs &Out) {
+  Out.push_back(jobEvent(
+      events::JobRefused, Id,
+      {{"code", Answer.Code_}, {"outcome", outcomeName(Answer.Outcome_)}}));
+  Out.push_back(GiveAnswer{Reply, Id, std::move(Answer)});
+}
+
 } // namespace chivelanding
--- a/src/owner_output.h
+++ b/src/owner_output.h
@@ -45,6 +45,10 @@
     std::variant<SendToAgent, GiveAnswer, LogPlacement, RelayToEntry, LogEvent>;
 using OwnerOutputs = std::vector<OwnerOutput>;
 
+/// Answers a submission with a refusal, and logs it.
+void refuseSubmission(const JobId &Id, ReplyId Reply, JobAnswer Answer,
+                      OwnerOutputs &Out);
+
 /// A log event about a job.
 LogEvent jobEvent(const EventType &Type, const JobId &Id,
                   std::vector<EventField> Fields = {});
--- a/src/recovery.cpp
+++ b/src/recovery.cpp
@@ -390,10 +390,11 @@
       continue;
     if (A.State_ == CloseState::HeldByOther)
       return false;
-    const bool Granted = A.State_ == CloseState::Granted && A.Complete_;
-    if (A.Announced_ && !Granted)
+    if (!A.Announced_)
+      continue;
+    if (A.State_ != CloseState::Granted || !A.Complete_)
       return false;
-    Any = Any || Granted;
+    Any = true;
   }
   return Any;
 }
--- a/tests/agent_gate_test.cpp
+++ b/tests/agent_gate_test.cpp
@@ -57,7 +57,7 @@
 // A gate with an announced endpoint and connected entries.
 struct Fixture {
   AgentGate Gate_;
-  explicit Fixture(std::uint32_t Slots, GateLimits Limits = {})
+  explicit Fixture(std::uint32_t Slots = 4, GateLimits Limits = {})
       : Gate_(Self, Limits) {
     Gate_.onEndpointAnnounced(endpoint(Slots), T0);
     for (const EntryId &E : {A, B, C})
@@ -122,6 +122,26 @@
   CHECK(Closed.at(0).Complete_);
 }
 
+// Guards against a recoverer that waits for ever for a task of an ended job,
+// and against a withdrawal of a job that has run.
+TEST_CASE("A tombstone answers the recoverer and confirms withdrawals",
+          "[gate]") {
+  Fixture F;
+  const JobId Ran = jobId(A, "ran");
+  const JobId New = jobId(A, "new");
+  F.from(A, start(Ran, 0, 1));
+  const auto Out = F.from(A, WithdrawJobs{{Ran, New}});
+  CHECK(sent<JobsWithdrawn>(Out, A).at(0).Jobs_ == std::vector<JobId>{New});
+  CHECK(sent<JobsWithdrawn>(Out, A).at(0).Refused_ == std::vector<JobId>{Ran});
+  CHECK(sent<TasksRejected>(F.from(A, start(New, 0, 1)), A).empty());
+  const auto Closed =
+      sent<IncarnationClosed>(F.from(B, CloseIncarnation{A}), B);
+  CHECK(Closed.at(0).Jobs_.size() == 2);
+  const auto Late = F.from(B, start(New, 0, 1));
+  CHECK(sent<TasksRejected>(Late, B).at(0).Reason_ == RejectReason::Closed);
+  CHECK(runs(Late) == 0);
+}
+
 // Guards against a recoverer that takes a forgotten task for an unstarted one.
 TEST_CASE("Records dropped by retention make a close incomplete", "[gate]") {
   Fixture F(4);
--- a/tests/job_owner_test.cpp
+++ b/tests/job_owner_test.cpp
@@ -88,6 +88,14 @@
     return Owner_.onAgentMessage(
         Agent, TasksRejected{Job, {TaskIndex(Index)}, Reason, Attempt}, T0);
   }
+  // Expects a withdrawal in place of an answer, and confirms it.
+  OwnerOutputs withdrawn(const OwnerOutputs &Out, const JobId &Job,
+                         const AgentId &Agent) {
+    CHECK(outputs<GiveAnswer>(Out).empty());
+    REQUIRE(sent<WithdrawJobs>(Out, Agent).size() == 1);
+    CHECK(sent<WithdrawJobs>(Out, Agent)[0].Jobs_ == std::vector<JobId>{Job});
+    return Owner_.onAgentMessage(Agent, JobsWithdrawn{{Job}}, T0);
+  }
 };
 
 } // namespace
@@ -179,7 +187,8 @@
   CHECK(logged(Out, events::JobCancelled));
   CHECK(outputs<GiveAnswer>(Out).empty());
   SECTION("rejected with proof") {
-    const auto Done = F.reject(Spec.Id_, 0, A, 1, RejectReason::Cancelled);
+    const auto Done = F.withdrawn(
+        F.reject(Spec.Id_, 0, A, 1, RejectReason::Cancelled), Spec.Id_, A);
     CHECK(answer(Done).Outcome_ == Outcome::NotRun);
     CHECK(answer(Done).Code_ == "cancelled");
     CHECK(sent<JobEnded>(Done, A).size() == 1);
@@ -197,6 +206,24 @@
   }
 }
 
+// Guards against "not run" from an entry that cannot know whether it was closed
+// and its job resumed elsewhere.
+TEST_CASE("Without a confirming agent a withdrawn job is unknown", "[owner]") {
+  Fixture F;
+  F.up(A, 0);
+  const JobSpec Spec = F.spec("a", 1);
+  F.submit(Spec);
+  CHECK(sent<WithdrawJobs>(F.Owner_.onCancel(Spec.Id_, T0), A).size() == 1);
+  SECTION("another agent confirms") {
+    F.up(B, 0);
+    const auto Out = F.Owner_.onAgentLost(A, T0);
+    CHECK(answer(F.withdrawn(Out, Spec.Id_, B)).Outcome_ == Outcome::NotRun);
+  }
+  SECTION("no agent is left") {
+    CHECK(answer(F.Owner_.onAgentLost(A, T0)).Outcome_ == Outcome::Unknown);
+  }
+}
+
 // Guards against a rejection of an old attempt that sets a running task free.
 TEST_CASE("Only a rejection of the last attempt counts", "[owner]") {
   Fixture F;
@@ -220,7 +247,7 @@
   CHECK(sent<StartTasks>(First, A).at(0).Deadline_ == Duration(100ms));
   CHECK(sent<StartTasks>(F.reject(Spec.Id_, 0, A, 1), A).empty());
   CHECK(outputs<GiveAnswer>(F.Owner_.onTimer(T0 + 99ms)).empty());
-  const auto Out = F.Owner_.onTimer(T0 + 100ms);
+  const auto Out = F.withdrawn(F.Owner_.onTimer(T0 + 100ms), Spec.Id_, A);
   CHECK(answer(Out).Code_ == "deadline");
   CHECK(answer(Out).Outcome_ == Outcome::NotRun);
 }
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -325,10 +325,9 @@
   CHECK(W.noneTwice());
 }
 
-// Guards against an idempotent request that hangs because the agent, which
-// holds a tombstone of it, ignores the retry.
-TEST_CASE("An ended idempotent request is refused to the recoverer",
-          "[recovery]") {
+// Guards against an idempotent request that is run again although its owner may
+// have answered it.
+TEST_CASE("An ended idempotent request is not run again", "[recovery]") {
   World W;
   JobSpec Spec = W.spec("j", 1);
   Spec.Idempotent_ = true;
@@ -341,6 +340,34 @@
   W.pass(RecoveryWait);
   W.pass(1s);
   CHECK(W.answer(R).Outcome_ == Outcome::Unknown);
+  CHECK(W.noneTwice());
+}
+
+// Guards against "not run" from an owner that was paused and closed while its
+// job was resumed and run elsewhere, and against a run after "not run".
+TEST_CASE("A paused owner does not answer not_run", "[recovery]") {
+  World W;
+  W.submit(Owner, W.spec("first", 2));
+  W.deliver();
+  const ReplyId R = W.submit(Owner, W.spec("j", 1));
+  SECTION("closed before the cancel") {
+    W.submit(X, W.spec("j", 1));
+    W.deliver();
+    W.apply(Owner, W.entry(Owner).Owner_.onCancel(W.spec("j", 1).Id_, W.Now_));
+    W.finishAll();
+    CHECK(W.Answers_.count(R) == 0);
+    CHECK(W.Starts_.size() == 3);
+  }
+  SECTION("lost after the answer") {
+    W.apply(Owner, W.entry(Owner).Owner_.onCancel(W.spec("j", 1).Id_, W.Now_));
+    W.deliver();
+    CHECK(W.answer(R).Outcome_ == Outcome::NotRun);
+    W.lose(Owner);
+    const ReplyId Late = W.submit(X, W.spec("j", 1));
+    W.finishAll();
+    CHECK(W.answer(Late).Outcome_ == Outcome::Unknown);
+    CHECK(W.Starts_.size() == 2);
+  }
 }
 
 // Guards against two recoverers that both start the unstarted tasks.
