--- a/src/message.cpp
+++ b/src/message.cpp
@@ -230,7 +230,8 @@
       "KnownEntries",       "RelaySubmit",    "RelayAnswer",
       "RelayCancel",        "ConfigDigest",   "ConfigRequest",
       "ConfigState",        "UsageSummary",   "EpochsExpired",
-      "AgentsSynchronized", "ConfigDelta"};
+      "AgentsSynchronized", "ConfigDelta",    "WithdrawJobs",
+      "JobsWithdrawn"};
   static_assert(std::size(Names) == std::variant_size_v<Message>);
   return Names[M.index()];
 }
