Add submit, status, drain, metrics and health checks

Callers had only curl, and operators no view of a process. submit fetches a token, and submits again with the same token and key after a lost connection; status and drain speak to an agent's local or an entry's administration listener, which must be on a loopback address until operators can prove who they are. /metrics counts every event type and times answers and runs. An agent's report now leaves before a rejection that it belongs to, also when reports are coalesced.

New process test commands.sh passes. No functional change in the decision modules.

--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -5,11 +5,14 @@
 #include "clock.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "metrics.h"
 #include "peer_hub.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <optional>
 #include <random>
@@ -42,6 +45,8 @@
 
   void onRequest(HttpRequest &&Request, const HttpReplyPtr &Reply);
   void onAnnouncement(const HttpRequest &Request, const HttpReplyPtr &Reply);
+  HttpResponse status() const;
+  HttpResponse metrics();
   void apply(GateOutputs Outputs);
   void run(RunTask Task);
   void onRunEnded(RunId Run, Time Started, const Result<HttpResponse> &R);
@@ -55,6 +60,7 @@
   EventLog &Log_;
   AgentId Self_;
   AgentGate Gate_;
+  Metrics Metrics_;
   HttpServer Http_;
   HttpClient Client_;
   PeerHub Hub_;
@@ -74,6 +80,7 @@
       Log_(Log), Self_{Settings_.Process_.Name_, drawIncarnation()},
       Gate_(Self_, {Settings_.QueueRoom_, Settings_.ResultBytes_,
                     Settings_.Retention_}),
+      Metrics_({{"role", "agent"}, {"name", Self_.Name_}}),
       Http_(Io,
             HttpServerLimits{16u << 10, MaxLocalBodyBytes, MaxLocalConnections},
             [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
@@ -113,13 +120,48 @@
     Log_.write(events::EndpointLeaving, {{"agent", Self_.str()}});
     apply(Gate_.onLeaving(steadyNow()));
     Reply->send({200, "application/json", {}, "{}"});
-  } else if (Method == "GET" && (Path == "/healthz" || Path == "/readyz")) {
+  } else if (Method == "GET" && Path == "/healthz") {
     Reply->send({200, "text/plain", {}, "ok\n"});
+  } else if (Method == "GET" && Path == "/readyz") {
+    Reply->send(DrainEnd_ ? HttpResponse{503, "text/plain", {}, "draining\n"}
+                          : HttpResponse{200, "text/plain", {}, "ok\n"});
+  } else if (Method == "GET" && Path == "/metrics") {
+    Reply->send(metrics());
+  } else if (Method == "GET" && Path == "/v1/status") {
+    Reply->send(status());
+  } else if (Method == "POST" && Path == "/v1/drain") {
+    Log_.write(events::AdminAction, {{"action", "drain"}});
+    drain();
+    Reply->send(status());
   } else {
     Reply->send({404, "application/json", {}, R"({"code":"not_found"})"});
   }
 }
 
+HttpResponse AgentService::Impl::status() const {
+  HttpResponse R;
+  R.Body_ = nlohmann::json({{"role", "agent"},
+                            {"agent", Self_.str()},
+                            {"draining", DrainEnd_.has_value()},
+                            {"endpoint", Endpoint_.EndpointName_},
+                            {"service", Endpoint_.Service_.str()},
+                            {"slots", Endpoint_.Slots_},
+                            {"running", Gate_.running()},
+                            {"queued", Gate_.queued()}})
+                .dump();
+  return R;
+}
+
+HttpResponse AgentService::Impl::metrics() {
+  Metrics_.set("chivelanding_slots", "Slots of the endpoint.",
+               Endpoint_.Slots_);
+  Metrics_.set("chivelanding_running_tasks", "Tasks at the endpoint.",
+               static_cast<double>(Gate_.running()));
+  Metrics_.set("chivelanding_queued_tasks", "Tasks that wait at the agent.",
+               static_cast<double>(Gate_.queued()));
+  return Metrics_.render();
+}
+
 void AgentService::Impl::onAnnouncement(const HttpRequest &Request,
                                         const HttpReplyPtr &Reply) {
   if (Request.Body_ == LastAnnouncement_) {
@@ -156,6 +198,7 @@
       if (It != Runs_.end())
         Client_.cancel(It->second);
     } else if (const auto *Log = std::get_if<LogEvent>(&O)) {
+      Metrics_.count(*Log->Event_.Type_);
       Log_.write(Log->Event_);
     }
   }
@@ -185,6 +228,9 @@
                                     const Result<HttpResponse> &R) {
   Runs_.erase(Run);
   const Time Now = steadyNow();
+  Metrics_.observe("chivelanding_run_seconds",
+                   "Time of a task at the endpoint.",
+                   std::chrono::duration<double>(Now - Started).count());
   RunOutcome Outcome = RunOutcome::Success;
   std::string Text;
   if (!ok(R)) {
--- a/src/cli.h
+++ b/src/cli.h
@@ -33,6 +33,15 @@
 /// Runs an agent process until SIGTERM.
 int runAgent(const Arguments &Args);
 
+/// Submits a job from a file or stdin and prints its answer.
+int runSubmit(const Arguments &Args);
+
+/// Prints the state of one process.
+int runStatus(const Arguments &Args);
+
+/// Asks one process to drain.
+int runDrain(const Arguments &Args);
+
 /// Prints the version of the program and of its protocol.
 int runVersion(const Arguments &Args);
 /// Runs a built-in benchmark.
--- /dev/null
+++ b/src/cli_client.cpp
@@ -0,0 +1,239 @@
+#include "api.h"
+#include "cli.h"
+#include "clock.h"
+#include "http_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <random>
+#include <thread>
+
+namespace chivelanding {
+namespace {
+
+namespace options = boost::program_options;
+using Json = nlohmann::json;
+
+// Largest answer that a command reads.
+constexpr std::uint64_t MaxAnswerBytes = 1u << 30;
+// Time for a request that is answered at once.
+constexpr Duration ShortTimeout = std::chrono::seconds(5);
+// Pause before a submission is sent again.
+constexpr auto ResubmitPause = std::chrono::milliseconds(200);
+
+// One request, waited for.
+Result<HttpResponse> fetch(const SocketAddress &To, HttpRequest Request,
+                           Duration Timeout) {
+  boost::asio::io_context Io(1);
+  HttpClient Client(Io, MaxAnswerBytes);
+  std::optional<Result<HttpResponse>> Answer;
+  Client.send(To, std::move(Request), Timeout,
+              [&](Result<HttpResponse> R) { Answer = std::move(R); });
+  Io.run();
+  return std::move(*Answer);
+}
+
+// Parses a command line. Without a map the exit code says what was printed.
+std::variant<options::variables_map, ExitCode>
+parse(const Arguments &Args, const char *Command, const char *Summary,
+      options::options_description Known) {
+  Known.add_options()("help", "print this text");
+  try {
+    options::variables_map Map;
+    options::store(options::command_line_parser(Args).options(Known).run(),
+                   Map);
+    if (Map.count("help") > 0) {
+      std::cout << "usage: chivelanding " << Command << " [OPTIONS]\n\n"
+                << Summary << "\n\n"
+                << Known;
+      return ExitOk;
+    }
+    options::notify(Map);
+    return Map;
+  } catch (const options::error &E) {
+    std::cerr << "chivelanding " << Command << ": " << E.what() << "\n";
+    return ExitUsage;
+  }
+}
+
+int badAddress(const Error &E) {
+  std::cerr << E.str() << "\n";
+  return ExitUsage;
+}
+
+// Sends one request to a process's own listener and prints the answer.
+int ask(const Arguments &Args, const char *Command, const char *Summary,
+        const char *Method, const char *Target) {
+  options::options_description Known("Options");
+  Known.add_options()("to", options::value<std::string>()->required(),
+                      "IP:PORT of an agent's local listener or an entry's "
+                      "administration listener");
+  const auto Map = parse(Args, Command, Summary, std::move(Known));
+  if (Map.index() == 1)
+    return std::get<1>(Map);
+  const auto To = parseAddress(std::get<0>(Map)["to"].as<std::string>());
+  if (!ok(To))
+    return badAddress(error(To));
+  const auto R = fetch(value(To), {Method, Target, {}, ""}, ShortTimeout);
+  if (!ok(R)) {
+    std::cerr << error(R).str() << "\n";
+    return error(R).Code_ == "connect_failed" ? ExitFailed : ExitUnknown;
+  }
+  std::cout << value(R).Body_ << "\n";
+  return value(R).Status_ / 100 == 2 ? ExitOk : ExitFailed;
+}
+
+std::string randomKey() {
+  std::random_device Source;
+  return toHex((static_cast<std::uint64_t>(Source()) << 32) | Source());
+}
+
+/// One job and the entries that it may be submitted to.
+class Submission {
+public:
+  Submission(std::vector<SocketAddress> Entries, std::string Team,
+             const std::string &Bearer)
+      : Entries_(std::move(Entries)) {
+    if (!Bearer.empty())
+      Headers_.push_back({"Authorization", "Bearer " + Bearer});
+    else
+      Headers_.push_back({"Chivelanding-Team", std::move(Team)});
+  }
+
+  int run(Json Job, Duration Limit) {
+    const Time End = steadyNow() + Limit;
+    if (!Job.contains("key"))
+      Job["key"] = randomKey();
+    if (!Job.contains("token") && !fetchToken(Job, End))
+      return ExitFailed;
+    return submit(Job.dump(), End);
+  }
+
+private:
+  const SocketAddress &next() { return Entries_[Turn_++ % Entries_.size()]; }
+
+  // Nothing has been submitted yet, so a failure here is a definite one.
+  bool fetchToken(Json &Job, Time End) {
+    do {
+      const auto R =
+          fetch(next(), {"GET", "/v1/token", Headers_, ""}, ShortTimeout);
+      const Json J =
+          ok(R) ? Json::parse(value(R).Body_, nullptr, false) : Json();
+      if (J.is_object() && J.contains("token")) {
+        Job["token"] = J["token"];
+        --Turn_;
+        return true;
+      }
+      Last_ = ok(R) ? value(R).Body_ : error(R).str();
+      std::this_thread::sleep_for(ResubmitPause);
+    } while (steadyNow() < End);
+    std::cerr << "no token: " << Last_ << "\n";
+    return false;
+  }
+
+  // The same token and key make every further submission attach to the same
+  // job, so a lost connection is answered by submitting again.
+  int submit(const std::string &Body, Time End) {
+    for (;;) {
+      const Duration Left =
+          std::max<Duration>(End - steadyNow(), std::chrono::milliseconds(1));
+      const auto R = fetch(next(), {"POST", "/v1/jobs", Headers_, Body}, Left);
+      if (ok(R) && !isAgain(value(R)))
+        return print(value(R));
+      Last_ = ok(R) ? value(R).Body_ : error(R).str();
+      if (steadyNow() >= End)
+        break;
+      std::this_thread::sleep_for(ResubmitPause);
+    }
+    std::cerr << "no answer in time: " << Last_ << "\n";
+    return ExitUnknown;
+  }
+
+  static bool isAgain(const HttpResponse &R) {
+    const Json J = Json::parse(R.Body_, nullptr, false);
+    return R.Status_ == 503 && J.is_object() &&
+           J.value("code", "") == "owner_unreachable";
+  }
+
+  static int print(const HttpResponse &R) {
+    std::cout << R.Body_ << "\n";
+    if (R.Status_ == 200)
+      return ExitOk;
+    const Json J = Json::parse(R.Body_, nullptr, false);
+    const bool Unknown = !J.is_object() || J.value("cause", "") == "unknown";
+    return Unknown ? ExitUnknown : ExitFailed;
+  }
+
+  std::vector<SocketAddress> Entries_;
+  std::vector<HttpHeader> Headers_;
+  std::size_t Turn_ = 0;
+  std::string Last_;
+};
+
+std::string readAll(const std::string &Path) {
+  if (Path == "-")
+    return {std::istreambuf_iterator<char>(std::cin), {}};
+  std::ifstream File(Path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(File), {}};
+}
+
+} // namespace
+
+int runStatus(const Arguments &Args) {
+  return ask(Args, "status", "Prints the state of one process as JSON.", "GET",
+             "/v1/status");
+}
+
+int runDrain(const Arguments &Args) {
+  return ask(Args, "drain",
+             "Asks one process to take no new work, finish and exit.", "POST",
+             "/v1/drain");
+}
+
+int runSubmit(const Arguments &Args) {
+  options::options_description Known("Options");
+  Known.add_options()(
+      "entry", options::value<std::vector<std::string>>()->required(),
+      "IP:PORT of an entry or of the load balancer; may be repeated")(
+      "team", options::value<std::string>()->default_value(""),
+      "team, if no team in force has a token")(
+      "bearer", options::value<std::string>()->default_value(""),
+      "bearer token of the team")(
+      "file", options::value<std::string>()->default_value("-"),
+      "JSON file of the job, - for stdin")(
+      "limit_s", options::value<unsigned>()->default_value(300),
+      "seconds after which the outcome is given up as unknown");
+  auto Parsed = parse(Args, "submit",
+                      "Submits a job and prints its whole answer. After a lost "
+                      "connection the job is\nsubmitted again with the same "
+                      "token and key.",
+                      std::move(Known));
+  if (Parsed.index() == 1)
+    return std::get<1>(Parsed);
+  const auto &Map = std::get<0>(Parsed);
+  std::vector<SocketAddress> Entries;
+  for (const auto &Text : Map["entry"].as<std::vector<std::string>>()) {
+    auto A = parseAddress(Text);
+    if (!ok(A))
+      return badAddress(error(A));
+    Entries.push_back(std::move(value(A)));
+  }
+  Json Job =
+      Json::parse(readAll(Map["file"].as<std::string>()), nullptr, false);
+  if (!Job.is_object()) {
+    std::cerr << "chivelanding submit: the job is not a JSON object\n";
+    return ExitUsage;
+  }
+  Submission S(std::move(Entries), Map["team"].as<std::string>(),
+               Map["bearer"].as<std::string>());
+  return S.run(std::move(Job),
+               std::chrono::seconds(Map["limit_s"].as<unsigned>()));
+}
+
+} // namespace chivelanding
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -4,12 +4,15 @@
 #include "clock.h"
 #include "entry_core.h"
 #include "http_server.h"
+#include "metrics.h"
 #include "peer_hub.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -34,6 +37,10 @@
   Impl(boost::asio::io_context &Io, EntrySettings Settings, EventLog &Log);
 
   void onRequest(HttpRequest &&Request, const HttpReplyPtr &Reply);
+  bool onHealthRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
+  void onAdminRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
+  HttpResponse status() const;
+  HttpResponse metrics();
   void onVersioned(HttpRequest &&Request, const Target &T,
                    const HttpReplyPtr &Reply);
   void onJobRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
@@ -46,6 +53,7 @@
   void reply(const HttpReplyPtr &Reply, HttpResponse Response);
   void giveAnswer(ReplyId To, const JobId &Job, const JobAnswer &Answer);
 
+  Result<SocketAddress> listenAdmin();
   std::unique_ptr<EntryCore> makeCore();
   PeerHandler makeHandler();
   void rejoin();
@@ -57,13 +65,16 @@
   struct Waiter {
     HttpReplyPtr Http_;
     bool Single_ = false;
+    Time Since_;
   };
 
   boost::asio::io_context &Io_;
   EntrySettings Settings_;
   EventLog &Log_;
   std::unique_ptr<EntryCore> Core_;
+  Metrics Metrics_;
   HttpServer Http_;
+  HttpServer Admin_;
   PeerHub Hub_;
   boost::asio::steady_timer Timer_;
   std::unordered_map<std::uint64_t, Waiter> Waiters_;
@@ -84,7 +95,10 @@
       [this](ReplyId To, const JobId &Job, const JobAnswer &Answer) {
         giveAnswer(To, Job, Answer);
       },
-      [this](const Event &E) { Log_.write(E); },
+      [this](const Event &E) {
+        Metrics_.count(*E.Type_);
+        Log_.write(E);
+      },
       [this](const EntryId &) {
         boost::asio::post(Io_, [Self = shared_from_this()] { Self->rejoin(); });
       }};
@@ -112,12 +126,17 @@
 EntryService::Impl::Impl(boost::asio::io_context &Io, EntrySettings Settings,
                          EventLog &Log)
     : Io_(Io), Settings_(std::move(Settings)), Log_(Log), Core_(makeCore()),
+      Metrics_({{"role", "entry"}, {"name", Settings_.Process_.Name_}}),
       Http_(Io,
             HttpServerLimits{16u << 10, Settings_.MaxBodyBytes_,
                              Settings_.MaxConnections_},
             [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
               onRequest(std::move(Request), Reply);
             }),
+      Admin_(Io, HttpServerLimits{},
+             [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
+               onAdminRequest(Request, Reply);
+             }),
       Hub_(Io, Settings_.Process_, PeerId::of(Core_->self()), Log,
            makeHandler()),
       Timer_(Io) {}
@@ -166,16 +185,65 @@
   const Target &T = value(Parsed);
   if (T.Path_.size() >= 2 && T.Path_[0] == "v1") {
     onVersioned(std::move(Request), T, Reply);
-  } else if (Request.Method_ == "GET" && Request.Target_ == "/healthz") {
-    reply(Reply, {200, "text/plain", {}, "ok\n"});
-  } else if (Request.Method_ == "GET" && Request.Target_ == "/readyz") {
-    reply(Reply, DrainEnd_ ? HttpResponse{503, "text/plain", {}, "draining\n"}
-                           : HttpResponse{200, "text/plain", {}, "ok\n"});
-  } else {
+  } else if (!onHealthRequest(Request, Reply)) {
     reply(Reply, notFound());
   }
 }
 
+bool EntryService::Impl::onHealthRequest(const HttpRequest &Request,
+                                         const HttpReplyPtr &Reply) {
+  if (Request.Method_ != "GET")
+    return false;
+  if (Request.Target_ == "/healthz")
+    Reply->send({200, "text/plain", {}, "ok\n"});
+  else if (Request.Target_ == "/readyz")
+    Reply->send(DrainEnd_ ? HttpResponse{503, "text/plain", {}, "draining\n"}
+                          : HttpResponse{200, "text/plain", {}, "ok\n"});
+  else if (Request.Target_ == "/metrics")
+    Reply->send(metrics());
+  else
+    return false;
+  return true;
+}
+
+HttpResponse EntryService::Impl::metrics() {
+  Metrics_.set("chivelanding_open_jobs", "Jobs without an answer.",
+               static_cast<double>(Core_->openJobs()));
+  Metrics_.set("chivelanding_waiting_tasks", "Tasks that wait for an agent.",
+               static_cast<double>(Core_->waitingTasks()));
+  Metrics_.set("chivelanding_waiting_callers", "Callers without an answer.",
+               static_cast<double>(Waiters_.size()));
+  Metrics_.set("chivelanding_connections", "Connections of callers.",
+               static_cast<double>(Http_.connections()));
+  return Metrics_.render();
+}
+
+HttpResponse EntryService::Impl::status() const {
+  HttpResponse R;
+  R.Body_ = nlohmann::json({{"role", "entry"},
+                            {"entry", Core_->self().str()},
+                            {"draining", DrainEnd_.has_value()},
+                            {"open_jobs", Core_->openJobs()},
+                            {"waiting_tasks", Core_->waitingTasks()},
+                            {"waiting_callers", Waiters_.size()},
+                            {"connections", Http_.connections()}})
+                .dump();
+  return R;
+}
+
+void EntryService::Impl::onAdminRequest(const HttpRequest &Request,
+                                        const HttpReplyPtr &Reply) {
+  if (Request.Method_ == "GET" && Request.Target_ == "/v1/status") {
+    Reply->send(status());
+  } else if (Request.Method_ == "POST" && Request.Target_ == "/v1/drain") {
+    Log_.write(events::AdminAction, {{"action", "drain"}});
+    drain();
+    Reply->send(status());
+  } else if (!onHealthRequest(Request, Reply)) {
+    Reply->send(notFound());
+  }
+}
+
 void EntryService::Impl::onVersioned(HttpRequest &&Request, const Target &T,
                                      const HttpReplyPtr &Reply) {
   const std::string &Method = Request.Method_;
@@ -243,7 +311,7 @@
     return;
   }
   const ReplyId Id(NextReply_++);
-  Waiters_[Id.value()] = {Reply, Single};
+  Waiters_[Id.value()] = {Reply, Single, steadyNow()};
   Reply->onGone([Weak = weak_from_this(), Id] {
     const auto Self = Weak.lock();
     if (Self && Self->Waiters_.erase(Id.value()) > 0)
@@ -259,6 +327,9 @@
     return;
   const Waiter W = std::move(It->second);
   Waiters_.erase(It);
+  Metrics_.observe(
+      "chivelanding_answer_seconds", "Time from a submission to its answer.",
+      std::chrono::duration<double>(steadyNow() - W.Since_).count());
   reply(W.Http_,
         W.Single_ ? renderSingle(Job, Answer) : renderAnswer(Job, Answer));
 }
@@ -276,6 +347,18 @@
       });
 }
 
+// Until operators can prove who they are, only processes of the same VM may
+// drain an entry, so the listener must be on a loopback address.
+Result<SocketAddress> EntryService::Impl::listenAdmin() {
+  const SocketAddress &Address = Settings_.AdminListen_;
+  if (Address.Host_.empty())
+    return Address;
+  if (Address.Host_.rfind("127.", 0) != 0 && Address.Host_ != "::1")
+    return Error{"listen_failed", "listen for administration", Address.str(),
+                 "admin_listen must be a loopback address"};
+  return Admin_.listen(Address);
+}
+
 // Idle connections are closed so that callers go elsewhere; those with a
 // pending reply close after it.
 void EntryService::Impl::drain() {
@@ -286,6 +369,7 @@
   Log_.write(events::DrainStarted, {{"entry", Core_->self().str()}});
   Core_->onDrain(Now);
   Http_.drain();
+  Admin_.drain();
 }
 
 void EntryService::Impl::endIfDrained(Time Now) {
@@ -311,12 +395,16 @@
   const auto Callers = I.Http_.listen(I.Settings_.Listen_);
   if (!ok(Callers))
     return error(Callers);
+  const auto Admin = I.listenAdmin();
+  if (!ok(Admin))
+    return error(Admin);
   for (const SocketAddress &Seed : I.Settings_.Seeds_)
     I.Hub_.addSeed(Seed);
   I.Log_.write(events::ProcessStarted, {{"role", "entry"},
                                         {"entry", I.Core_->self().str()},
                                         {"listen", value(Callers).str()},
-                                        {"peer_listen", value(Peers).str()}});
+                                        {"peer_listen", value(Peers).str()},
+                                        {"admin", value(Admin).str()}});
   I.tick();
   return I.Hub_.start();
 }
@@ -329,6 +417,7 @@
   Impl_->Stopped_ = true;
   Impl_->Timer_.cancel();
   Impl_->Http_.close();
+  Impl_->Admin_.close();
   Impl_->Hub_.stop();
   Impl_->Log_.write(events::ProcessStopped,
                     {{"entry", Impl_->Core_->self().str()}});
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,9 @@
     {"events", "print the catalogue of log events", runEvents},
     {"entry", "run an entry", runEntry},
     {"agent", "run the agent beside an endpoint", runAgent},
+    {"submit", "submit a job and print its answer", runSubmit},
+    {"status", "print the state of a process", runStatus},
+    {"drain", "make a process finish and exit", runDrain},
     {"version", "print the version", runVersion},
 };
 
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -65,6 +65,7 @@
   void dialTargets(Time Now);
   void tellEntries();
   void scheduleFlush();
+  void sendReport(const PeerId &To);
   void flush();
   void tick();
 
@@ -296,13 +297,19 @@
   });
 }
 
+void PeerHub::Impl::sendReport(const PeerId &To) {
+  const auto It = Reports_.find(To);
+  if (It == Reports_.end())
+    return;
+  const AgentReport Report = It->second;
+  Reports_.erase(It);
+  apply(Links_.send(To, Report, steadyNow()));
+}
+
 void PeerHub::Impl::flush() {
-  const Time Now = steadyNow();
-  const auto Reports = std::move(Reports_);
-  Reports_.clear();
-  for (const auto &[To, Report] : Reports)
-    apply(Links_.send(To, Report, Now));
-  apply(Links_.flush(Now));
+  while (!Reports_.empty())
+    sendReport(PeerId(Reports_.begin()->first));
+  apply(Links_.flush(steadyNow()));
 }
 
 void PeerHub::Impl::tick() {
@@ -338,11 +345,16 @@
 }
 
 void PeerHub::send(const PeerId &To, Message M) {
-  if (const auto *Report = std::get_if<AgentReport>(&M))
-    Impl_->Reports_[To] = *Report;
-  else
-    Impl_->apply(Impl_->Links_.send(To, std::move(M), steadyNow()));
-  Impl_->scheduleFlush();
+  Impl &I = *Impl_;
+  if (const auto *Report = std::get_if<AgentReport>(&M)) {
+    I.Reports_[To] = *Report;
+  } else {
+    // The owner must know the room before it places rejected tasks again.
+    if (std::holds_alternative<TasksRejected>(M))
+      I.sendReport(To);
+    I.apply(I.Links_.send(To, std::move(M), steadyNow()));
+  }
+  I.scheduleFlush();
 }
 
 void PeerHub::rejoin(const PeerId &Self) {
