--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -263,6 +263,7 @@
           return;
         const Time Now = steadyNow();
         Self->apply(Self->Gate_.onTimer(Now));
+        Self->Log_.flush();
         Self->endIfDrained(Now);
         Self->tick();
       });
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -342,6 +342,7 @@
           return;
         const Time Now = steadyNow();
         Self->Core_->onTimer(Now);
+        Self->Log_.flush();
         Self->endIfDrained(Now);
         Self->tick();
       });
--- a/src/log.h
+++ b/src/log.h
@@ -10,7 +10,8 @@
 
 namespace chivelanding {
 
-/// Writes events to stderr, one line each.
+/// Writes events to stderr, one line each. Lines up to info wait in a buffer
+/// until flush() or a more severe event; a process that is killed loses them.
 class EventLog : public Service {
 public:
   /// Level is debug, info, warning or error; less severe events are dropped.
@@ -20,6 +21,9 @@
   bool enabled(const EventType &Type) const { return Type.Severity_ >= Least_; }
   void write(const Event &E);
   void write(const EventType &Type, std::vector<EventField> Fields);
+  /// Hands buffered lines to the system. To be called often.
+  void flush();
+  void stop() override { flush(); }
 
 private:
   struct Impl;
