--- a/src/bench.h
+++ b/src/bench.h
@@ -49,6 +49,8 @@
 int benchCapacity(std::uint64_t Seed);
 /// Placement, order, admission and health in virtual time.
 int benchPolicy(std::uint64_t Seed);
+/// Spreading of configuration changes between processes.
+int benchConfig(std::uint64_t Seed);
 
 } // namespace chivelanding
 
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -253,7 +253,7 @@
 LostEntry EntryCore::lostEntry(const EntryId &Entry) const {
   LostEntry L{Entry, {}, Members_.knowsAllAgentsOf(Entry)};
   for (const AnnouncedAgent &A : Members_.agentsOf(Entry))
-    L.Agents_.push_back({A.Agent_, A.Service_});
+    L.Agents_.push_back({A.Agent_, A.Service_, A.Announced_, {}});
   return L;
 }
 
@@ -308,6 +308,11 @@
     } else if (const auto *Close = std::get_if<CloseAtAgent>(&O)) {
       Actions_.Send_(PeerId::of(Close->Agent_),
                      CloseIncarnation{Close->Entry_});
+    } else if (std::holds_alternative<Stranded>(O) && !Closed_) {
+      Closed_ = true;
+      log(events::SelfClosed,
+          {{"entry", Self_.str()}, {"holder", "none: no agent is usable"}});
+      Actions_.Closed_(Self_);
     }
   }
 }
--- a/src/message.h
+++ b/src/message.h
@@ -216,7 +216,7 @@
   bool Complete_ = true;
   std::vector<HeldJob> Jobs_;
   /// Records of jobs of earlier token epochs are dropped.
-  Epoch Oldest_;
+  Epoch Oldest_{};
   bool Last_ = true;
   static constexpr auto fields() {
     return std::make_tuple(
@@ -339,6 +339,21 @@
   }
 };
 
+/// Any to any: the objects in which an accepted configuration differs from
+/// version Base_. Removed_ lists "TYPE NAME"; Hash_ is that of the result.
+struct ConfigDelta {
+  ConfigVersion Base_;
+  ConfigVersion Version_;
+  std::uint64_t Hash_ = 0;
+  std::string Toml_;
+  std::vector<std::string> Removed_;
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfigDelta::Base_, &ConfigDelta::Version_,
+                           &ConfigDelta::Hash_, &ConfigDelta::Toml_,
+                           &ConfigDelta::Removed_);
+  }
+};
+
 /// Running and waiting tasks of one team at the sender.
 struct TeamUsage {
   TeamName Team_;
@@ -362,7 +377,7 @@
 /// answered and no new key is accepted under them, so the agent may drop its
 /// records of them; it refuses late starts of such jobs.
 struct EpochsExpired {
-  Epoch Oldest_;
+  Epoch Oldest_{};
   static constexpr auto fields() {
     return std::make_tuple(&EpochsExpired::Oldest_);
   }
@@ -384,7 +399,8 @@
                  IncarnationClosed, TransferGrant, YouAreClosed, EntriesHeard,
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
-                 ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized>;
+                 ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized,
+                 ConfigDelta>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
--- /dev/null
+++ b/tests/fuzz_entry.cpp
@@ -0,0 +1,114 @@
+#include "fuzz_entry.h"
+
+namespace chivelanding::fuzz {
+namespace {
+
+// Longest time that a drain waits for open jobs, as in the default settings.
+constexpr Duration DrainLimit = std::chrono::seconds(30);
+
+} // namespace
+
+EntryNode::EntryNode(Environment &World, const PeerId &Self,
+                     const std::string &Zone, std::vector<std::string> Seeds)
+    : Node(World, Self, Zone, std::move(Seeds)), Core_(makeCore()) {}
+
+std::unique_ptr<EntryCore> EntryNode::makeCore() {
+  EntryActions Actions{
+      [this](const PeerId &To, Message M) { send(To, std::move(M)); },
+      [this](ReplyId To, const JobId &, const JobAnswer &Answer) {
+        give(To, Answer);
+      },
+      [](const Event &) {}, [this](const EntryId &) { MustRejoin_ = true; }};
+  return std::make_unique<EntryCore>(
+      Self_.entry(), OwnerLimits(), LinkLimits().LostAfter_,
+      Self_.Incarnation_.value(), std::move(Actions), now());
+}
+
+void EntryNode::rejoin(const PeerId &Self) {
+  auto Relays = Core_->takeRelays();
+  Self_ = Self;
+  restartLinks();
+  MustRejoin_ = false;
+  Core_ = makeCore();
+  auto Left = std::move(Waiting_);
+  Waiting_.clear();
+  for (PendingRelay &Relay : Relays) {
+    const auto It = Left.find(Relay.Reply_);
+    if (It == Left.end())
+      continue;
+    Waiting_.insert(Left.extract(It));
+    Core_->resumeRelay(std::move(Relay), now());
+  }
+  JobAnswer Unknown;
+  Unknown.Code_ = "owner_unreachable";
+  for (const auto &[Reply, Request] : Left)
+    World_.answer(Self_.Name_, Request, Unknown);
+  if (DrainUntil_)
+    Core_->onDrain(now());
+}
+
+void EntryNode::submit(RequestId Request, JobSpec Spec) {
+  const ReplyId Reply(NextReply_++);
+  Waiting_[Reply] = Request;
+  Core_->onSubmit(std::move(Spec), Reply, now());
+  finish();
+}
+
+void EntryNode::cancel(const JobId &Job) {
+  Core_->onCancel(Job, now());
+  finish();
+}
+
+void EntryNode::drain() {
+  DrainUntil_ = now() + DrainLimit;
+  Core_->onDrain(now());
+  finish();
+}
+
+void EntryNode::give(ReplyId Reply, const JobAnswer &Answer) {
+  const auto It = Waiting_.find(Reply);
+  if (It == Waiting_.end())
+    return;
+  const RequestId Request = It->second;
+  Waiting_.erase(It);
+  World_.answer(Self_.Name_, Request, Answer);
+}
+
+void EntryNode::onPeerUp(const PeerId &P) {
+  Core_->onPeerUp(P, now());
+  KnownEntries Known = Directory_.known();
+  Known.Entries_.push_back(
+      {Self_.entry(), RegionName("region"), Self_.Name_, 1});
+  send(P, std::move(Known));
+}
+
+void EntryNode::onPeerSuspected(const PeerId &P) {
+  Core_->onPeerSuspected(P, now());
+}
+
+void EntryNode::onPeerHeard(const PeerId &P) { Core_->onPeerHeard(P, now()); }
+
+void EntryNode::onPeerLost(const PeerId &P) { Core_->onPeerLost(P, now()); }
+
+void EntryNode::onMessage(const PeerId &From, const Message &M) {
+  if (const auto *Known = std::get_if<KnownEntries>(&M))
+    Directory_.learn(*Known, now());
+  else
+    Core_->onMessage(From, M, now());
+}
+
+void EntryNode::onTick() {
+  Core_->onTimer(now());
+  if (MustRejoin_) {
+    rejoin(World_.newIncarnation(Self_));
+    return;
+  }
+  if (!DrainUntil_)
+    return;
+  const bool Idle =
+      Core_->idle() && Waiting_.empty() && Links_.allAcknowledged(true);
+  if (Idle || now() >= *DrainUntil_)
+    end(false);
+}
+
+} // namespace chivelanding::fuzz
--- a/tests/log_client_test.cpp
+++ b/tests/log_client_test.cpp
@@ -7,12 +7,19 @@
 
 namespace {
 
+HttpResponse response(unsigned Status, const std::string &Body) {
+  HttpResponse R;
+  R.Status_ = Status;
+  R.Body_ = Body;
+  return R;
+}
+
 /// Answers every request with one prepared result.
 class FixedTransport : public LogTransport {
 public:
-  Result<LogResponse> Answer_ = LogResponse();
-  LogRequest Last_;
-  void send(LogRequest Request, Callback Done) override {
+  Result<HttpResponse> Answer_ = HttpResponse();
+  HttpRequest Last_;
+  void send(HttpRequest Request, Duration, Callback Done) override {
     Last_ = std::move(Request);
     Done(Answer_);
   }
@@ -47,8 +54,8 @@
 // an error, which would let two readers differ.
 TEST_CASE("Only a whole answer of the log is used", "[log]") {
   FixedTransport T;
-  T.Answer_ = LogResponse{
-      200, R"({"first":2,"next":4,"records":[{"offset":3,"data":"YWI="}]})"};
+  T.Answer_ = response(
+      200, R"({"first":2,"next":4,"records":[{"offset":3,"data":"YWI="}]})");
   LogBatch Batch;
   REQUIRE(readCode(T, &Batch) == "ok");
   CHECK(Batch.From_ == 3);
@@ -58,7 +65,7 @@
        {"", "[]", "{}", R"({"first":2,"next":4,"records":[{"offset":4}]})",
         R"({"first":2,"next":4,"records":[{"offset":4,"data":"YWI="}]})",
         R"({"first":2,"next":4,"records":[{"offset":3,"data":"?"}]})"}) {
-    T.Answer_ = LogResponse{200, Bad};
+    T.Answer_ = response(200, Bad);
     INFO(Bad);
     CHECK(readCode(T) == "bad_answer");
   }
@@ -66,7 +73,7 @@
 
 // Guards against an append that is reported as not written although it may be.
 TEST_CASE("Only a refusal or a missing connection means not written", "[log]") {
-  const auto NotWritten = [](Result<LogResponse> Answer) {
+  const auto NotWritten = [](Result<HttpResponse> Answer) {
     FixedTransport T;
     T.Answer_ = std::move(Answer);
     LogClient Client(T, "config");
@@ -77,10 +84,10 @@
     });
     return Out;
   };
-  CHECK(NotWritten(LogResponse{429, ""}));
-  CHECK(NotWritten(Error{"not_sent", "", "", ""}));
-  CHECK_FALSE(NotWritten(LogResponse{503, ""}));
-  CHECK_FALSE(NotWritten(LogResponse{200, "{}"}));
+  CHECK(NotWritten(response(429, "")));
+  CHECK(NotWritten(Error{"connect_failed", "", "", ""}));
+  CHECK_FALSE(NotWritten(response(503, "")));
+  CHECK_FALSE(NotWritten(response(200, "{}")));
   CHECK_FALSE(NotWritten(Error{"timeout", "", "", ""}));
   CHECK_FALSE(NotWritten(Error{"connection_lost", "", "", ""}));
 }
