Report to other entries only with work waiting; average the shares

Cause: gates reported every change of room to every entry, 3 to 4 messages per task that led to no start; a kind above its share held back urgent bursts; old outcomes of an endpoint hid those of its peers. Change: a report that nothing else goes with is sent only to an entry with stated work; the most urgent classes may be returned rather than queued (QueueFrom_); shares are compared with an average over 2 s; little room is used only while its report is fresh; another zone is taken when the own one has little room; peers' outcomes are counted with equal memory.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -19,29 +19,31 @@
 
 // The caller is told to come back when half of the excess has drained: later
 // would leave slots idle, earlier would only be refused again.
-std::optional<Refusal> admit(const AdmissionInput &In) {
+std::optional<AdmissionRefusal> admit(const AdmissionInput &In) {
   if (In.NoEndpointFor_ && *In.NoEndpointFor_ >= In.NoEndpointWait_)
-    return Refusal{"no_endpoint",
-                   "the service has had no endpoint for " +
-                       ms(*In.NoEndpointFor_),
-                   LongestRetryAfter / 6};
+    return AdmissionRefusal{"no_endpoint",
+                            "the service has had no endpoint for " +
+                                ms(*In.NoEndpointFor_),
+                            LongestRetryAfter / 6};
   const double Rate = std::max(In.KindRate_, 0.001);
   const Duration Wait(static_cast<std::int64_t>(
       std::min(1e12, 1e6 * static_cast<double>(In.KindWaiting_) / Rate)));
   if (std::uint64_t{In.Waiting_} + In.Tasks_ > In.MaxWaiting_)
-    return Refusal{"queue_full",
-                   std::to_string(In.Waiting_) + " tasks wait, the bound is " +
-                       std::to_string(In.MaxWaiting_),
-                   bounded(Wait / 2)};
+    return AdmissionRefusal{"queue_full",
+                            std::to_string(In.Waiting_) +
+                                " tasks wait, the bound is " +
+                                std::to_string(In.MaxWaiting_),
+                            bounded(Wait / 2)};
   if (Wait > In.MaxWait_)
-    return Refusal{"overloaded",
-                   "expected wait " + ms(Wait) + " exceeds " + ms(In.MaxWait_),
-                   bounded((Wait - In.MaxWait_) / 2)};
+    return AdmissionRefusal{"overloaded",
+                            "expected wait " + ms(Wait) + " exceeds " +
+                                ms(In.MaxWait_),
+                            bounded((Wait - In.MaxWait_) / 2)};
   if (In.Deadline_ && Wait > *In.Deadline_)
-    return Refusal{"deadline_unreachable",
-                   "expected wait " + ms(Wait) + " exceeds the deadline of " +
-                       ms(*In.Deadline_),
-                   bounded((Wait - *In.Deadline_) / 2)};
+    return AdmissionRefusal{"deadline_unreachable",
+                            "expected wait " + ms(Wait) +
+                                " exceeds the deadline of " + ms(*In.Deadline_),
+                            bounded((Wait - *In.Deadline_) / 2)};
   return {};
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -10,7 +10,7 @@
 namespace chivelanding {
 
 /// A refusal of a job before any of it is taken.
-struct Refusal {
+struct AdmissionRefusal {
   std::string Code_;
   std::string Detail_;
   Duration RetryAfter_{0};
@@ -36,7 +36,7 @@
 
 /// Refuses a job that would wait too long. Codes: no_endpoint, queue_full,
 /// overloaded, deadline_unreachable.
-std::optional<Refusal> admit(const AdmissionInput &In);
+std::optional<AdmissionRefusal> admit(const AdmissionInput &In);
 
 } // namespace chivelanding
 
--- a/src/agent_gate.cpp
+++ b/src/agent_gate.cpp
@@ -45,7 +45,9 @@
 }
 
 // A report is left out if it would not change what the entry may send: starts
-// of its own that have arrived are taken off its credit on both sides.
+// of its own that have arrived are taken off its credit on both sides. A report
+// that nothing else goes with is a message of its own, and is sent only to an
+// entry with work waiting.
 void AgentGate::report(GateOutputs &Out) {
   if (!Endpoint_)
     return;
@@ -62,6 +64,13 @@
     if (Old && Old->QueueLength_ == R.QueueLength_ &&
         Old->Credit_ + Old->StartsSeen_ == R.Credit_ + R.StartsSeen_)
       continue;
+    const bool IsAlone =
+        std::none_of(Out.begin(), Out.end(), [&](const GateOutput &O) {
+          const auto *Other = std::get_if<SendToEntry>(&O);
+          return Other && Other->To_ == Id;
+        });
+    if (IsAlone && Old && !Credit_.hasDemand(Id))
+      continue;
     Entry.Reported_ = R;
     Out.push_back(SendToEntry{Id, R});
   }
@@ -156,7 +165,8 @@
 // owner was closed here, the entry that this agent granted the resumption; and
 // only while that entry is connected.
 std::optional<RejectReason> AgentGate::refusalOf(const EntryId &From,
-                                                 const JobId &Job) const {
+                                                 const JobId &Job,
+                                                 PriorityClass Class) const {
   const EntryId &Owner = Job.Token_.Owner_;
   if (Records_.receiverOf(Owner) != From || Entries_.count(From) == 0)
     return RejectReason::NotOwner;
@@ -167,7 +177,9 @@
     return RejectReason::Leaving;
   if (slots() == 0)
     return RejectReason::NoEndpoint;
-  if (Runs_.size() + Queue_.size() >= slots() + Limits_.QueueRoom_)
+  const std::uint32_t Queue =
+      Class < Limits_.QueueFrom_ ? 0 : Limits_.QueueRoom_;
+  if (Runs_.size() + Queue_.size() >= slots() + Queue)
     return RejectReason::NoRoom;
   return std::nullopt;
 }
@@ -202,7 +214,7 @@
                          const TaskStart &Task, Time Now, GateOutputs &Out) {
   if (answerKnown(From, Start.Job_, Task, Out))
     return;
-  if (const auto Reason = refusalOf(From, Start.Job_)) {
+  if (const auto Reason = refusalOf(From, Start.Job_, Start.Class_)) {
     refuse(From, Start.Job_, Task.Index_, Task.Attempt_, *Reason, Now);
     return;
   }
--- a/src/agent_gate.h
+++ b/src/agent_gate.h
@@ -50,6 +50,9 @@
   std::uint64_t ResultBytes_ = 64u << 20;
   /// How long records of closed or unconnected owners are kept.
   Duration Retention_ = std::chrono::minutes(10);
+  /// Tasks of more urgent classes are not queued here but returned, because
+  /// their owner can use the first free slot of the whole fleet for them.
+  PriorityClass QueueFrom_;
 };
 
 /// The last gate before a task starts at an endpoint. It starts each (job,
@@ -107,8 +110,8 @@
                 const TaskStart &Task, Time Now, GateOutputs &Out);
   bool answerKnown(const EntryId &From, const JobId &Job, const TaskStart &Task,
                    GateOutputs &Out);
-  std::optional<RejectReason> refusalOf(const EntryId &From,
-                                        const JobId &Job) const;
+  std::optional<RejectReason> refusalOf(const EntryId &From, const JobId &Job,
+                                        PriorityClass Class) const;
   void onCancel(const EntryId &From, const CancelTasks &Cancel, Time Now,
                 GateOutputs &Out);
   void onEnded(const EntryId &From, const JobEnded &Ended);
--- a/src/credit.cpp
+++ b/src/credit.cpp
@@ -113,6 +113,11 @@
   }
 }
 
+bool CreditDivider::hasDemand(const EntryId &Entry) const {
+  const auto It = Entries_.find(Entry);
+  return It != Entries_.end() && !It->second.Demand_.empty();
+}
+
 std::uint32_t CreditDivider::credit(const EntryId &Entry) const {
   const auto It = Entries_.find(Entry);
   return It == Entries_.end() ? 0 : It->second.Credit_;
--- a/src/credit.h
+++ b/src/credit.h
@@ -27,6 +27,8 @@
   void divide(std::uint32_t Room);
   /// Starts that the entry may send.
   std::uint32_t credit(const EntryId &Entry) const;
+  /// True if work of the entry that it has stated is still waiting.
+  bool hasDemand(const EntryId &Entry) const;
 
 private:
   struct Share {
--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_health.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 namespace chivelanding {
@@ -55,6 +56,16 @@
   Agents_.erase(It);
 }
 
+// An endpoint's counts lose weight with every outcome of the kind anywhere, as
+// the counts of the kind do, so that one can be taken off the other.
+void EndpointHealth::forget(Counts &C, std::uint64_t Seen) {
+  const double Factor =
+      std::pow(OutcomeMemory, static_cast<double>(Seen - C.Seen_));
+  C.Success_ *= Factor;
+  C.Failure_ *= Factor;
+  C.Seen_ = Seen;
+}
+
 // A failure is the endpoint's only as far as the kind succeeds elsewhere. While
 // nothing is known of the kind at other endpoints, half of it is counted.
 double EndpointHealth::blame(const Agent &A, const KindName &Kind) const {
@@ -64,8 +75,10 @@
     Peers = All->second;
   const auto Own = A.Kinds_.find(Kind);
   if (Own != A.Kinds_.end()) {
-    Peers.Success_ = std::max(0.0, Peers.Success_ - Own->second.Success_);
-    Peers.Failure_ = std::max(0.0, Peers.Failure_ - Own->second.Failure_);
+    Counts Part = Own->second;
+    forget(Part, Peers.Seen_);
+    Peers.Success_ = std::max(0.0, Peers.Success_ - Part.Success_);
+    Peers.Failure_ = std::max(0.0, Peers.Failure_ - Part.Failure_);
   }
   const double Known = Peers.Success_ + Peers.Failure_;
   if (Known < KnownOutcomes)
@@ -120,19 +133,23 @@
 }
 
 // One failure already limits the endpoint to one task at a time, so that a
-// burst is not lost to an endpoint that fails everything at once.
+// burst is not lost to an endpoint that fails everything at once. A success of
+// a task that was sent before the last failure clears nothing.
 void EndpointHealth::onFinished(std::uint32_t Id, const KindName &Kind,
-                                bool Success, Time Now) {
+                                bool Success, Time Started, Time Now) {
   const auto It = Agents_.find(Id);
   if (It == Agents_.end())
     return;
   Agent &A = It->second;
   const double Blame = Success ? 0 : blame(A, Kind);
+  const std::uint64_t Seen = Kinds_[Kind].Seen_ + 1;
   for (Counts *C : {&Kinds_[Kind], &A.Kinds_[Kind]}) {
-    C->Success_ = C->Success_ * OutcomeMemory + (Success ? 1 : 0);
-    C->Failure_ = C->Failure_ * OutcomeMemory + (Success ? 0 : 1);
+    forget(*C, Seen);
+    (Success ? C->Success_ : C->Failure_) += 1;
   }
   if (Success) {
+    if (A.Blame_ > 0 && Started <= A.LastFailure_)
+      return;
     A.Blame_ = 0;
     if (!A.IsSlow_)
       reinstateStep(A);
@@ -141,6 +158,7 @@
   if (Blame <= 0)
     return;
   A.Blame_ += Blame;
+  A.LastFailure_ = Now;
   A.Window_ = 1;
   if (A.Blame_ >= BlameLimit)
     trySetAside(
--- a/src/endpoint_health.h
+++ b/src/endpoint_health.h
@@ -22,8 +22,9 @@
   void addAgent(std::uint32_t Agent, const ServiceName &Service);
   void removeAgent(std::uint32_t Agent);
 
+  /// Started is when the task was sent.
   void onFinished(std::uint32_t Agent, const KindName &Kind, bool Success,
-                  Time Now);
+                  Time Started, Time Now);
   /// Slowness is the run time as a multiple of the peers'.
   void onSlowness(std::uint32_t Agent, double Slowness, Time Now);
   /// A trial task was sent.
@@ -44,10 +45,13 @@
   struct Counts {
     double Success_ = 0;
     double Failure_ = 0;
+    /// Outcomes of the kind at all endpoints up to the last one counted here.
+    std::uint64_t Seen_ = 0;
   };
   struct Agent {
     ServiceName Service_;
     double Blame_ = 0;
+    Time LastFailure_;
     bool SetAside_ = false;
     bool IsSlow_ = false;
     std::uint32_t Window_ = NoBound;
@@ -61,6 +65,7 @@
     std::uint32_t SetAside_ = 0;
   };
 
+  static void forget(Counts &C, std::uint64_t Seen);
   double blame(const Agent &A, const KindName &Kind) const;
   void trySetAside(Agent &A, Duration Gap, const std::string &Reason, Time Now);
   void reinstateStep(Agent &A);
--- a/src/fair_share.cpp
+++ b/src/fair_share.cpp
@@ -1,6 +1,7 @@
 #include "fair_share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 namespace chivelanding {
@@ -8,6 +9,9 @@
 namespace {
 
 constexpr Duration RateCheckPeriod = std::chrono::milliseconds(10);
+/// Time over which a kind's use is held against its guaranteed share. Bursts
+/// that are shorter are ordered by class alone.
+constexpr double ShareTimeUs = 2e6;
 
 } // namespace
 
@@ -241,10 +245,30 @@
          Running->second < Part(K.ServiceLimit_);
 }
 
+void FairShare::average(Kind &K, Time Now) {
+  const auto Us = static_cast<double>((Now - K.Averaged_).count());
+  if (Us <= 0)
+    return;
+  K.Average_ += (K.Running_ - K.Average_) * (1 - std::exp(-Us / ShareTimeUs));
+  K.Averaged_ = Now;
+}
+
+double FairShare::averageOf(const ServiceName &Service, Time Now) {
+  double Sum = 0;
+  for (Kind &K : Kinds_) {
+    if (K.Service_ != Service)
+      continue;
+    average(K, Now);
+    Sum += K.Average_;
+  }
+  return Sum;
+}
+
 // Kinds below their guaranteed share come first, then the others by class; the
-// guarantee is a part of the slots that this owner uses, the one at hand
-// included. Share that a kind does not ask for thus goes to the others until it
-// asks again.
+// guarantee is a part of the slots that this owner has used lately. Share that
+// a kind does not ask for thus goes to the others until it asks again, and it
+// then has the next slot. An average is compared rather than the present use,
+// so that a kind above its share does not hold back a more urgent burst.
 std::optional<NextJob>
 FairShare::next(const std::function<bool(const ServiceName &)> &HasRoom,
                 Time Now) {
@@ -252,15 +276,18 @@
   while (true) {
     const Kind *Best = nullptr;
     std::tuple<bool, PriorityClass, double> BestKey;
+    const ServiceName *Averaged = nullptr;
+    double Total = 0;
     for (const std::uint32_t Number : Active_) {
       const Kind &K = Kinds_[Number];
       if (K.Ready_.empty() || !withinLimits(K) || !HasRoom(K.Service_))
         continue;
-      const auto Service = ServiceRunning_.find(K.Service_);
-      const double Slots =
-          1.0 + (Service == ServiceRunning_.end() ? 0 : Service->second);
-      const double Guaranteed = share(Number) * Slots;
-      const std::tuple Key(K.Running_ >= Guaranteed, K.Class_,
+      if (!Averaged || *Averaged != K.Service_) {
+        Averaged = &K.Service_;
+        Total = averageOf(K.Service_, Now);
+      }
+      const double Guaranteed = share(Number) * Total;
+      const std::tuple Key(K.Average_ >= Guaranteed, K.Class_,
                            K.Running_ / std::max(K.Policy_.Weight_, 1e-9));
       if (!Best || Key < BestKey) {
         Best = &K;
@@ -282,9 +309,10 @@
   }
 }
 
-void FairShare::onStarted(JobSlot Slot, Time) {
+void FairShare::onStarted(JobSlot Slot, Time Now) {
   const Job &J = Jobs_[Slot];
   Kind &K = Kinds_[J.Kind_];
+  average(K, Now);
   ++K.Running_;
   K.Virtual_ = std::max(K.Virtual_, J.Tag_);
   ++ServiceRunning_[K.Service_];
@@ -294,8 +322,9 @@
     T.Tokens_ -= 1;
 }
 
-void FairShare::onEnded(JobSlot Slot) {
+void FairShare::onEnded(JobSlot Slot, Time Now) {
   const Job &J = Jobs_[Slot];
+  average(Kinds_[J.Kind_], Now);
   --Kinds_[J.Kind_].Running_;
   --ServiceRunning_[Kinds_[J.Kind_].Service_];
   --Teams_[J.Team_].Running_;
--- a/src/fair_share.h
+++ b/src/fair_share.h
@@ -54,7 +54,7 @@
   /// A task of the job returned by next() was sent.
   void onStarted(JobSlot Job, Time Now);
   /// A task that was sent has ended or was returned.
-  void onEnded(JobSlot Job);
+  void onEnded(JobSlot Job, Time Now);
 
   std::uint32_t kindWaiting(std::uint32_t Kind) const {
     return Kinds_[Kind].Waiting_;
@@ -81,6 +81,9 @@
     std::uint32_t ServiceLimit_ = 0;
     std::uint32_t Running_ = 0;
     std::uint32_t Waiting_ = 0;
+    /// Running tasks averaged over ShareTime.
+    double Average_ = 0;
+    Time Averaged_;
     double Virtual_ = 0;
     std::map<std::uint32_t, TeamQueue> Teams_;
     /// First job of each team that may start tasks.
@@ -114,6 +117,8 @@
   void unpark(std::uint32_t Team);
   void unparkRated(Time Now);
   bool withinLimits(const Kind &K) const;
+  static void average(Kind &K, Time Now);
+  double averageOf(const ServiceName &Service, Time Now);
 
   PolicyConfig Config_;
   double Weights_ = 0;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -11,6 +11,8 @@
     std::numeric_limits<std::uint32_t>::max();
 /// Agents of one zone that are compared for the spread over racks.
 constexpr std::size_t Compared = 4;
+/// Room of an agent in the own zone from which no other zone is considered.
+constexpr std::uint32_t AmpleRoom = 3;
 
 std::string roomText(const char *Name, std::uint32_t Room) {
   return std::string(Name) + ", room " + std::to_string(Room);
@@ -48,28 +50,36 @@
                        : PlacementChoice{A, roomText("two choices", RoomA)};
 }
 
-// The own zone comes first while it has room, because a free slot means no wait
-// there. In a zone the racks with the fewest tasks of the job come first among
-// the agents with the most room.
+std::uint32_t mostRoom(const PlacementIndex::ByRoom &ByRoom) {
+  return ByRoom.empty() ? 0 : GreatestRoom - ByRoom.begin()->first;
+}
+
+// The own zone comes first while its room is ample or no less than elsewhere:
+// the last slots of a zone are often taken by another owner meanwhile, and a
+// task that finds none has waited longer than the path to another zone. Among
+// agents with about the same room the racks with the fewest tasks of the job
+// come first.
 PlacementChoice chooseCredits(const PlacementIndex &Index,
                               const PlacementRequest &Request,
                               std::mt19937_64 &) {
   const auto &Zones = Index.zones();
-  auto Zone = Zones.find(Request.OwnZone_);
-  const bool IsOwn = Zone != Zones.end() && !Zone->second.empty();
-  if (!IsOwn) {
-    Zone = Zones.end();
+  const auto Own = Zones.find(Request.OwnZone_);
+  const std::uint32_t OwnRoom = Own == Zones.end() ? 0 : mostRoom(Own->second);
+  auto Zone = Own;
+  std::uint32_t ZoneRoom = OwnRoom;
+  if (OwnRoom < AmpleRoom)
     for (auto It = Zones.begin(); It != Zones.end(); ++It)
-      if (!It->second.empty() &&
-          (Zone == Zones.end() || *It->second.begin() < *Zone->second.begin()))
+      if (mostRoom(It->second) > ZoneRoom) {
         Zone = It;
-  }
+        ZoneRoom = mostRoom(It->second);
+      }
+  const bool IsOwn = Zone == Own;
   std::uint32_t Best = 0;
   std::uint32_t BestRoom = 0;
   std::uint32_t BestTasks = GreatestRoom;
   std::size_t Seen = 0;
   for (const auto &[Lack, Number] : Zone->second) {
-    if (++Seen > Compared)
+    if (++Seen > Compared || GreatestRoom - Lack + 1 < ZoneRoom)
       break;
     const auto &Rack = Index.agents().at(Number).Rack_;
     std::uint32_t Tasks = 0;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -194,8 +194,8 @@
   return std::max(Measured, Guaranteed);
 }
 
-std::optional<Refusal> Scheduler::admitJob(const JobSpec &Spec,
-                                           Time Now) const {
+std::optional<AdmissionRefusal> Scheduler::admitJob(const JobSpec &Spec,
+                                                    Time Now) const {
   if (!isFair())
     return {};
   AdmissionInput In;
@@ -231,7 +231,7 @@
     return {};
   const Flight F = It->second;
   Flights_.erase(It);
-  Fair_.onEnded(Slot);
+  Fair_.onEnded(Slot, Now);
   JobState &J = Jobs_[Slot];
   --J.InFlight_;
   if (J.InFlight_ == 0 && J.Waiting_.empty())
@@ -262,7 +262,7 @@
     RunMeanUs_ += (Us - RunMeanUs_) * (RunMeanUs_ > 0 ? Weight : 1);
   }
   if (Outcome != RunOutcome::Stopped)
-    Health_.onFinished(F->Agent_, Kind, Success, Now);
+    Health_.onFinished(F->Agent_, Kind, Success, F->Start_, Now);
   noteHealth(F->Agent_);
   refresh(F->Agent_, Now);
 }
@@ -304,7 +304,7 @@
   ++J.Racks_[A.Info_.Rack_];
   ++A.InFlight_;
   ++A.StartsSent_;
-  Flights_[flightKey(Slot, Index)] = {Agent};
+  Flights_[flightKey(Slot, Index)] = {Agent, Now};
   Times_.onStarted(Agent, J.KindName_, flightKey(Slot, Index), Now);
   countStart(J.Kind_, Now);
   refresh(Agent, Now);
@@ -333,6 +333,12 @@
     }
     const PlacementChoice Choice =
         Strategy_(Service.Index_, {Zone_, &J.Racks_}, Random_);
+    // Reports lose their value with time, without any event that says so.
+    const std::uint32_t Room = Service.Index_.agents().at(Choice.Agent_).Room_;
+    if (room(Choice.Agent_, Now) != Room) {
+      refresh(Choice.Agent_, Now);
+      continue;
+    }
     Placements.push_back(send(Next->Job_, Choice.Agent_,
                               Next->Reason_ + "; " + Choice.Reason_, Now));
   }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -80,7 +80,7 @@
   void onReport(const AgentId &Agent, const AgentReport &Report, Time Now);
 
   /// Whether a new job may be taken; asked before its tasks are enqueued.
-  std::optional<Refusal> admitJob(const JobSpec &Spec, Time Now) const;
+  std::optional<AdmissionRefusal> admitJob(const JobSpec &Spec, Time Now) const;
   void enqueue(const WaitingTask &Task, Time Now);
   /// Removes the waiting tasks of a job and returns their indices.
   std::vector<TaskIndex> cancel(const JobId &Job, Time Now);
@@ -115,6 +115,7 @@
     AgentId Id_;
     EndpointInfo Info_;
     AgentReport Report_;
+    Time ReportedAt_;
     std::uint64_t StartsSent_ = 0;
     std::uint32_t InFlight_ = 0;
     bool Present_ = false;
@@ -141,6 +142,7 @@
   };
   struct Flight {
     std::uint32_t Agent_ = 0;
+    Time Start_;
   };
   /// Starts per second, and since when tasks of the kind are waiting.
   struct KindRate {
--- a/src/scheduler_agents.cpp
+++ b/src/scheduler_agents.cpp
@@ -11,6 +11,9 @@
 constexpr double RoundTripUs = 3000;
 /// Part of a task below which a queue is not worth its effect on the order.
 constexpr double QueueSlack = 0.1;
+/// Room that is used only while its report is fresh.
+constexpr std::uint64_t ScarceRoom = 1;
+constexpr Duration FreshReport = std::chrono::milliseconds(30);
 /// Time between two judgements of the endpoints' speed.
 constexpr Duration EvaluationPeriod = std::chrono::milliseconds(100);
 
@@ -67,6 +70,7 @@
   if (It == AgentNumbers_.end())
     return;
   Agents_[It->second].Report_ = Report;
+  Agents_[It->second].ReportedAt_ = Now;
   refresh(It->second, Now);
 }
 
@@ -74,7 +78,8 @@
 // starts that are still on their way are taken off. Beyond the free slots only
 // as many tasks are sent as one round trip takes at the usual run time: a task
 // that waits at an agent is bound to its few slots, while a task that waits
-// here takes the first slot of the whole fleet.
+// here takes the first slot of the whole fleet. Little room that was reported a
+// while ago has most likely been taken by another owner.
 std::uint32_t Scheduler::room(std::uint32_t Number, Time Now) const {
   const AgentState &A = Agents_[Number];
   if (!A.Present_ || A.Info_.Leaving_)
@@ -90,6 +95,9 @@
   const std::uint64_t OnTheWay =
       A.StartsSent_ - std::min(A.StartsSent_, A.Report_.StartsSeen_);
   Room -= std::min(Room, OnTheWay);
+  if (isFair() && Config_.Placement_ == "credits" && Room <= ScarceRoom &&
+      Room < A.Info_.Slots_ && A.ReportedAt_ + FreshReport < Now)
+    return 0;
   if (isFair()) {
     const std::uint64_t Window = Health_.window(Number, Now);
     Room =
