--- a/src/log_client.cpp
+++ b/src/log_client.cpp
@@ -19,11 +19,11 @@
 }
 
 // The answer as JSON, or the error that its status stands for.
-Result<Json> parseAnswer(const Result<LogResponse> &R,
+Result<Json> parseAnswer(const Result<HttpResponse> &R,
                          const std::string &Step) {
   if (!ok(R))
     return error(R);
-  const LogResponse &Response = value(R);
+  const HttpResponse &Response = value(R);
   if (Response.Status_ == 429)
     return logError("rate_limited", Step, "the log limits the rate");
   if (Response.Status_ < 200 || Response.Status_ > 299)
@@ -55,7 +55,7 @@
 } // namespace
 
 bool isNotWritten(const Error &E) {
-  return E.Code_ == "not_sent" || E.Code_ == "rate_limited";
+  return E.Code_ == "connect_failed" || E.Code_ == "rate_limited";
 }
 
 void LogClient::read(const ReadLog &Request,
@@ -63,15 +63,14 @@
   const auto WaitMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(Request.Wait_)
           .count();
-  LogRequest Http;
+  HttpRequest Http;
   Http.Method_ = "GET";
   Http.Target_ = "/streams/" + Stream_ +
                  "?from=" + std::to_string(Request.From_) +
                  "&max=" + std::to_string(Request.Max_) +
                  "&wait_ms=" + std::to_string(WaitMs);
-  Http.Timeout_ = Request.Wait_ + AnswerTimeout;
-  Transport_.send(std::move(Http),
-                  [Done, From = Request.From_](const Result<LogResponse> &R) {
+  Transport_.send(std::move(Http), Request.Wait_ + AnswerTimeout,
+                  [Done, From = Request.From_](const Result<HttpResponse> &R) {
                     const Result<Json> Body = parseAnswer(R, "read log");
                     if (!ok(Body))
                       return Done(error(Body));
@@ -87,20 +86,20 @@
 
 void LogClient::append(const AppendLog &Request,
                        const std::function<void(Result<std::uint64_t>)> &Done) {
-  LogRequest Http;
+  HttpRequest Http;
   Http.Method_ = "POST";
   Http.Target_ = "/streams/" + Stream_;
   Http.Body_ = Request.Data_;
-  Http.Timeout_ = AnswerTimeout;
-  Transport_.send(std::move(Http), [Done](const Result<LogResponse> &R) {
-    const Result<Json> Body = parseAnswer(R, "append to log");
-    if (!ok(Body))
-      return Done(error(Body));
-    const auto Offset = value(Body).find("offset");
-    if (Offset == value(Body).end() || !Offset->is_number_unsigned())
-      return Done(logError("bad_answer", "append to log", "no offset"));
-    Done(Offset->get<std::uint64_t>());
-  });
+  Transport_.send(
+      std::move(Http), AnswerTimeout, [Done](const Result<HttpResponse> &R) {
+        const Result<Json> Body = parseAnswer(R, "append to log");
+        if (!ok(Body))
+          return Done(error(Body));
+        const auto Offset = value(Body).find("offset");
+        if (Offset == value(Body).end() || !Offset->is_number_unsigned())
+          return Done(logError("bad_answer", "append to log", "no offset"));
+        Done(Offset->get<std::uint64_t>());
+      });
 }
 
 } // namespace chivelanding
--- a/src/membership.h
+++ b/src/membership.h
@@ -85,10 +85,18 @@
   EntryId Entry_;
 };
 
+/// Output: no usable agent is heard, and the agents that are heard may not be
+/// used because a peer that must acknowledge them is gone. This incarnation can
+/// do nothing more; the process is to answer its callers that the outcome is
+/// unknown and to rejoin as a new incarnation.
+struct Stranded {};
+
 /// An agent that an entry announced, and its service.
 struct AnnouncedAgent {
   AgentId Agent_;
   ServiceName Service_;
+  /// False if the entry did not announce the agent, which is known here only.
+  bool Announced_ = true;
 
   friend bool operator==(const AnnouncedAgent &A, const AnnouncedAgent &B) {
     return A.Agent_ == B.Agent_ && A.Service_ == B.Service_;
@@ -98,8 +106,9 @@
   }
 };
 
-using MembershipOutput = std::variant<SendToPeer, AgentUsable, AgentGone,
-                                      EntryLost, EntryReturned, CloseAtAgent>;
+using MembershipOutput =
+    std::variant<SendToPeer, AgentUsable, AgentGone, EntryLost, EntryReturned,
+                 CloseAtAgent, Stranded>;
 using MembershipOutputs = std::vector<MembershipOutput>;
 
 /// What is known of a peer entry.
@@ -155,8 +164,7 @@
   EntryStatus status(const EntryId &Entry) const;
   /// True if the agent may be used.
   bool isUsable(const AgentId &Agent) const;
-  /// Agents that the entry announced here; if knowsAllAgentsOf is false, those
-  /// and every agent known here.
+  /// Agents that the entry announced here, and every other agent known here.
   std::vector<AnnouncedAgent> agentsOf(const EntryId &Entry) const;
   /// True if agentsOf names every agent that the entry may have used.
   bool knowsAllAgentsOf(const EntryId &Entry) const;
@@ -198,6 +206,7 @@
   void judgeEntries(MembershipOutputs &Out);
   void askClose(const EntryId &Entry, EntryState &Peer, MembershipOutputs &Out);
   bool isHeard(const AgentId &Agent) const;
+  bool isStranded() const;
   bool stillHeard(const EntryId &Entry) const;
   void onClosed(const AgentId &By, const EntryId &Entry,
                 MembershipOutputs &Out);
@@ -205,6 +214,8 @@
   EntryId Self_;
   Duration LostAfter_;
   Time Now_;
+  /// Since when isStranded() holds.
+  std::optional<Time> StrandedSince_;
   std::map<EntryId, EntryState> Entries_;
   std::map<AgentId, AgentState> Agents_;
   /// Every agent that was usable at some time in this incarnation.
