--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -115,6 +115,7 @@
     AgentId Id_;
     EndpointInfo Info_;
     AgentReport Report_;
+    Time ReportedAt_;
     std::uint64_t StartsSent_ = 0;
     std::uint32_t InFlight_ = 0;
     bool Present_ = false;
@@ -141,6 +142,7 @@
   };
   struct Flight {
     std::uint32_t Agent_ = 0;
+    Time Start_;
   };
   /// Starts per second, and since when tasks of the kind are waiting.
   struct KindRate {
