Index agents by service and batch withdrawals to one agent

Cause: each withdrawn job searched all agents, and jobs that expired together went to different agents, one message each. Change: AgentTable keeps the agents of each service; all withdrawals of one input and service go to the same agent, the next input takes the next one. Conclusion: the withdrawal costs one message pair per input and service.

--- a/src/agent_table.cpp
+++ b/src/agent_table.cpp
@@ -1,13 +1,26 @@
 #include "agent_table.h"
 
+#include <algorithm>
+
 namespace chivelanding {
 
 bool AgentTable::announce(const AgentId &Agent, const EndpointInfo &Info) {
   AgentState &State = Agents_[Agent];
-  const bool IsNew = State.Service_ != Info.Service_;
+  if (State.Service_ == Info.Service_)
+    return false;
+  leaveService(Agent, State.Service_);
   State.Service_ = Info.Service_;
-  Served_.insert(Info.Service_);
-  return IsNew;
+  ByService_[Info.Service_].push_back(Agent);
+  return true;
+}
+
+void AgentTable::leaveService(const AgentId &Agent,
+                              const ServiceName &Service) {
+  const auto It = ByService_.find(Service);
+  if (It == ByService_.end())
+    return;
+  auto &Agents = It->second;
+  Agents.erase(std::remove(Agents.begin(), Agents.end(), Agent), Agents.end());
 }
 
 void AgentTable::addSent(const AgentId &Agent, TaskKey Task) {
@@ -23,6 +36,7 @@
   const auto It = Agents_.find(Agent);
   if (It == Agents_.end())
     return {};
+  leaveService(Agent, It->second.Service_);
   std::set<TaskKey> Sent = std::move(It->second.Sent_);
   Agents_.erase(It);
   return Sent;
@@ -37,14 +51,21 @@
     State.Sent_.clear();
 }
 
-std::vector<AgentId> AgentTable::withdrawers(const ServiceName &Service,
-                                             const EntryId *ClosedOwner) const {
-  std::vector<AgentId> Found;
-  for (const auto &[Agent, State] : Agents_)
-    if (ClosedOwner ? State.Granted_.count(*ClosedOwner) != 0
-                    : State.Service_ == Service)
-      Found.push_back(Agent);
-  return Found;
+// Jobs of a closed owner are few, so the search for its grants may be linear.
+std::optional<AgentId> AgentTable::withdrawer(const ServiceName &Service,
+                                              const EntryId *ClosedOwner,
+                                              std::uint64_t Turn) const {
+  std::vector<AgentId> Granted;
+  if (ClosedOwner)
+    for (const auto &[Agent, State] : Agents_)
+      if (State.Granted_.count(*ClosedOwner) != 0)
+        Granted.push_back(Agent);
+  const auto Served = ByService_.find(Service);
+  if (ClosedOwner ? Granted.empty()
+                  : Served == ByService_.end() || Served->second.empty())
+    return std::nullopt;
+  const auto &Agents = ClosedOwner ? Granted : Served->second;
+  return Agents[Turn % Agents.size()];
 }
 
 std::vector<AgentId> AgentTable::all() const {
@@ -55,11 +76,8 @@
 }
 
 std::vector<AgentId> AgentTable::ofService(const ServiceName &Service) const {
-  std::vector<AgentId> Found;
-  for (const auto &[Agent, State] : Agents_)
-    if (State.Service_ == Service)
-      Found.push_back(Agent);
-  return Found;
+  const auto It = ByService_.find(Service);
+  return It == ByService_.end() ? std::vector<AgentId>() : It->second;
 }
 
 } // namespace chivelanding
--- a/src/agent_table.h
+++ b/src/agent_table.h
@@ -5,7 +5,9 @@
 #include "retry_queue.h"
 #include "types.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -27,26 +29,30 @@
   /// recorded before.
   bool addGrant(const AgentId &Agent, const EntryId &Owner);
   void clearSent();
-  /// Agents at which a job of this owner and service can be withdrawn: those of
-  /// the service, or those with the grant if the owner is closed.
-  std::vector<AgentId> withdrawers(const ServiceName &Service,
-                                   const EntryId *ClosedOwner) const;
+  /// An agent at which a job can be withdrawn: one of the service, or one with
+  /// the grant if the job's owner is closed. Equal turns give the same agent.
+  std::optional<AgentId> withdrawer(const ServiceName &Service,
+                                    const EntryId *ClosedOwner,
+                                    std::uint64_t Turn) const;
   /// True if an agent of the service was ever used.
   bool everServed(const ServiceName &Service) const {
-    return Served_.count(Service) != 0;
+    return ByService_.count(Service) != 0;
   }
 
   std::vector<AgentId> all() const;
   std::vector<AgentId> ofService(const ServiceName &Service) const;
 
 private:
+  void leaveService(const AgentId &Agent, const ServiceName &Service);
+
   struct AgentState {
     ServiceName Service_;
     std::set<TaskKey> Sent_;
     std::set<EntryId> Granted_;
   };
   std::map<AgentId, AgentState> Agents_;
-  std::set<ServiceName> Served_;
+  /// Services are kept when their last agent is gone.
+  std::map<ServiceName, std::vector<AgentId>> ByService_;
 };
 
 } // namespace chivelanding
--- a/src/job_progress.cpp
+++ b/src/job_progress.cpp
@@ -60,6 +60,8 @@
     Out.push_back(SendToAgent{Key.first, std::move(Start)});
   for (auto &[Agent, Withdraw] : Withdrawals_)
     Out.push_back(SendToAgent{Agent, std::move(Withdraw)});
+  if (!Withdrawals_.empty())
+    ++WithdrawalTurn_;
   Withdrawals_.clear();
 }
 
@@ -141,14 +143,14 @@
 
 bool JobProgress::withdraw(OwnedJob &J) {
   const JobId &Id = J.Spec_.Id_;
-  const auto Agents = Agents_.withdrawers(
-      J.Spec_.Service_, J.Adopted_ ? &Id.Token_.Owner_ : nullptr);
-  if (Agents.empty())
+  const auto Agent = Agents_.withdrawer(
+      J.Spec_.Service_, J.Adopted_ ? &Id.Token_.Owner_ : nullptr,
+      WithdrawalTurn_);
+  if (!Agent)
     return false;
-  const AgentId &Agent = Agents[J.Number_ % Agents.size()];
   J.Withdrawing_ = true;
-  Agents_.addSent(Agent, {J.Number_, WithdrawalIndex});
-  Withdrawals_[Agent].Jobs_.push_back(Id);
+  Agents_.addSent(*Agent, {J.Number_, WithdrawalIndex});
+  Withdrawals_[*Agent].Jobs_.push_back(Id);
   return true;
 }
 
--- a/src/job_progress.h
+++ b/src/job_progress.h
@@ -62,6 +62,8 @@
 
   /// Withdrawals of the input in hand, one message per agent.
   std::map<AgentId, WithdrawJobs> Withdrawals_;
+  /// Chooses the agent, one for all withdrawals of an input and service.
+  std::uint64_t WithdrawalTurn_ = 0;
 };
 
 } // namespace chivelanding
