Run the configuration in the processes and admit jobs by policy

Cause: the processes ignored the published configuration: every submission was taken whatever its service, kind or expected wait, and no quota applied. Change: entries and agents run the configuration service; the accepted set becomes the scheduler's policy, sets the class and deadline of submissions and decides who may call; entries exchange usage once a second; the job owner asks for admission and withdraws tasks that can never run; health changes are logged; status and drain need an operator once there is one.

--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -3,6 +3,7 @@
 #include "agent_gate.h"
 #include "api.h"
 #include "clock.h"
+#include "config_service.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "metrics.h"
@@ -64,6 +65,9 @@
   HttpServer Http_;
   HttpClient Client_;
   PeerHub Hub_;
+  ConfigService Config_;
+  /// Entries in session, by the names that the configuration uses.
+  std::map<std::string, PeerId> Peers_;
   asio::steady_timer Timer_;
   EndpointInfo Endpoint_;
   SocketAddress EndpointAddress_;
@@ -88,19 +92,31 @@
             }),
       Client_(Io, MaxResultBytes),
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
+      Config_(Io, Settings_.Process_, Role::Agent, Log,
+              {[this](const std::string &Peer, Message M) {
+                 const auto It = Peers_.find(Peer);
+                 if (It != Peers_.end())
+                   Hub_.send(It->second, std::move(M));
+               },
+               {}}),
       Timer_(Io) {}
 
 PeerHandler AgentService::Impl::makeHandler() {
   return {[this](const PeerUp &Up) {
             apply(Gate_.onEntryConnected(Up.Peer_.entry(), steadyNow()));
+            Peers_[Up.Peer_.str()] = Up.Peer_;
+            Config_.onPeerUp(Up.Peer_.str(), Role::Entry);
           },
           [](const PeerId &) {},
           [](const PeerId &) {},
           [this](const PeerId &Peer) {
             apply(Gate_.onEntryLost(Peer.entry(), steadyNow()));
+            Config_.onPeerLost(Peer.str());
+            Peers_.erase(Peer.str());
           },
           [this](const PeerId &From, const Message &M) {
-            apply(Gate_.onMessage(From.entry(), M, steadyNow()));
+            if (!Config_.onMessage(From.str(), M))
+              apply(Gate_.onMessage(From.entry(), M, steadyNow()));
           },
           [this] {
             Log_.write(events::SelfClosed,
@@ -140,15 +156,17 @@
 
 HttpResponse AgentService::Impl::status() const {
   HttpResponse R;
-  R.Body_ = nlohmann::json({{"role", "agent"},
-                            {"agent", Self_.str()},
-                            {"draining", DrainEnd_.has_value()},
-                            {"endpoint", Endpoint_.EndpointName_},
-                            {"service", Endpoint_.Service_.str()},
-                            {"slots", Endpoint_.Slots_},
-                            {"running", Gate_.running()},
-                            {"queued", Gate_.queued()}})
-                .dump();
+  R.Body_ =
+      nlohmann::json({{"role", "agent"},
+                      {"agent", Self_.str()},
+                      {"draining", DrainEnd_.has_value()},
+                      {"endpoint", Endpoint_.EndpointName_},
+                      {"service", Endpoint_.Service_.str()},
+                      {"slots", Endpoint_.Slots_},
+                      {"running", Gate_.running()},
+                      {"queued", Gate_.queued()},
+                      {"config_version", Config_.state()->Version_.value()}})
+          .dump();
   return R;
 }
 
@@ -304,7 +322,8 @@
                                         {"agent", I.Self_.str()},
                                         {"listen", value(Local).str()}});
   I.tick();
-  return I.Hub_.start();
+  const auto Config = I.Config_.start();
+  return ok(Config) ? I.Hub_.start() : Config;
 }
 
 void AgentService::drain() { Impl_->drain(); }
@@ -315,6 +334,7 @@
   Impl_->Stopped_ = true;
   Impl_->Timer_.cancel();
   Impl_->Http_.close();
+  Impl_->Config_.stop();
   Impl_->Hub_.stop();
   Impl_->Log_.write(events::ProcessStopped, {{"agent", Impl_->Self_.str()}});
 }
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -7,14 +7,19 @@
 constexpr Duration OwnerRetryAfter = std::chrono::seconds(1);
 // Longest wait for an entry that a submission is to be relayed to.
 constexpr Duration RelayWait = std::chrono::seconds(5);
+// Period of the exchange of usage. Quotas that several entries share follow the
+// load of the others with this delay; a summary of 250 teams is 3.9 KB.
+constexpr Duration UsagePeriod = std::chrono::seconds(1);
 // Numbers of relaying peers start here, far above those of callers.
 constexpr std::uint64_t FirstRelayer = std::uint64_t(1) << 62;
 
 } // namespace
 
 EntryCore::EntryCore(EntryId Self, OwnerLimits Limits, Duration LostAfter,
-                     std::uint64_t Seed, EntryActions Actions, Time Now)
+                     std::uint64_t Seed, EntryActions Actions, Time Now,
+                     const ZoneName &Zone)
     : Self_(std::move(Self)), Actions_(std::move(Actions)),
+      Sched_(PolicyConfig(), Seed, Zone),
       Owner_(Self_, Limits, Sched_, Now, Seed), Members_(Self_, LostAfter),
       Recovery_(Self_), NextRelayer_(FirstRelayer) {}
 
@@ -22,6 +27,26 @@
   Actions_.Log_(Event{&Type, std::move(Fields)});
 }
 
+void EntryCore::setPolicy(PolicyConfig Policy, Time Now) {
+  Sched_.setConfig(std::move(Policy), Now);
+}
+
+void EntryCore::logHealth() {
+  for (const HealthChange &Change : Sched_.takeHealthChanges())
+    log(Change.SetAside_ ? events::EndpointSetAside
+                         : events::EndpointReinstated,
+        {{"agent", Change.Agent_.str()}, {"reason", Change.Reason_}});
+}
+
+void EntryCore::shareUsage(Time Now) {
+  if (Now < NextUsage_ || Peers_.empty())
+    return;
+  NextUsage_ = Now + UsagePeriod;
+  const UsageSummary Usage = Sched_.usage();
+  for (const EntryId &Peer : Peers_)
+    Actions_.Send_(PeerId::of(Peer), Usage);
+}
+
 void EntryCore::onSubmit(JobSpec Spec, ReplyId Reply, Time Now) {
   if (Spec.Id_.Token_.Owner_ == Self_ || Owner_.knows(Spec.Id_))
     apply(Owner_.onSubmit(std::move(Spec), Reply, Now), Now);
@@ -112,6 +137,7 @@
     Members_.onAgentUp(Peer.agent(), Now);
     return;
   }
+  Peers_.insert(Peer.entry());
   apply(Members_.onEntryUp(Peer.entry(), Now), Now);
   std::vector<PendingRelay> Ready;
   for (const auto &[Id, Relay] : Relays_)
@@ -143,6 +169,8 @@
     return;
   }
   const EntryId Lost = Peer.entry();
+  Peers_.erase(Lost);
+  Sched_.onUsage(Lost, UsageSummary(), Now);
   apply(Members_.onEntryDown(Lost, Now), Now);
   std::vector<PendingRelay> Open;
   for (const auto &[Id, Relay] : Relays_)
@@ -178,6 +206,8 @@
     onRelayAnswer(From, *Answer);
   else if (const auto *Cancel = std::get_if<RelayCancel>(&M))
     apply(Owner_.onCancel(Cancel->Job_, Now), Now);
+  else if (const auto *Usage = std::get_if<UsageSummary>(&M))
+    Sched_.onUsage(From, *Usage, Now);
   else
     apply(Members_.onEntryMessage(From, M, Now), Now);
 }
@@ -233,6 +263,8 @@
   apply(Members_.onTimer(Now), Now);
   apply(Recovery_.onTimer(Now), Now);
   apply(Owner_.onTimer(Now), Now);
+  logHealth();
+  shareUsage(Now);
   std::vector<PendingRelay> Late;
   for (const auto &[Id, Relay] : Relays_)
     if (!Relay.Sent_ && Now - Relay.Since_ >= RelayWait)
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace chivelanding {
@@ -41,7 +42,11 @@
 class EntryCore {
 public:
   EntryCore(EntryId Self, OwnerLimits Limits, Duration LostAfter,
-            std::uint64_t Seed, EntryActions Actions, Time Now);
+            std::uint64_t Seed, EntryActions Actions, Time Now,
+            const ZoneName &Zone = ZoneName());
+
+  /// Order, bounds and placement from now on.
+  void setPolicy(PolicyConfig Policy, Time Now);
 
   const EntryId &self() const { return Self_; }
   OwnerToken token(Time Now) const { return Owner_.token(Now); }
@@ -88,6 +93,8 @@
   void onRelayAnswer(const EntryId &From, const RelayAnswer &Answer);
   LostEntry lostEntry(const EntryId &Entry) const;
   void log(const EventType &Type, std::vector<EventField> Fields);
+  void logHealth();
+  void shareUsage(Time Now);
 
   void apply(OwnerOutputs Outputs, Time Now);
   void apply(RecoveryOutputs Outputs, Time Now);
@@ -103,6 +110,9 @@
   std::map<std::uint64_t, Relayer> Relayers_;
   /// Numbers of relaying peers; callers' numbers come from the process.
   std::uint64_t NextRelayer_;
+  /// Entries in session, for the exchange of usage.
+  std::set<EntryId> Peers_;
+  Time NextUsage_;
   bool Closed_ = false;
 };
 
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -1,11 +1,16 @@
 #include "entry_service.h"
 
+#include "admin_api.h"
 #include "api.h"
+#include "bearer.h"
 #include "clock.h"
+#include "config_policy.h"
+#include "config_service.h"
 #include "entry_core.h"
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_hub.h"
+#include "team_auth.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -26,6 +31,10 @@
   return {404, "application/json", {}, R"({"code":"not_found"})"};
 }
 
+bool isLoopback(const SocketAddress &Address) {
+  return Address.Host_.rfind("127.", 0) == 0 || Address.Host_ == "::1";
+}
+
 Incarnation drawIncarnation() {
   std::random_device Source;
   return Incarnation((static_cast<std::uint64_t>(Source()) << 32) | Source());
@@ -49,6 +58,9 @@
   void onCancelRequest(const HttpRequest &Request, const Target &T,
                        const HttpReplyPtr &Reply);
   Result<TeamName> teamOf(const HttpRequest &Request) const;
+  ConfigService::Host makeConfigHost();
+  bool mayAdminister(const HttpRequest &Request, bool Changes) const;
+  void onConfigRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
   void submit(Result<JobSpec> Spec, const HttpReplyPtr &Reply, bool Single);
   void reply(const HttpReplyPtr &Reply, HttpResponse Response);
   void giveAnswer(ReplyId To, const JobId &Job, const JobAnswer &Answer);
@@ -76,6 +88,9 @@
   HttpServer Http_;
   HttpServer Admin_;
   PeerHub Hub_;
+  ConfigService Config_;
+  /// Peers in session, by the names that the configuration uses.
+  std::map<std::string, PeerId> Peers_;
   boost::asio::steady_timer Timer_;
   std::unordered_map<std::uint64_t, Waiter> Waiters_;
   std::uint64_t NextReply_ = 1;
@@ -102,18 +117,38 @@
       [this](const EntryId &) {
         boost::asio::post(Io_, [Self = shared_from_this()] { Self->rejoin(); });
       }};
-  return std::make_unique<EntryCore>(Self, Limits,
-                                     Settings_.Process_.LostAfter_, Seed,
-                                     std::move(Actions), steadyNow());
+  return std::make_unique<EntryCore>(
+      Self, Limits, Settings_.Process_.LostAfter_, Seed, std::move(Actions),
+      steadyNow(), Settings_.Process_.Zone_);
+}
+
+ConfigService::Host EntryService::Impl::makeConfigHost() {
+  return {[this](const std::string &Peer, Message M) {
+            const auto It = Peers_.find(Peer);
+            if (It != Peers_.end())
+              Hub_.send(It->second, std::move(M));
+          },
+          [this](const AcceptedPtr &State) {
+            Core_->setPolicy(policyOf(State->Set_), steadyNow());
+          }};
 }
 
 PeerHandler EntryService::Impl::makeHandler() {
-  return {[this](const PeerUp &Up) { Core_->onPeerUp(Up.Peer_, steadyNow()); },
+  return {[this](const PeerUp &Up) {
+            Peers_[Up.Peer_.str()] = Up.Peer_;
+            Core_->onPeerUp(Up.Peer_, steadyNow());
+            Config_.onPeerUp(Up.Peer_.str(), Up.Peer_.Role_);
+          },
           [this](const PeerId &P) { Core_->onPeerSuspected(P, steadyNow()); },
           [this](const PeerId &P) { Core_->onPeerHeard(P, steadyNow()); },
-          [this](const PeerId &P) { Core_->onPeerLost(P, steadyNow()); },
+          [this](const PeerId &P) {
+            Core_->onPeerLost(P, steadyNow());
+            Config_.onPeerLost(P.str());
+            Peers_.erase(P.str());
+          },
           [this](const PeerId &P, const Message &M) {
-            Core_->onMessage(P, M, steadyNow());
+            if (!Config_.onMessage(P.str(), M))
+              Core_->onMessage(P, M, steadyNow());
           },
           [this] {
             Log_.write(events::SelfClosed,
@@ -139,6 +174,7 @@
              }),
       Hub_(Io, Settings_.Process_, PeerId::of(Core_->self()), Log,
            makeHandler()),
+      Config_(Io, Settings_.Process_, Role::Entry, Log, makeConfigHost()),
       Timer_(Io) {}
 
 // The callers that waited here are answered by the holder of the grants, to
@@ -147,6 +183,10 @@
   const Time Now = steadyNow();
   auto Relays = Core_->takeRelays();
   Core_ = makeCore();
+  Core_->setPolicy(policyOf(Config_.state()->Set_), Now);
+  for (const auto &[Name, Peer] : Peers_)
+    Config_.onPeerLost(Name);
+  Peers_.clear();
   Hub_.rejoin(PeerId::of(Core_->self()));
   Log_.write(events::ProcessStarted,
              {{"role", "entry"}, {"entry", Core_->self().str()}});
@@ -220,30 +260,54 @@
 
 HttpResponse EntryService::Impl::status() const {
   HttpResponse R;
-  R.Body_ = nlohmann::json({{"role", "entry"},
-                            {"entry", Core_->self().str()},
-                            {"draining", DrainEnd_.has_value()},
-                            {"open_jobs", Core_->openJobs()},
-                            {"waiting_tasks", Core_->waitingTasks()},
-                            {"waiting_callers", Waiters_.size()},
-                            {"connections", Http_.connections()}})
-                .dump();
+  R.Body_ =
+      nlohmann::json({{"role", "entry"},
+                      {"entry", Core_->self().str()},
+                      {"draining", DrainEnd_.has_value()},
+                      {"open_jobs", Core_->openJobs()},
+                      {"waiting_tasks", Core_->waitingTasks()},
+                      {"waiting_callers", Waiters_.size()},
+                      {"connections", Http_.connections()},
+                      {"config_version", Config_.state()->Version_.value()}})
+          .dump();
   return R;
 }
 
 void EntryService::Impl::onAdminRequest(const HttpRequest &Request,
                                         const HttpReplyPtr &Reply) {
-  if (Request.Method_ == "GET" && Request.Target_ == "/v1/status") {
+  const bool IsStatus =
+      Request.Method_ == "GET" && Request.Target_ == "/v1/status";
+  const bool IsDrain =
+      Request.Method_ == "POST" && Request.Target_ == "/v1/drain";
+  if ((IsStatus || IsDrain) && !mayAdminister(Request, IsDrain)) {
+    Reply->send({401, "application/json", {}, R"({"code":"unauthorized"})"});
+  } else if (IsStatus) {
     Reply->send(status());
-  } else if (Request.Method_ == "POST" && Request.Target_ == "/v1/drain") {
+  } else if (IsDrain) {
     Log_.write(events::AdminAction, {{"action", "drain"}});
     drain();
     Reply->send(status());
   } else if (!onHealthRequest(Request, Reply)) {
-    Reply->send(notFound());
+    onConfigRequest(Request, Reply);
   }
 }
 
+void EntryService::Impl::onConfigRequest(const HttpRequest &Request,
+                                         const HttpReplyPtr &Reply) {
+  AdminResult Decided = handleAdmin(Request, Config_.view(), newChangeId());
+  if (Decided.Event_)
+    Log_.write(*Decided.Event_);
+  if (auto *Response = std::get_if<HttpResponse>(&Decided.Action_)) {
+    Reply->send(std::move(*Response));
+    return;
+  }
+  Config_.publish(std::move(std::get<AdminPublish>(Decided.Action_).Change_),
+                  [this, Reply](const PublishEnded &End) {
+                    Log_.write(publishEndedEvent(End));
+                    Reply->send(renderPublishEnded(End));
+                  });
+}
+
 void EntryService::Impl::onVersioned(HttpRequest &&Request, const Target &T,
                                      const HttpReplyPtr &Reply) {
   const std::string &Method = Request.Method_;
@@ -265,11 +329,7 @@
 }
 
 Result<TeamName> EntryService::Impl::teamOf(const HttpRequest &Request) const {
-  const auto Team = Request.header("Chivelanding-Team");
-  if (Team.empty() || Team.size() > 256)
-    return Error{"team_required", "read request", "",
-                 "header Chivelanding-Team is missing or too long"};
-  return TeamName(std::string(Team));
+  return authorizeTeam(Config_.state()->Set_, Request);
 }
 
 void EntryService::Impl::onJobRequest(const HttpRequest &Request,
@@ -305,6 +365,12 @@
 
 void EntryService::Impl::submit(Result<JobSpec> Spec, const HttpReplyPtr &Reply,
                                 bool Single) {
+  if (ok(Spec)) {
+    const auto Applied = applyKind(Config_.state()->Set_,
+                                   Settings_.Process_.Region_, value(Spec));
+    if (!ok(Applied))
+      Spec = error(Applied);
+  }
   if (!ok(Spec)) {
     Log_.write(events::JobRefused, {{"code", error(Spec).Code_}});
     reply(Reply, renderRefusal(error(Spec)));
@@ -348,15 +414,22 @@
       });
 }
 
-// Until operators can prove who they are, only processes of the same VM may
-// drain an entry, so the listener must be on a loopback address.
+// Until operators are configured, only processes of the same VM may administer
+// an entry.
+bool EntryService::Impl::mayAdminister(const HttpRequest &Request,
+                                       bool Changes) const {
+  const ConfigSet &Set = Config_.state()->Set_;
+  if (Set.all(ObjectType::Operator).empty())
+    return isLoopback(Settings_.AdminListen_);
+  const ConfigObject *Operator =
+      findByToken(Set, ObjectType::Operator, Request);
+  return Operator && (!Changes || Operator->text("role") == "publisher");
+}
+
 Result<SocketAddress> EntryService::Impl::listenAdmin() {
   const SocketAddress &Address = Settings_.AdminListen_;
   if (Address.Host_.empty())
     return Address;
-  if (Address.Host_.rfind("127.", 0) != 0 && Address.Host_ != "::1")
-    return Error{"listen_failed", "listen for administration", Address.str(),
-                 "admin_listen must be a loopback address"};
   return Admin_.listen(Address);
 }
 
@@ -407,7 +480,8 @@
                                         {"peer_listen", value(Peers).str()},
                                         {"admin", value(Admin).str()}});
   I.tick();
-  return I.Hub_.start();
+  const auto Config = I.Config_.start();
+  return ok(Config) ? I.Hub_.start() : Config;
 }
 
 void EntryService::drain() { Impl_->drain(); }
@@ -419,6 +493,7 @@
   Impl_->Timer_.cancel();
   Impl_->Http_.close();
   Impl_->Admin_.close();
+  Impl_->Config_.stop();
   Impl_->Hub_.stop();
   Impl_->Log_.write(events::ProcessStopped,
                     {{"entry", Impl_->Core_->self().str()}});
--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -39,6 +39,11 @@
   if (!ok(Check))
     return plainAnswer(Outcome::NotRun, error(Check).Code_,
                        error(Check).Detail_);
+  if (const auto Refused = Sched_.admitJob(Spec, Now)) {
+    auto A = plainAnswer(Outcome::NotRun, Refused->Code_, Refused->Detail_);
+    A.RetryAfter_ = Refused->RetryAfter_;
+    return A;
+  }
   return std::nullopt;
 }
 
@@ -300,12 +305,12 @@
   OwnerOutputs Out;
   if (ClosedBy_)
     return Out;
-  for (const TaskRef &Task : Sched_.expire(Now)) {
-    OwnedJob &J = *Jobs_.find(Task.Job_);
+  for (const Withdrawal &W : Sched_.withdraw(Now)) {
+    OwnedJob &J = *Jobs_.find(W.Task_.Job_);
     --J.Waiting_;
     Demand_.remove(J.Spec_.Service_, J.Spec_.Class_, Now);
-    settle(J, Task.Index_.value(), TaskPhase::Cancelled);
-    fail(J, "deadline", "deadline passed before start", Now, Out);
+    settle(J, W.Task_.Index_.value(), TaskPhase::Cancelled);
+    fail(J, W.Code_.c_str(), W.Detail_, Now, Out);
     answerIfDone(J, Now, Out);
   }
   for (const auto &[Number, Index] : Retries_.takeDue(Now))
