--- a/src/admin_service.h
+++ b/src/admin_service.h
@@ -6,23 +6,17 @@
 
 namespace chivelanding {
 
-/// The listener of the administration API of an entry.
-class AdminService : public Service {
+/// Answers requests of operators about the configuration of an entry.
+class AdminService {
 public:
-  AdminService(boost::asio::io_context &Io, SocketAddress Listen,
-               ConfigService &Config, EventLog &Log);
+  AdminService(ConfigService &Config, EventLog &Log)
+      : Config_(Config), Log_(Log) {}
 
-  /// Error code: listen_failed. Does nothing if the address has port 0.
-  Result<Done> start() override;
-  void stop() override { Http_.close(); }
-
-private:
   void onRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
 
-  SocketAddress Listen_;
+private:
   ConfigService &Config_;
   EventLog &Log_;
-  HttpServer Http_;
 };
 
 } // namespace chivelanding
--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -3,6 +3,7 @@
 #include "agent_gate.h"
 #include "api.h"
 #include "clock.h"
+#include "config_service.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "metrics.h"
@@ -64,6 +65,8 @@
   HttpServer Http_;
   HttpClient Client_;
   PeerHub Hub_;
+  ConfigService Config_;
+  std::map<std::string, PeerId> ConfigPeers_;
   asio::steady_timer Timer_;
   EndpointInfo Endpoint_;
   SocketAddress EndpointAddress_;
@@ -88,19 +91,31 @@
             }),
       Client_(Io, MaxResultBytes),
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
+      Config_(Io, Settings_.Process_, Role::Agent, Log,
+              {[this](const std::string &Peer, Message M) {
+                 const auto It = ConfigPeers_.find(Peer);
+                 if (It != ConfigPeers_.end())
+                   Hub_.send(It->second, std::move(M));
+               },
+               {}}),
       Timer_(Io) {}
 
 PeerHandler AgentService::Impl::makeHandler() {
   return {[this](const PeerUp &Up) {
             apply(Gate_.onEntryConnected(Up.Peer_.entry(), steadyNow()));
+            ConfigPeers_[Up.Peer_.str()] = Up.Peer_;
+            Config_.onPeerUp(Up.Peer_.str(), Up.Peer_.Role_);
           },
           [](const PeerId &) {},
           [](const PeerId &) {},
           [this](const PeerId &Peer) {
             apply(Gate_.onEntryLost(Peer.entry(), steadyNow()));
+            ConfigPeers_.erase(Peer.str());
+            Config_.onPeerLost(Peer.str());
           },
           [this](const PeerId &From, const Message &M) {
-            apply(Gate_.onMessage(From.entry(), M, steadyNow()));
+            if (!Config_.onMessage(From.str(), M))
+              apply(Gate_.onMessage(From.entry(), M, steadyNow()));
           },
           [this] {
             Log_.write(events::SelfClosed,
@@ -314,6 +329,7 @@
     return;
   Impl_->Stopped_ = true;
   Impl_->Timer_.cancel();
+  Impl_->Config_.stop();
   Impl_->Http_.close();
   Impl_->Hub_.stop();
   Impl_->Log_.write(events::ProcessStopped, {{"agent", Impl_->Self_.str()}});
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -1,11 +1,13 @@
 #include "entry_service.h"
 
+#include "admin_service.h"
 #include "api.h"
 #include "clock.h"
 #include "entry_core.h"
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_hub.h"
+#include "team_auth.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -13,6 +15,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -76,6 +79,9 @@
   HttpServer Http_;
   HttpServer Admin_;
   PeerHub Hub_;
+  ConfigService Config_;
+  AdminService ConfigAdmin_;
+  std::map<std::string, PeerId> ConfigPeers_;
   boost::asio::steady_timer Timer_;
   std::unordered_map<std::uint64_t, Waiter> Waiters_;
   std::uint64_t NextReply_ = 1;
@@ -108,12 +114,21 @@
 }
 
 PeerHandler EntryService::Impl::makeHandler() {
-  return {[this](const PeerUp &Up) { Core_->onPeerUp(Up.Peer_, steadyNow()); },
+  return {[this](const PeerUp &Up) {
+            Core_->onPeerUp(Up.Peer_, steadyNow());
+            ConfigPeers_[Up.Peer_.str()] = Up.Peer_;
+            Config_.onPeerUp(Up.Peer_.str(), Up.Peer_.Role_);
+          },
           [this](const PeerId &P) { Core_->onPeerSuspected(P, steadyNow()); },
           [this](const PeerId &P) { Core_->onPeerHeard(P, steadyNow()); },
-          [this](const PeerId &P) { Core_->onPeerLost(P, steadyNow()); },
+          [this](const PeerId &P) {
+            Core_->onPeerLost(P, steadyNow());
+            ConfigPeers_.erase(P.str());
+            Config_.onPeerLost(P.str());
+          },
           [this](const PeerId &P, const Message &M) {
-            Core_->onMessage(P, M, steadyNow());
+            if (!Config_.onMessage(P.str(), M))
+              Core_->onMessage(P, M, steadyNow());
           },
           [this] {
             Log_.write(events::SelfClosed,
@@ -139,7 +154,14 @@
              }),
       Hub_(Io, Settings_.Process_, PeerId::of(Core_->self()), Log,
            makeHandler()),
-      Timer_(Io) {}
+      Config_(Io, Settings_.Process_, Role::Entry, Log,
+              {[this](const std::string &Peer, Message M) {
+                 const auto It = ConfigPeers_.find(Peer);
+                 if (It != ConfigPeers_.end())
+                   Hub_.send(It->second, std::move(M));
+               },
+               {}}),
+      ConfigAdmin_(Config_, Log), Timer_(Io) {}
 
 // The callers that waited here are answered by the holder of the grants, to
 // which the new incarnation relays their submissions.
@@ -147,6 +169,9 @@
   const Time Now = steadyNow();
   auto Relays = Core_->takeRelays();
   Core_ = makeCore();
+  for (const auto &[Name, Peer] : ConfigPeers_)
+    Config_.onPeerLost(Name);
+  ConfigPeers_.clear();
   Hub_.rejoin(PeerId::of(Core_->self()));
   Log_.write(events::ProcessStarted,
              {{"role", "entry"}, {"entry", Core_->self().str()}});
@@ -239,6 +264,8 @@
     Log_.write(events::AdminAction, {{"action", "drain"}});
     drain();
     Reply->send(status());
+  } else if (Request.Target_.rfind("/v1/config/", 0) == 0) {
+    ConfigAdmin_.onRequest(Request, Reply);
   } else if (!onHealthRequest(Request, Reply)) {
     Reply->send(notFound());
   }
@@ -265,11 +292,7 @@
 }
 
 Result<TeamName> EntryService::Impl::teamOf(const HttpRequest &Request) const {
-  const auto Team = Request.header("Chivelanding-Team");
-  if (Team.empty() || Team.size() > 256)
-    return Error{"team_required", "read request", "",
-                 "header Chivelanding-Team is missing or too long"};
-  return TeamName(std::string(Team));
+  return authorizeTeam(Config_.state()->Set_, Request);
 }
 
 void EntryService::Impl::onJobRequest(const HttpRequest &Request,
@@ -407,6 +430,9 @@
                                         {"peer_listen", value(Peers).str()},
                                         {"admin", value(Admin).str()}});
   I.tick();
+  const auto Config = I.Config_.start();
+  if (!ok(Config))
+    return error(Config);
   return I.Hub_.start();
 }
 
@@ -417,6 +443,7 @@
     return;
   Impl_->Stopped_ = true;
   Impl_->Timer_.cancel();
+  Impl_->Config_.stop();
   Impl_->Http_.close();
   Impl_->Admin_.close();
   Impl_->Hub_.stop();
