Apply the policy of the configuration in force in entries

Cause: the scheduler kept its defaults whatever was published. Change: an entry passes makePolicy of each accepted version to its scheduler, also after it rejoins.

--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -3,6 +3,7 @@
 #include "admin_service.h"
 #include "api.h"
 #include "clock.h"
+#include "config_policy.h"
 #include "entry_core.h"
 #include "http_server.h"
 #include "metrics.h"
@@ -160,7 +161,9 @@
                  if (It != ConfigPeers_.end())
                    Hub_.send(It->second, std::move(M));
                },
-               {}}),
+               [this](const AcceptedPtr &State) {
+                 Core_->setPolicy(makePolicy(State->Set_), steadyNow());
+               }}),
       ConfigAdmin_(Config_, Log), Timer_(Io) {}
 
 // The callers that waited here are answered by the holder of the grants, to
@@ -172,6 +175,8 @@
   for (const auto &[Name, Peer] : ConfigPeers_)
     Config_.onPeerLost(Name);
   ConfigPeers_.clear();
+  if (Config_.state()->Version_.value() > 0)
+    Core_->setPolicy(makePolicy(Config_.state()->Set_), Now);
   Hub_.rejoin(PeerId::of(Core_->self()));
   Log_.write(events::ProcessStarted,
              {{"role", "entry"}, {"entry", Core_->self().str()}});
