--- a/src/config_policy.cpp
+++ b/src/config_policy.cpp
@@ -3,44 +3,29 @@
 #include <algorithm>
 
 namespace chivelanding {
+
 namespace {
 
+// Rates are stored per minute.
 constexpr double SecondsPerMinute = 60;
 
-std::uint32_t countOf(const ConfigObject &Object, const char *Key) {
-  return static_cast<std::uint32_t>(Object.number(Key).value_or(0));
-}
-
-std::uint32_t tighter(std::uint32_t A, std::uint32_t B) {
-  if (A == 0 || B == 0)
-    return std::max(A, B);
-  return std::min(A, B);
-}
-
-// The bound of a team is the tightest along its chain of quotas. The check of
-// the set has refused circular references.
-TeamPolicy teamPolicy(const ConfigSet &Set, const ConfigObject &Team) {
-  TeamPolicy Policy;
-  const ConfigObject *Quota = Set.find(ObjectType::Quota, Team.text("quota"));
-  while (Quota) {
-    Policy.Quota_ = tighter(Policy.Quota_, countOf(*Quota, "running"));
-    const double Rate = static_cast<double>(Quota->number("rate").value_or(0)) /
-                        SecondsPerMinute;
-    if (Rate > 0)
-      Policy.Rate_ = Policy.Rate_ > 0 ? std::min(Policy.Rate_, Rate) : Rate;
-    Quota = Set.find(ObjectType::Quota, Quota->text("parent"));
+// The least value of Key along the parents; zero, which means no bound, if none
+// states it. A checked set has no circular references.
+std::int64_t leastBound(const ConfigSet &Set, ObjectType Type,
+                        const std::string &Name, const char *Key) {
+  std::int64_t Least = 0;
+  for (const ConfigObject *At = Set.find(Type, Name); At;
+       At = Set.find(Type, At->text("parent"))) {
+    const std::int64_t Own = At->number(Key).value_or(0);
+    if (Own != 0 && (Least == 0 || Own < Least))
+      Least = Own;
   }
-  return Policy;
+  return Least;
 }
 
-std::uint32_t runningLimit(const ConfigSet &Set, const std::string &Name) {
-  std::uint32_t Bound = 0;
-  const ConfigObject *Limit = Set.find(ObjectType::Limit, Name);
-  while (Limit) {
-    Bound = tighter(Bound, countOf(*Limit, "running_max"));
-    Limit = Set.find(ObjectType::Limit, Limit->text("parent"));
-  }
-  return Bound;
+std::uint32_t runningLimit(const ConfigSet &Set, const ConfigObject &Object) {
+  return static_cast<std::uint32_t>(
+      leastBound(Set, ObjectType::Limit, Object.text("limit"), "running_max"));
 }
 
 double kindWeight(const ConfigObject &Kind) {
@@ -64,25 +49,33 @@
 
 } // namespace
 
-PolicyConfig policyOf(const ConfigSet &Set) {
-  PolicyConfig Policy;
-  for (const ConfigObject *Team : Set.all(ObjectType::Team))
-    Policy.Teams_[TeamName(Team->Name_)] = teamPolicy(Set, *Team);
+PolicyConfig makePolicy(const ConfigSet &Set, PolicyConfig Base) {
+  for (const ConfigObject *Team : Set.all(ObjectType::Team)) {
+    TeamPolicy &P = Base.Teams_[TeamName(Team->Name_)];
+    const std::string Quota = Team->text("quota");
+    P.Quota_ = static_cast<std::uint32_t>(
+        leastBound(Set, ObjectType::Quota, Quota, "running"));
+    P.Rate_ =
+        static_cast<double>(leastBound(Set, ObjectType::Quota, Quota, "rate")) /
+        SecondsPerMinute;
+  }
   for (const ConfigObject *Kind : Set.all(ObjectType::Kind)) {
+    KindPolicy &P = Base.Kinds_[KindName(Kind->Name_)];
     const ConfigObject *Priority =
         Set.find(ObjectType::Priority, Kind->text("priority"));
-    KindPolicy &Out = Policy.Kinds_[KindName(Kind->Name_)];
-    Out.Class_ = PriorityClass(Priority ? countOf(*Priority, "class") : 0);
-    Out.Weight_ = weightOf(Set, *Kind, Priority);
-    Out.Limit_ = runningLimit(Set, Kind->text("limit"));
+    if (Priority)
+      P.Class_ = PriorityClass(
+          static_cast<std::uint32_t>(Priority->number("class").value_or(0)));
+    P.Weight_ = weightOf(Set, *Kind, Priority);
+    P.Limit_ = runningLimit(Set, *Kind);
   }
   for (const ConfigObject *Service : Set.all(ObjectType::Service)) {
-    ServicePolicy &Out = Policy.Services_[ServiceName(Service->Name_)];
-    Out.Limit_ = runningLimit(Set, Service->text("limit"));
+    ServicePolicy &P = Base.Services_[ServiceName(Service->Name_)];
+    P.Limit_ = runningLimit(Set, *Service);
     if (const auto Percent = Service->number("retry_percent"))
-      Out.RetryBudget_ = static_cast<double>(*Percent) / 100;
+      P.RetryBudget_ = static_cast<double>(*Percent) / 100;
   }
-  return Policy;
+  return Base;
 }
 
 Result<Done> applyKind(const ConfigSet &Set, const RegionName &Region,
@@ -107,7 +100,8 @@
                                       Service->text("home_region") + "'");
   if (const ConfigObject *Priority =
           Set.find(ObjectType::Priority, Kind->text("priority")))
-    Spec.Class_ = PriorityClass(countOf(*Priority, "class"));
+    Spec.Class_ = PriorityClass(
+        static_cast<std::uint32_t>(Priority->number("class").value_or(0)));
   if (const auto Deadline = Kind->number("deadline"))
     Spec.Deadline_ = std::min(Spec.Deadline_.value_or(Duration(*Deadline)),
                               Duration(*Deadline));
--- a/src/config_policy.h
+++ b/src/config_policy.h
@@ -8,8 +8,10 @@
 
 namespace chivelanding {
 
-/// What the scheduler needs of a configuration.
-PolicyConfig policyOf(const ConfigSet &Set);
+/// What the scheduler needs of a checked set. Values that the set does not
+/// state are those of Base. A bound is the least of the object's own and those
+/// from which it is cut or within which it applies.
+PolicyConfig makePolicy(const ConfigSet &Set, PolicyConfig Base = {});
 
 /// Sets the class and the default deadline of a submission from its kind. An
 /// empty set leaves it as it is. Error codes, each a true "not run":
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -129,7 +129,7 @@
               Hub_.send(It->second, std::move(M));
           },
           [this](const AcceptedPtr &State) {
-            Core_->setPolicy(policyOf(State->Set_), steadyNow());
+            Core_->setPolicy(makePolicy(State->Set_), steadyNow());
           }};
 }
 
@@ -183,7 +183,7 @@
   const Time Now = steadyNow();
   auto Relays = Core_->takeRelays();
   Core_ = makeCore();
-  Core_->setPolicy(policyOf(Config_.state()->Set_), Now);
+  Core_->setPolicy(makePolicy(Config_.state()->Set_), Now);
   for (const auto &[Name, Peer] : Peers_)
     Config_.onPeerLost(Name);
   Peers_.clear();
