Pass the zone and the waiting bound to the scheduler

The entry built its scheduler without its availability zone, seed and max_waiting_tasks, so placement did not prefer the own zone and the setting had no effect. EntryCore now takes them. Refusals for a full queue, a service without endpoints and an unreachable deadline are answered with 503 instead of 409.

--- a/src/api.cpp
+++ b/src/api.cpp
@@ -157,6 +157,9 @@
       {"token_required", 428},
       {"quota", 429},
       {"overloaded", 503},
+      {"queue_full", 503},
+      {"no_endpoint", 503},
+      {"deadline_unreachable", 503},
       {"draining", 503},
       {"not_ready", 503},
       {"owner_unreachable", 503}};
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -13,8 +13,10 @@
 } // namespace
 
 EntryCore::EntryCore(EntryId Self, OwnerLimits Limits, Duration LostAfter,
-                     std::uint64_t Seed, EntryActions Actions, Time Now)
+                     PolicyConfig Policy, ZoneName Zone, std::uint64_t Seed,
+                     EntryActions Actions, Time Now)
     : Self_(std::move(Self)), Actions_(std::move(Actions)),
+      Sched_(std::move(Policy), Seed, std::move(Zone)),
       Owner_(Self_, Limits, Sched_, Now, Seed), Members_(Self_, LostAfter),
       Recovery_(Self_), NextRelayer_(FirstRelayer) {}
 
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -40,8 +40,10 @@
 /// recovery of a lost owner's jobs. No I/O and no clock.
 class EntryCore {
 public:
+  /// Zone is the availability zone of this entry, which placement prefers.
   EntryCore(EntryId Self, OwnerLimits Limits, Duration LostAfter,
-            std::uint64_t Seed, EntryActions Actions, Time Now);
+            PolicyConfig Policy, ZoneName Zone, std::uint64_t Seed,
+            EntryActions Actions, Time Now);
 
   const EntryId &self() const { return Self_; }
   OwnerToken token(Time Now) const { return Owner_.token(Now); }
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -102,9 +102,11 @@
       [this](const EntryId &) {
         boost::asio::post(Io_, [Self = shared_from_this()] { Self->rejoin(); });
       }};
-  return std::make_unique<EntryCore>(Self, Limits,
-                                     Settings_.Process_.LostAfter_, Seed,
-                                     std::move(Actions), steadyNow());
+  PolicyConfig Policy;
+  Policy.MaxWaiting_ = Settings_.MaxWaitingTasks_;
+  return std::make_unique<EntryCore>(
+      Self, Limits, Settings_.Process_.LostAfter_, std::move(Policy),
+      Settings_.Process_.Zone_, Seed, std::move(Actions), steadyNow());
 }
 
 PeerHandler EntryService::Impl::makeHandler() {
--- a/tests/fuzz_entry.cpp
+++ b/tests/fuzz_entry.cpp
@@ -20,8 +20,8 @@
       },
       [](const Event &) {}, [this](const EntryId &) { MustRejoin_ = true; }};
   return std::make_unique<EntryCore>(
-      Self_.entry(), OwnerLimits(), LinkLimits().LostAfter_,
-      Self_.Incarnation_.value(), std::move(Actions), now());
+      Self_.entry(), OwnerLimits(), LinkLimits().LostAfter_, PolicyConfig(),
+      ZoneName(), Self_.Incarnation_.value(), std::move(Actions), now());
 }
 
 void EntryNode::rejoin(const PeerId &Self) {
