--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -41,9 +41,10 @@
 /// recovery of a lost owner's jobs. No I/O and no clock.
 class EntryCore {
 public:
+  /// Zone is the availability zone of this entry, which placement prefers.
   EntryCore(EntryId Self, OwnerLimits Limits, Duration LostAfter,
-            std::uint64_t Seed, EntryActions Actions, Time Now,
-            const ZoneName &Zone = ZoneName());
+            PolicyConfig Policy, ZoneName Zone, std::uint64_t Seed,
+            EntryActions Actions, Time Now);
 
   /// Order, bounds and placement from now on.
   void setPolicy(PolicyConfig Policy, Time Now);
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -67,6 +67,7 @@
 
   Result<SocketAddress> listenAdmin();
   std::unique_ptr<EntryCore> makeCore();
+  PolicyConfig basePolicy() const;
   PeerHandler makeHandler();
   void rejoin();
   void tick();
@@ -98,6 +99,12 @@
   bool Stopped_ = false;
 };
 
+PolicyConfig EntryService::Impl::basePolicy() const {
+  PolicyConfig Policy;
+  Policy.MaxWaiting_ = Settings_.MaxWaitingTasks_;
+  return Policy;
+}
+
 std::unique_ptr<EntryCore> EntryService::Impl::makeCore() {
   const EntryId Self{Settings_.Process_.Name_, drawIncarnation()};
   const OwnerLimits Limits{Settings_.MaxTasksPerJob_, Settings_.TokenEpoch_,
@@ -118,8 +125,8 @@
         boost::asio::post(Io_, [Self = shared_from_this()] { Self->rejoin(); });
       }};
   return std::make_unique<EntryCore>(
-      Self, Limits, Settings_.Process_.LostAfter_, Seed, std::move(Actions),
-      steadyNow(), Settings_.Process_.Zone_);
+      Self, Limits, Settings_.Process_.LostAfter_, basePolicy(),
+      Settings_.Process_.Zone_, Seed, std::move(Actions), steadyNow());
 }
 
 ConfigService::Host EntryService::Impl::makeConfigHost() {
@@ -129,7 +136,8 @@
               Hub_.send(It->second, std::move(M));
           },
           [this](const AcceptedPtr &State) {
-            Core_->setPolicy(makePolicy(State->Set_), steadyNow());
+            Core_->setPolicy(makePolicy(State->Set_, basePolicy()),
+                             steadyNow());
           }};
 }
 
@@ -183,7 +191,7 @@
   const Time Now = steadyNow();
   auto Relays = Core_->takeRelays();
   Core_ = makeCore();
-  Core_->setPolicy(makePolicy(Config_.state()->Set_), Now);
+  Core_->setPolicy(makePolicy(Config_.state()->Set_, basePolicy()), Now);
   for (const auto &[Name, Peer] : Peers_)
     Config_.onPeerLost(Name);
   Peers_.clear();
