--- a/src/message.h
+++ b/src/message.h
@@ -339,6 +339,21 @@
   }
 };
 
+/// Any to any: the objects in which an accepted configuration differs from
+/// version Base_. Removed_ lists "TYPE NAME"; Hash_ is that of the result.
+struct ConfigDelta {
+  ConfigVersion Base_;
+  ConfigVersion Version_;
+  std::uint64_t Hash_ = 0;
+  std::string Toml_;
+  std::vector<std::string> Removed_;
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfigDelta::Base_, &ConfigDelta::Version_,
+                           &ConfigDelta::Hash_, &ConfigDelta::Toml_,
+                           &ConfigDelta::Removed_);
+  }
+};
+
 /// Running and waiting tasks of one team at the sender.
 struct TeamUsage {
   TeamName Team_;
@@ -405,7 +420,7 @@
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
                  ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized,
-                 WithdrawJobs, JobsWithdrawn>;
+                 ConfigDelta, WithdrawJobs, JobsWithdrawn>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
