--- a/src/agent_gate.cpp
+++ b/src/agent_gate.cpp
@@ -64,10 +64,10 @@
     if (Old && Old->QueueLength_ == R.QueueLength_ &&
         Old->Credit_ + Old->StartsSeen_ == R.Credit_ + R.StartsSeen_)
       continue;
-    const bool IsAlone =
-        std::none_of(Out.begin(), Out.end(), [&](const GateOutput &O) {
+    const bool IsAlone = std::none_of(
+        Out.begin(), Out.end(), [&, &To = Id](const GateOutput &O) {
           const auto *Other = std::get_if<SendToEntry>(&O);
-          return Other && Other->To_ == Id;
+          return Other && Other->To_ == To;
         });
     if (IsAlone && Old && !Credit_.hasDemand(Id))
       continue;
--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -17,7 +17,7 @@
 /// Part of failures at other endpoints from which the kind is at fault.
 constexpr double KindAtFault = 0.5;
 /// Slowness from which an endpoint is set aside, and below which it returns.
-constexpr double SlowLimit = 2.5;
+constexpr double SlowLimit = 3;
 constexpr double SlowReturn = 1.5;
 /// First time between trials of a failing endpoint; it doubles with each
 /// failed trial. Three owners with the trials of one minute must lose few
--- a/src/service_times.cpp
+++ b/src/service_times.cpp
@@ -14,7 +14,7 @@
 constexpr double HalfLifeUs = 10e6;
 /// Runs at the usual speed that an endpoint is credited with; fewer would let
 /// one long task make an idle endpoint look slow.
-constexpr double PriorRuns = 4;
+constexpr double PriorRuns = 8;
 /// A single run counts for at most this many expected run times, so that the
 /// tail of the run times does not look like a slow endpoint.
 constexpr double RunCap = 4;
