--- a/tests/fuzz_commands.cpp
+++ b/tests/fuzz_commands.cpp
@@ -184,9 +184,10 @@
 
 // RapidCheck's own entry point takes its seed from the environment; the
 // function below it takes it as an argument.
-SearchReport search(std::uint64_t Seed, std::size_t Steps,
-                    const Breaker &Break) {
+SearchReport search(std::uint64_t Seed, std::size_t Steps, const Breaker &Break,
+                    std::size_t MaxShrinks) {
   SearchReport Report;
+  std::size_t Shrinks = 0;
   rc::detail::TestParams Params;
   Params.seed = Seed;
   Params.maxSuccess = 1;
@@ -201,6 +202,8 @@
     rc::detail::checkTestable(
         [&] {
           const Commands Given = *List;
+          if (Report.Violation_ && Shrinks++ >= MaxShrinks)
+            return;
           const RunReport Run = runCommands(Given, World, Break);
           if (!Report.Violation_) {
             Report.Steps_ += Run.Steps_;
--- a/tests/fuzz_oracle.cpp
+++ b/tests/fuzz_oracle.cpp
@@ -88,7 +88,11 @@
 
 void Oracle::onEnd(const JobId &Id, TaskIndex Index, bool Success,
                    const std::string &Result) {
-  Task &T = Jobs_[Id].Tasks_[Index.value()];
+  // A start of an unknown task has been reported by onStart.
+  const auto It = Jobs_.find(Id);
+  if (It == Jobs_.end() || Index.value() >= It->second.Tasks_.size())
+    return;
+  Task &T = It->second.Tasks_[Index.value()];
   T.Succeeded_ = T.Succeeded_ || Success;
   if (Success)
     T.Result_ = Result;
--- a/tests/fuzz_world.cpp
+++ b/tests/fuzz_world.cpp
@@ -215,7 +215,10 @@
     Here.DrainedAt_ = Line_.now();
     if (Here.Role_ == Role::Agent)
       Oracle_.onLeaving(Here.Name_, Line_.now());
-    Here.Node_->drain();
+    if (!Defects_.IgnoresLeaving_)
+      Here.Node_->drain();
+    if (Defects_.EndsEarly_)
+      exited(Here.Name_, false);
   });
 }
 
@@ -291,7 +294,8 @@
   if (!Here || Machines_[E]->Paused_)
     return std::nullopt;
   JobSpec Spec;
-  const std::string Key = "job" + std::to_string(Jobs_.size());
+  const std::string Key =
+      (Tasks == 1 ? "single" : "job") + std::to_string(Jobs_.size());
   Spec.Id_ = {TeamName("team"), Here->token(), JobKey(Key)};
   Spec.Service_ = ServiceName("service");
   Spec.Kind_ = KindName("kind");
--- a/tests/fuzz_world.h
+++ b/tests/fuzz_world.h
@@ -17,6 +17,14 @@
 
 namespace chivelanding::fuzz {
 
+/// Rules that a world breaks on purpose, to test the oracle.
+struct Defects {
+  /// A drained agent goes on as if it had not been told.
+  bool IgnoresLeaving_ = false;
+  /// A drained process ends at once.
+  bool EndsEarly_ = false;
+};
+
 /// Size of a world and how its endpoints behave.
 struct WorldConfig {
   std::size_t Entries_ = 3;
@@ -81,6 +89,7 @@
   /// Runs in progress at all endpoints.
   std::size_t running() const { return Runs_.size(); }
   Oracle &oracle() { return Oracle_; }
+  Defects Defects_;
 
   Timeline &line() override { return Line_; }
   Network &network() override { return Network_; }
