--- a/src/service_times.cpp
+++ b/src/service_times.cpp
@@ -13,7 +13,8 @@
 /// Half-life of what is known about an endpoint.
 constexpr double HalfLifeUs = 10e6;
 /// Runs at the usual speed that an endpoint is credited with; fewer would let
-/// one long task make an idle endpoint look slow.
+/// one long task make an idle endpoint look slow: with 6 and a limit of 2.5
+/// healthy endpoints filled the cap, and a failing one was not set aside.
 constexpr double PriorRuns = 8;
 /// A single run counts for at most this many expected run times, so that the
 /// tail of the run times does not look like a slow endpoint.
