--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -70,10 +70,6 @@
   /// True if no job is open and no submission waits for another entry.
   bool idle() const;
   std::size_t openJobs() const { return Owner_.openJobs(); }
-  /// Order and bounds of the configuration in force.
-  void setPolicy(PolicyConfig Policy, Time Now) {
-    Sched_.setConfig(std::move(Policy), Now);
-  }
   std::size_t waitingTasks() const { return Sched_.waiting(); }
 
   /// Submissions that wait for another entry, taken out of this incarnation.
