--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -192,7 +192,8 @@
   void finishAll() {
     deliver();
     while (!Running_.empty()) {
-      finish(Running_.begin()->first.first);
+      const AgentId Next = Running_.begin()->first.first;
+      finish(Next);
       deliver();
     }
   }
