Use admission and withdrawal in the job owner

Cause: jobs beyond the longest expected wait were taken, and jobs of a service without any endpoint waited for ever. Change: a refusal by admission is answered as not run with Retry-After, and withdrawn tasks fail their job with the code of the withdrawal.

--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -48,6 +48,11 @@
   if (!ok(Check))
     return plainAnswer(Outcome::NotRun, error(Check).Code_,
                        error(Check).Detail_);
+  if (const auto Refusal = Sched_.admitJob(Spec, Now)) {
+    auto A = plainAnswer(Outcome::NotRun, Refusal->Code_, Refusal->Detail_);
+    A.RetryAfter_ = Refusal->RetryAfter_;
+    return A;
+  }
   return std::nullopt;
 }
 
@@ -459,12 +464,13 @@
   OwnerOutputs Out;
   if (ClosedBy_)
     return Out;
-  for (const TaskRef &Task : Sched_.expire(Now)) {
+  for (const Withdrawal &W : Sched_.withdraw(Now)) {
+    const TaskRef &Task = W.Task_;
     OwnedJob &J = *Jobs_.find(Task.Job_);
     --J.Waiting_;
     Demand_.remove(J.Spec_.Service_, J.Spec_.Class_, Now);
     settle(J, Task.Index_.value(), TaskPhase::Cancelled);
-    fail(J, "deadline", "deadline passed before start", Now, Out);
+    fail(J, W.Code_.c_str(), W.Detail_, Now, Out);
     answerIfDone(J, Now, Out);
   }
   for (const auto &[Number, Index] : Retries_.takeDue(Now))
