Let the oracle's second-start defect deny each start once

Cause: the defect answered every attempt with the number of the first one. Change: the agent denies each start once, so the task is started elsewhere. The check still demands invariant 1. No functional change.

--- a/tests/fuzz_oracle_test.cpp
+++ b/tests/fuzz_oracle_test.cpp
@@ -4,6 +4,8 @@
 
 #include <iostream>
 #include <memory>
+#include <set>
+#include <utility>
 
 using namespace chivelanding;
 using namespace chivelanding::fuzz;
@@ -48,11 +50,13 @@
 
 // Guards against an oracle that does not see a task started twice.
 TEST_CASE("The oracle sees a second start", "[fuzz-oracle]") {
+  const auto Denied = std::make_shared<std::set<std::pair<JobId, TaskIndex>>>();
   checkCaught(
-      1, "an agent says that a task did not start which has ended",
-      rewriting([](Message &M) {
+      1, "an agent denies the first start of a task that has ended",
+      rewriting([Denied](Message &M) {
         const auto *End = std::get_if<TaskFinished>(&M);
-        if (End && End->Index_.value() > 0)
+        if (End && End->Index_.value() > 0 &&
+            Denied->insert({End->Job_, End->Index_}).second)
           M = TasksRejected{End->Job_, {End->Index_}, RejectReason::NoRoom, 1};
       }));
 }
