--- a/src/bench.h
+++ b/src/bench.h
@@ -47,6 +47,8 @@
 
 /// Size and cost of messages and records, the slopes for docs/CAPACITY.md.
 int benchCapacity(std::uint64_t Seed);
+/// Time and memory of decisions at 1, 10 and 100 times today's size.
+int benchCost(std::uint64_t Seed);
 /// Placement, order, admission and health in virtual time.
 int benchPolicy(std::uint64_t Seed);
 /// Spreading of configuration changes between processes.
--- a/src/bench_capacity.cpp
+++ b/src/bench_capacity.cpp
@@ -93,7 +93,10 @@
 void printOwnerMemory() {
   constexpr int Jobs = 200;
   const EntryId Self{"entry-1", Incarnation(0x123456789abcdefULL)};
-  Scheduler Sched;
+  // Without admission, since no agent is there to take the jobs.
+  PolicyConfig Policy;
+  Policy.Order_ = "fifo";
+  Scheduler Sched(Policy, 1, ZoneName());
   JobOwner Owner(Self, {}, Sched, Time{});
   const auto Before = allocatedBytes();
   for (int N = 0; N < Jobs; ++N) {
--- a/src/cli_bench.cpp
+++ b/src/cli_bench.cpp
@@ -8,6 +8,7 @@
 
 constexpr Bench Benches[] = {
     {"capacity", "size and cost of messages and records", benchCapacity},
+    {"cost", "time and memory of decisions by size", benchCost},
     {"policy", "placement, order, admission and health", benchPolicy},
     {"config", "spreading of configuration changes", benchConfig},
 };
--- a/src/cli_client.cpp
+++ b/src/cli_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -67,6 +68,14 @@
   return ExitUsage;
 }
 
+// An entry wants an operator's token once operators are configured.
+std::vector<HttpHeader> operatorHeaders() {
+  const char *Token = std::getenv("CHIVELANDING_TOKEN");
+  if (!Token)
+    return {};
+  return {{"Authorization", std::string("Bearer ") + Token}};
+}
+
 // Sends one request to a process's own listener and prints the answer.
 int ask(const Arguments &Args, const char *Command, const char *Summary,
         const char *Method, const char *Target) {
@@ -80,7 +89,8 @@
   const auto To = parseAddress(std::get<0>(Map)["to"].as<std::string>());
   if (!ok(To))
     return badAddress(error(To));
-  const auto R = fetch(value(To), {Method, Target, {}, ""}, ShortTimeout);
+  const auto R =
+      fetch(value(To), {Method, Target, operatorHeaders(), ""}, ShortTimeout);
   if (!ok(R)) {
     std::cerr << error(R).str() << "\n";
     return error(R).Code_ == "connect_failed" ? ExitFailed : ExitUnknown;
--- a/src/cli_run.cpp
+++ b/src/cli_run.cpp
@@ -16,13 +16,20 @@
 
 namespace options = boost::program_options;
 
-// Reads --settings FILE. Without a value the exit code says what was printed.
-std::variant<std::string, ExitCode>
-settingsPath(const Arguments &Args, const char *Command, const char *Summary) {
+// What the command line asks for.
+struct RunOptions {
+  std::string Settings_;
+  bool CheckOnly_ = false;
+};
+
+// Without options the exit code says what was printed.
+std::variant<RunOptions, ExitCode>
+runOptions(const Arguments &Args, const char *Command, const char *Summary) {
   options::options_description Known("Options");
   Known.add_options()("help", "print this text")(
       "settings", options::value<std::string>(),
-      "TOML settings file, described in docs/settings.md");
+      "TOML settings file, described in docs/settings.md")(
+      "check-settings", "check the file and exit");
   try {
     options::variables_map Map;
     options::store(options::command_line_parser(Args).options(Known).run(),
@@ -34,7 +41,8 @@
       return ExitOk;
     }
     if (Map.count("settings") > 0)
-      return Map["settings"].as<std::string>();
+      return RunOptions{Map["settings"].as<std::string>(),
+                        Map.count("check-settings") > 0};
     std::cerr << "chivelanding " << Command << ": --settings is missing\n";
   } catch (const options::error &E) {
     std::cerr << "chivelanding " << Command << ": " << E.what() << "\n";
@@ -73,34 +81,41 @@
 }
 
 template <typename Settings>
-int report(const LoadedSettings<Settings> &Loaded) {
+int reportErrors(const LoadedSettings<Settings> &Loaded) {
   for (const std::string &Line : std::get<SettingsErrors>(Loaded).Lines_)
     std::fprintf(stderr, "%s\n", Line.c_str());
   return ExitUsage;
 }
 
+template <typename ServiceType, typename Settings>
+int runLoaded(const RunOptions &Options,
+              const LoadedSettings<Settings> &Loaded) {
+  if (Loaded.index() == 1)
+    return reportErrors(Loaded);
+  if (!Options.CheckOnly_)
+    return runProcess<ServiceType>(std::get<0>(Loaded));
+  std::cout << Options.Settings_ << ": valid\n";
+  return ExitOk;
+}
+
 } // namespace
 
 int runEntry(const Arguments &Args) {
-  const auto Path = settingsPath(
+  const auto Options = runOptions(
       Args, "entry", "Runs an entry: callers' HTTP, ownership and placement.");
-  if (Path.index() == 1)
-    return std::get<1>(Path);
-  const auto Loaded = loadEntrySettings(std::get<0>(Path));
-  if (Loaded.index() == 1)
-    return report(Loaded);
-  return runProcess<EntryService>(std::get<0>(Loaded));
+  if (const auto *Code = std::get_if<ExitCode>(&Options))
+    return *Code;
+  const auto &Run = std::get<RunOptions>(Options);
+  return runLoaded<EntryService>(Run, loadEntrySettings(Run.Settings_));
 }
 
 int runAgent(const Arguments &Args) {
-  const auto Path =
-      settingsPath(Args, "agent", "Runs the agent beside one endpoint.");
-  if (Path.index() == 1)
-    return std::get<1>(Path);
-  const auto Loaded = loadAgentSettings(std::get<0>(Path));
-  if (Loaded.index() == 1)
-    return report(Loaded);
-  return runProcess<AgentService>(std::get<0>(Loaded));
+  const auto Options =
+      runOptions(Args, "agent", "Runs the agent beside one endpoint.");
+  if (const auto *Code = std::get_if<ExitCode>(&Options))
+    return *Code;
+  const auto &Run = std::get<RunOptions>(Options);
+  return runLoaded<AgentService>(Run, loadAgentSettings(Run.Settings_));
 }
 
 } // namespace chivelanding
--- a/tests/process/config_spread.sh
+++ b/tests/process/config_spread.sh
@@ -33,6 +33,10 @@
   -H 'Chivelanding-Team: search' "http://127.0.0.1:${PORT[e1]}/v1/jobs")
 [ "$STATUS" = 401 ] || fail "a job without the team's token: $STATUS"
 
+STATUS=$(curl -s -o /dev/null -w '%{http_code}' -X POST "http://$ADMIN/v1/drain")
+[ "$STATUS" = 401 ] || fail "drain without a token: $STATUS"
+"$BIN" status --to "$ADMIN" | grep -q '"config_version":2' || fail "status"
+
 curl -sf -X PUT -d '{"outage":true}' "http://$LOG/faults" >/dev/null
 start_entry e3 2
 until_true 20 logged e3 'config_accepted version=2' || fail "no state from peers"
--- /dev/null
+++ b/tests/process/readme.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Guards against commands in the README that no longer work. Runs every shell
+# block of it except scripts/test.sh, which runs this test.
+set -uo pipefail
+export BUILD_DIR=$1
+mapfile -t COMMANDS < <(awk '/^```sh$/{on=1;next} /^```$/{on=0} on' README.md |
+  grep -v '^scripts/test.sh$')
+[ "${#COMMANDS[@]}" -ge 4 ] || { echo "too few commands found"; exit 1; }
+for COMMAND in "${COMMANDS[@]}"; do
+  echo "\$ $COMMAND"
+  bash -c "${COMMAND/#build\//$BUILD_DIR/}" || exit 1
+done
