--- a/src/service_times.cpp
+++ b/src/service_times.cpp
@@ -20,6 +20,11 @@
 /// tail of the run times does not look like a slow endpoint.
 constexpr double RunCap = 4;
 
+/// Shortest expected time that an endpoint is judged by. A run is measured from
+/// the moment it is sent, so that for shorter tasks the ratio would tell the
+/// delay of the network and not the speed of the endpoint.
+constexpr double ShortestJudgedUs = 10e3;
+
 } // namespace
 
 void ServiceTimes::onHint(const KindName &Kind, Duration Hint) {
@@ -43,7 +48,8 @@
   const auto It = Kinds_.find(Kind);
   const bool IsKnown = It != Kinds_.end() && It->second.Runs_ > 0;
   Agents_[Agent].Running_.push_back(
-      {Task, Now, IsKnown ? It->second.MeanUs_ : 0});
+      {Task, Now,
+       IsKnown ? std::max(It->second.MeanUs_, ShortestJudgedUs) : 0});
 }
 
 void ServiceTimes::decay(AgentTimes &Agent, Time Now) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1,4 +1,5 @@
 #include "scheduler.h"
+#include "service_times.h"
 
 #include <catch2/catch.hpp>
 
@@ -139,3 +140,24 @@
   REQUIRE(Placed.size() == 3);
   CHECK(Placed[0].Task_.Job_.Key_.str() == "b");
 }
+
+// Guards against endpoints that are set aside for the delay of the network when
+// tasks are far shorter than a round trip, and against a floor that hides an
+// endpoint that is slow for tasks of an ordinary length.
+TEST_CASE("Slowness is judged by run times, not by delays", "[policy]") {
+  const auto SlownessOf = [](Duration Usual, Duration Own) {
+    ServiceTimes Times;
+    std::uint64_t Task = 0;
+    const auto Run = [&](std::uint32_t Agent, Duration Time) {
+      Times.onStarted(Agent, KindName("kind"), ++Task, Start);
+      Times.onFinished(Agent, KindName("kind"), Task, Time, Agent == 0, Start);
+    };
+    for (int I = 0; I < 50; ++I) {
+      Run(0, Usual);
+      Run(1, Own);
+    }
+    return Times.slowness(1, Start);
+  };
+  CHECK(SlownessOf(Duration(100), Duration(2000)) < 1.5);
+  CHECK(SlownessOf(Duration(100'000), Duration(800'000)) > 3);
+}
