Give no room to a silent entry

Cause: after the loss of a zone the demand of its entry held room at the agents until the entry was lost, 5 s later, so slots were idle while work waited at the other entries.

--- a/src/agent_gate.cpp
+++ b/src/agent_gate.cpp
@@ -115,6 +115,18 @@
   return Out;
 }
 
+// A silent entry cannot use the room that its demand holds; without this, room
+// stays idle for the whole time until the entry is lost.
+GateOutputs AgentGate::onEntrySilent(const EntryId &Entry, bool IsSilent,
+                                     Time Now) {
+  GateOutputs Out;
+  if (Entries_.count(Entry) == 0)
+    return Out;
+  Credit_.setSilent(Entry, IsSilent);
+  finish(Now, Out);
+  return Out;
+}
+
 // The records of a lost entry stay, so that a recoverer can collect them.
 GateOutputs AgentGate::onEntryLost(const EntryId &Entry, Time Now) {
   GateOutputs Out;
--- a/src/agent_gate.h
+++ b/src/agent_gate.h
@@ -64,6 +64,8 @@
 
   GateOutputs onEntryConnected(const EntryId &Entry, Time Now);
   GateOutputs onEntryLost(const EntryId &Entry, Time Now);
+  /// A silent entry holds no room of the endpoint until it is heard again.
+  GateOutputs onEntrySilent(const EntryId &Entry, bool IsSilent, Time Now);
   GateOutputs onMessage(const EntryId &From, const Message &M, Time Now);
   GateOutputs onRunFinished(RunId Run, RunOutcome Outcome, std::string Result,
                             Duration RunTime, Time Now);
--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -107,8 +107,12 @@
             Peers_[Up.Peer_.str()] = Up.Peer_;
             Config_.onPeerUp(Up.Peer_.str(), Role::Entry);
           },
-          [](const PeerId &) {},
-          [](const PeerId &) {},
+          [this](const PeerId &Peer) {
+            apply(Gate_.onEntrySilent(Peer.entry(), true, steadyNow()));
+          },
+          [this](const PeerId &Peer) {
+            apply(Gate_.onEntrySilent(Peer.entry(), false, steadyNow()));
+          },
           [this](const PeerId &Peer) {
             apply(Gate_.onEntryLost(Peer.entry(), steadyNow()));
             Config_.onPeerLost(Peer.str());
--- a/src/bench_world.cpp
+++ b/src/bench_world.cpp
@@ -10,6 +10,7 @@
 constexpr Duration BucketLength = std::chrono::milliseconds(100);
 constexpr Duration TimerPeriod = std::chrono::milliseconds(20);
 constexpr Duration LossTime = std::chrono::seconds(5);
+constexpr Duration SuspectTime = std::chrono::seconds(1);
 
 // The distributions of the standard library may differ between versions, so
 // numbers are drawn from the generator's bits.
@@ -432,6 +433,12 @@
     Pending_ -= NotStarted_[J];
     NotStarted_[J] = 0;
   }
+  at(Now_ + SuspectTime, [this, Lost] {
+    for (std::uint32_t A = 0; A < Agents_.size(); ++A)
+      if (Agents_[A].Alive_)
+        apply(A,
+              Agents_[A].Gate_->onEntrySilent(Owners_[Lost].Id_, true, Now_));
+  });
   at(Now_ + LossTime, [this, Lost] {
     for (std::uint32_t A = 0; A < Agents_.size(); ++A)
       if (Agents_[A].Alive_)
--- a/src/credit.cpp
+++ b/src/credit.cpp
@@ -15,6 +15,12 @@
       It->second.Demand_[C.Class_] = C.Waiting_;
 }
 
+void CreditDivider::setSilent(const EntryId &Entry, bool IsSilent) {
+  const auto It = Entries_.find(Entry);
+  if (It != Entries_.end())
+    It->second.IsSilent_ = IsSilent;
+}
+
 // Starts reduce the demand that they were part of, so that it does not attract
 // credit twice before the entry states its demand again.
 void CreditDivider::onStarts(const EntryId &Entry, PriorityClass Class,
@@ -34,6 +40,8 @@
 }
 
 std::uint32_t CreditDivider::demandOf(const Share &S) {
+  if (S.IsSilent_)
+    return 0;
   std::uint32_t Sum = 0;
   for (const auto &[Class, Waiting] : S.Demand_)
     Sum += Waiting;
@@ -43,6 +51,8 @@
 // Held credit counts against the most urgent demand first, because the entry
 // uses it for that.
 std::uint32_t CreditDivider::unmet(const Share &S, PriorityClass Class) {
+  if (S.IsSilent_)
+    return 0;
   std::uint32_t Held = S.Held_;
   for (const auto &[C, Waiting] : S.Demand_) {
     if (C == Class)
@@ -109,7 +119,7 @@
   for (auto &[Id, S] : Entries_) {
     if (S.Demand_.empty())
       S.Owed_ = 0;
-    S.Credit_ = S.Held_ + Left;
+    S.Credit_ = S.IsSilent_ ? 0 : S.Held_ + Left;
   }
 }
 
--- a/src/credit.h
+++ b/src/credit.h
@@ -17,6 +17,10 @@
   void addEntry(const EntryId &Entry) { Entries_[Entry]; }
   void removeEntry(const EntryId &Entry) { Entries_.erase(Entry); }
 
+  /// A silent entry gets no credit, and its demand does not count until it is
+  /// heard again.
+  void setSilent(const EntryId &Entry, bool IsSilent);
+
   /// Tasks that wait at an entry; replaces its earlier statement.
   void onDemand(const EntryId &Entry, const Demand &D);
   /// Count starts of a class have arrived from an entry.
@@ -36,6 +40,7 @@
     /// Granted against demand and not used yet.
     std::uint32_t Held_ = 0;
     std::uint32_t Credit_ = 0;
+    bool IsSilent_ = false;
     /// What the entry is owed of a part of a start, from -1 to 1.
     double Owed_ = 0;
   };
--- a/tests/agent_gate_test.cpp
+++ b/tests/agent_gate_test.cpp
@@ -345,3 +345,18 @@
   CHECK(ForA + ForB == 4);
   CHECK(ForB == 1);
 }
+
+// Guards against room that stays idle while it is held for a silent entry, and
+// against a demand that is forgotten when the entry is heard again.
+TEST_CASE("A silent entry holds no room", "[gate]") {
+  Fixture F(4, {0, 1000, std::chrono::minutes(10)});
+  const auto Credit = [](const GateOutputs &Out, const EntryId &E) {
+    const auto Reports = sent<AgentReport>(Out, E);
+    return Reports.empty() ? 0 : Reports.back().Credit_;
+  };
+  F.from(A, Demand{{{PriorityClass(1), 100}}});
+  F.from(B, Demand{{{PriorityClass(1), 100}}});
+  CHECK(Credit(F.Gate_.onEntrySilent(A, true, T0), B) == 4);
+  F.Gate_.onEntrySilent(A, false, T0);
+  CHECK(Credit(F.from(B, Demand{}), A) == 4);
+}
--- a/tests/fuzz_node.cpp
+++ b/tests/fuzz_node.cpp
@@ -135,6 +135,14 @@
   send(P, EntriesHeard{Told_});
 }
 
+void AgentNode::onPeerSuspected(const PeerId &P) {
+  apply(Gate_.onEntrySilent(P.entry(), true, now()));
+}
+
+void AgentNode::onPeerHeard(const PeerId &P) {
+  apply(Gate_.onEntrySilent(P.entry(), false, now()));
+}
+
 void AgentNode::onPeerLost(const PeerId &P) {
   apply(Gate_.onEntryLost(P.entry(), now()));
 }
