--- a/src/agent_gate.cpp
+++ b/src/agent_gate.cpp
@@ -36,14 +36,6 @@
   send(To, AnnounceEndpoint{Info}, Out);
 }
 
-// Tells an entry who holds the grant for a closed owner, and the holder itself
-// what is held of the owner's jobs.
-void AgentGate::sendHoldings(const EntryId &Owner, const EntryId &To,
-                             GateOutputs &Out) const {
-  for (IncarnationClosed &Part : Records_.holdings(Owner, To))
-    send(To, std::move(Part), Out);
-}
-
 // A report is left out if it would not change what the entry may send: starts
 // of its own that have arrived are taken off its credit on both sides. A report
 // that nothing else goes with is a message of its own, and is sent only to an
@@ -87,57 +79,6 @@
   Rejects_.clear();
 }
 
-void AgentGate::connect(const EntryId &Entry, Time Now) {
-  Entries_[Entry].Reported_.reset();
-  Credit_.addEntry(Entry);
-  Records_.owner(Entry, Now).GoneSince_.reset();
-}
-
-// A holder that was away gets its holdings again, since ends that it missed are
-// in them; an owner that was away gets the ends of its tasks.
-GateOutputs AgentGate::onEntryConnected(const EntryId &Entry, Time Now) {
-  GateOutputs Out;
-  if (Records_.isClosed(Entry)) {
-    Out.push_back(SendToEntry{Entry, YouAreClosed{Records_.receiverOf(Entry)}});
-    return Out;
-  }
-  connect(Entry, Now);
-  announce(Entry, Out);
-  for (const auto &[Id, Job] : Records_.owner(Entry, Now).Jobs_)
-    for (const auto &[Index, Task] : Job.Tasks_)
-      if (Task.State_ == State::Finished && !Task.Evicted_ && !Job.Ended_)
-        send(Entry, TaskFinished{Id, Index, Task.Outcome_, Task.Result_, {}},
-             Out);
-  for (const auto &[Id, Owner] : Records_.owners())
-    if (Owner.Closed_ && Owner.Holder_ == Entry)
-      sendHoldings(Id, Entry, Out);
-  finish(Now, Out);
-  return Out;
-}
-
-// A silent entry cannot use the room that its demand holds; without this, room
-// stays idle for the whole time until the entry is lost.
-GateOutputs AgentGate::onEntrySilent(const EntryId &Entry, bool IsSilent,
-                                     Time Now) {
-  GateOutputs Out;
-  if (Entries_.count(Entry) == 0)
-    return Out;
-  Credit_.setSilent(Entry, IsSilent);
-  finish(Now, Out);
-  return Out;
-}
-
-// The records of a lost entry stay, so that a recoverer can collect them.
-GateOutputs AgentGate::onEntryLost(const EntryId &Entry, Time Now) {
-  GateOutputs Out;
-  if (Entries_.erase(Entry) == 0)
-    return Out;
-  Credit_.removeEntry(Entry);
-  Records_.owner(Entry, Now).GoneSince_ = Now;
-  finish(Now, Out);
-  return Out;
-}
-
 GateOutputs AgentGate::onMessage(const EntryId &From, const Message &M,
                                  Time Now) {
   GateOutputs Out;
@@ -397,60 +338,6 @@
   }
 }
 
-// The first entry that asks gets the grant and keeps it until it is closed or
-// transfers it.
-void AgentGate::onClose(const EntryId &From, const EntryId &Entry, Time Now,
-                        GateOutputs &Out) {
-  if (Entry == From)
-    return;
-  if (Entries_.count(From) == 0)
-    connect(From, Now);
-  if (!Records_.isClosed(Entry))
-    fence(From, Entry, Now, Out);
-  sendHoldings(Entry, From, Out);
-}
-
-// Drops what the entry has queued, for its own jobs and those it resumed.
-// Grants that it held pass to the entry that closes it, with their holdings.
-void AgentGate::fence(const EntryId &From, const EntryId &Entry, Time Now,
-                      GateOutputs &Out) {
-  send(Entry, YouAreClosed{From}, Out);
-  Entries_.erase(Entry);
-  Credit_.removeEntry(Entry);
-  returnQueued([&](const QueuedTask &Q) { return Q.Sender_ == Entry; },
-               RejectReason::Closed, Now);
-  OwnerRecord &Record = Records_.owner(Entry, Now);
-  Record.Closed_ = true;
-  Record.Holder_ = From;
-  Record.GoneSince_ = Now;
-  Out.push_back(LogEvent{{&events::IncarnationClosedHere,
-                          {{"entry", Entry.str()}, {"by", From.str()}}}});
-  for (auto &[Id, Other] : Records_.owners()) {
-    if (!Other.Closed_ || Other.Holder_ != Entry)
-      continue;
-    Other.Holder_ = From;
-    sendHoldings(Id, From, Out);
-  }
-}
-
-// Tasks that the former holder has queued here are returned to it with proof;
-// the running ones are part of what the new holder receives.
-void AgentGate::onTransfer(const EntryId &From, const TransferGrant &Transfer,
-                           Time Now, GateOutputs &Out) {
-  const auto It = Records_.owners().find(Transfer.Entry_);
-  if (It == Records_.owners().end() || !It->second.Closed_ ||
-      It->second.Holder_ != From || From == Transfer.NewHolder_ ||
-      Records_.isClosed(Transfer.NewHolder_))
-    return;
-  returnQueued(
-      [&](const QueuedTask &Q) {
-        return Q.Job_.Token_.Owner_ == Transfer.Entry_;
-      },
-      RejectReason::NotOwner, Now);
-  It->second.Holder_ = Transfer.NewHolder_;
-  sendHoldings(Transfer.Entry_, Transfer.NewHolder_, Out);
-}
-
 GateOutputs AgentGate::onEndpointAnnounced(const EndpointInfo &Info, Time Now) {
   GateOutputs Out;
   Endpoint_ = Info;
--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -8,6 +8,7 @@
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_hub.h"
+#include "random_number.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,7 +17,6 @@
 
 #include <map>
 #include <optional>
-#include <random>
 
 namespace chivelanding {
 namespace {
@@ -34,9 +34,12 @@
 // Connections to the local listener.
 constexpr std::uint32_t MaxLocalConnections = 64;
 
-Incarnation drawIncarnation() {
-  std::random_device Source;
-  return Incarnation((static_cast<std::uint64_t>(Source()) << 32) | Source());
+GateLimits gateLimits(const AgentSettings &Settings) {
+  GateLimits Limits;
+  Limits.QueueRoom_ = Settings.QueueRoom_;
+  Limits.ResultBytes_ = Settings.ResultBytes_;
+  Limits.Retention_ = Settings.Retention_;
+  return Limits;
 }
 
 } // namespace
@@ -81,9 +84,9 @@
 AgentService::Impl::Impl(asio::io_context &Io, AgentSettings Settings,
                          EventLog &Log)
     : Io_(Io), Settings_(std::move(Settings)),
-      Log_(Log), Self_{Settings_.Process_.Name_, drawIncarnation()},
-      Gate_(Self_, {Settings_.QueueRoom_, Settings_.ResultBytes_,
-                    Settings_.Retention_}),
+      Log_(Log), Self_{Settings_.Process_.Name_,
+                       Incarnation(drawRandomNumber())},
+      Gate_(Self_, gateLimits(Settings_)),
       Metrics_({{"role", "agent"}, {"name", Self_.Name_}}),
       Http_(Io,
             HttpServerLimits{16u << 10, MaxLocalBodyBytes, MaxLocalConnections},
--- a/src/cli_client.cpp
+++ b/src/cli_client.cpp
@@ -2,6 +2,7 @@
 #include "cli.h"
 #include "clock.h"
 #include "http_client.h"
+#include "random_number.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/program_options.hpp>
@@ -12,7 +13,6 @@
 #include <iostream>
 #include <iterator>
 #include <optional>
-#include <random>
 #include <thread>
 
 namespace chivelanding {
@@ -99,10 +99,7 @@
   return value(R).Status_ / 100 == 2 ? ExitOk : ExitFailed;
 }
 
-std::string randomKey() {
-  std::random_device Source;
-  return toHex((static_cast<std::uint64_t>(Source()) << 32) | Source());
-}
+std::string randomKey() { return toHex(drawRandomNumber()); }
 
 /// One job and the entries that it may be submitted to.
 class Submission {
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -1,21 +1,15 @@
 #include "config_service.h"
 #include "clock.h"
-
-#include <random>
+#include "random_number.h"
 
 namespace chivelanding {
 
 namespace {
 
-std::uint64_t drawSeed() {
-  std::random_device Source;
-  return (static_cast<std::uint64_t>(Source()) << 32) | Source();
-}
-
 SyncOptions syncOptions(Role R) {
   SyncOptions Options;
   Options.Role_ = R;
-  Options.Seed_ = drawSeed();
+  Options.Seed_ = drawRandomNumber();
   return Options;
 }
 
@@ -39,7 +33,7 @@
   Transport_ = std::make_unique<HttpLogTransport>(Io, Settings_.Log_);
   FollowerOptions Options;
   Options.Name_ = Settings_.Name_;
-  Options.Seed_ = drawSeed();
+  Options.Seed_ = drawRandomNumber();
   Runner_ = std::make_unique<ConfigRunner>(Io, *Transport_, std::move(Options),
                                            callbacks());
 }
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -10,6 +10,7 @@
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_hub.h"
+#include "random_number.h"
 #include "team_auth.h"
 
 #include <boost/asio/io_context.hpp>
@@ -17,9 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <nlohmann/json.hpp>
-
 #include <optional>
-#include <random>
 #include <unordered_map>
 
 namespace chivelanding {
@@ -31,15 +30,6 @@
   return {404, "application/json", {}, R"({"code":"not_found"})"};
 }
 
-bool isLoopback(const SocketAddress &Address) {
-  return Address.Host_.rfind("127.", 0) == 0 || Address.Host_ == "::1";
-}
-
-Incarnation drawIncarnation() {
-  std::random_device Source;
-  return Incarnation((static_cast<std::uint64_t>(Source()) << 32) | Source());
-}
-
 } // namespace
 
 struct EntryService::Impl : std::enable_shared_from_this<EntryService::Impl> {
@@ -106,7 +96,7 @@
 }
 
 std::unique_ptr<EntryCore> EntryService::Impl::makeCore() {
-  const EntryId Self{Settings_.Process_.Name_, drawIncarnation()};
+  const EntryId Self{Settings_.Process_.Name_, Incarnation(drawRandomNumber())};
   const OwnerLimits Limits{Settings_.MaxTasksPerJob_, Settings_.TokenEpoch_,
                            Settings_.TokenEpochsAccepted_,
                            Settings_.ResultBytes_};
@@ -428,7 +418,7 @@
                                        bool Changes) const {
   const ConfigSet &Set = Config_.state()->Set_;
   if (Set.all(ObjectType::Operator).empty())
-    return isLoopback(Settings_.AdminListen_);
+    return Settings_.AdminListen_.isLoopback();
   const ConfigObject *Operator =
       findByToken(Set, ObjectType::Operator, Request);
   return Operator && (!Changes || Operator->text("role") == "publisher");
--- a/src/settings.h
+++ b/src/settings.h
@@ -16,6 +16,9 @@
   std::uint16_t Port_ = 0;
 
   std::string str() const { return Host_ + ":" + std::to_string(Port_); }
+  bool isLoopback() const {
+    return Host_.rfind("127.", 0) == 0 || Host_ == "::1";
+  }
 };
 
 /// Settings common to both roles. Times are in milliseconds in the file.
