--- a/tests/fuzz_world.cpp
+++ b/tests/fuzz_world.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-/// The network's door to one machine; it holds back what arrives in a pause.
+/// A machine's interface to the network; it holds back what arrives in a pause.
 class World::Port : public Receiver {
 public:
   Port(World &Owner, std::size_t M) : Owner_(Owner), Machine_(M) {}
