--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
   FILES=("$@")
 else
   mapfile -t FILES < <(git ls-files --cached --others --exclude-standard \
-    'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'standin/*.cpp' 'standin/*.h')
+    'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'tests/*.cpp' 'tests/*.h' 'standin/*.cpp' 'standin/*.h')
 fi
 clang-format --dry-run --Werror "${FILES[@]}"
 export LINT_CACHE="${XDG_CACHE_HOME:-$HOME/.cache}/chivelanding-lint"
@@ -20,7 +20,7 @@
 lint_file() {
   local FILE=$1 KEY
   KEY=$({ cat .clang-tidy; echo "$FILE"
-    g++ -std=c++17 -E -P -Isrc -DCHIVELANDING_SOURCE_DIR='""' "$FILE" 2>/dev/null
+    g++ -std=c++17 -E -P -Isrc -Iplatform -DCHIVELANDING_SOURCE_DIR='""' "$FILE" 2>/dev/null
     cat "$FILE"; } | sha256sum | cut -d' ' -f1)
   [ -e "$LINT_CACHE/$KEY" ] && return 0
   clang-tidy --quiet -p "$BUILD_DIR" "$FILE" 2>/dev/null || {
--- a/src/cli_run.cpp
+++ b/src/cli_run.cpp
@@ -1,30 +1,31 @@
 #include "agent_service.h"
-#include "cli.h"
+#include "cli_process.h"
 #include "entry_service.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
-#include <csignal>
-#include <cstdio>
-#include <iostream>
-#include <optional>
+#include <cstdlib>
 
 namespace chivelanding {
 namespace {
 
 namespace options = boost::program_options;
 
-// What the command line asks for.
-struct RunOptions {
-  std::string Settings_;
-  bool CheckOnly_ = false;
-};
+template <typename ServiceType, typename Settings>
+int runPlain(const Arguments &Args, const ProcessCommand &C,
+             LoadedSettings<Settings> (*Load)(const std::string &)) {
+  return runProcessCommand<Settings>(
+      Args, C, Load,
+      [](boost::asio::io_context &Io, const Settings &S, EventLog &Log) {
+        return std::make_unique<ServiceType>(Io, S, Log);
+      },
+      [](ServiceType &, const Settings &) {});
+}
+
+} // namespace
 
-// Without options the exit code says what was printed.
-std::variant<RunOptions, ExitCode>
-runOptions(const Arguments &Args, const char *Command, const char *Summary) {
+std::variant<RunOptions, ExitCode> parseRunOptions(const Arguments &Args,
+                                                   const ProcessCommand &C) {
   options::options_description Known("Options");
   Known.add_options()("help", "print this text")(
       "settings", options::value<std::string>(),
@@ -35,87 +36,45 @@
     options::store(options::command_line_parser(Args).options(Known).run(),
                    Map);
     if (Map.count("help") > 0) {
-      std::cout << "usage: chivelanding " << Command << " --settings FILE\n\n"
-                << Summary << "\n\n"
+      std::cout << "usage: chivelanding " << C.Name_ << " --settings FILE\n\n"
+                << C.Summary_ << "\n\n"
                 << Known;
       return ExitOk;
     }
+    const char *Path =
+        C.SettingsVariable_ ? std::getenv(C.SettingsVariable_) : nullptr;
+    const bool CheckOnly = Map.count("check-settings") > 0;
     if (Map.count("settings") > 0)
-      return RunOptions{Map["settings"].as<std::string>(),
-                        Map.count("check-settings") > 0};
-    std::cerr << "chivelanding " << Command << ": --settings is missing\n";
+      return RunOptions{Map["settings"].as<std::string>(), CheckOnly};
+    if (Path)
+      return RunOptions{Path, CheckOnly};
+    std::cerr << "chivelanding " << C.Name_ << ": --settings is missing\n";
   } catch (const options::error &E) {
-    std::cerr << "chivelanding " << Command << ": " << E.what() << "\n";
+    std::cerr << "chivelanding " << C.Name_ << ": " << E.what() << "\n";
   }
   return ExitUsage;
 }
 
-// One io_context and one thread per process; it runs until a service calls for
-// the end.
-template <typename ServiceType, typename Settings>
-int runProcess(const Settings &S) {
-  boost::asio::io_context Io(1);
-  Kernel Services;
-  auto &Log =
-      Services.add("log", std::make_unique<EventLog>(S.Process_.LogLevel_));
-  Services.add("service", std::make_unique<ServiceType>(Io, S, Log));
-  const auto Started = Services.start();
-  if (!ok(Started)) {
-    std::fprintf(stderr, "chivelanding: %s\n", error(Started).str().c_str());
-    return ExitFailed;
-  }
-  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
-  // The first signal asks for an orderly end, the second for an end at once.
-  Signals.async_wait([&](const boost::system::error_code &Ec, int) {
-    if (Ec)
-      return;
-    Services.drain();
-    Signals.async_wait([&](const boost::system::error_code &Again, int) {
-      if (!Again)
-        Io.stop();
-    });
-  });
-  Io.run();
-  Services.stop();
-  return ExitOk;
-}
-
-template <typename Settings>
-int reportErrors(const LoadedSettings<Settings> &Loaded) {
-  for (const std::string &Line : std::get<SettingsErrors>(Loaded).Lines_)
+int reportSettingsErrors(const SettingsErrors &Errors) {
+  for (const std::string &Line : Errors.Lines_)
     std::fprintf(stderr, "%s\n", Line.c_str());
   return ExitUsage;
 }
 
-template <typename ServiceType, typename Settings>
-int runLoaded(const RunOptions &Options,
-              const LoadedSettings<Settings> &Loaded) {
-  if (Loaded.index() == 1)
-    return reportErrors(Loaded);
-  if (!Options.CheckOnly_)
-    return runProcess<ServiceType>(std::get<0>(Loaded));
-  std::cout << Options.Settings_ << ": valid\n";
-  return ExitOk;
+LogFormat logFormatOf(const ProcessSettings &S) {
+  return S.LogFormat_ == "text" ? LogFormat::Text : LogFormat::Json;
 }
 
-} // namespace
-
 int runEntry(const Arguments &Args) {
-  const auto Options = runOptions(
-      Args, "entry", "Runs an entry: callers' HTTP, ownership and placement.");
-  if (const auto *Code = std::get_if<ExitCode>(&Options))
-    return *Code;
-  const auto &Run = std::get<RunOptions>(Options);
-  return runLoaded<EntryService>(Run, loadEntrySettings(Run.Settings_));
+  return runPlain<EntryService>(
+      Args, {"entry", "Runs an entry: callers' HTTP, ownership and placement."},
+      loadEntrySettings);
 }
 
 int runAgent(const Arguments &Args) {
-  const auto Options =
-      runOptions(Args, "agent", "Runs the agent beside one endpoint.");
-  if (const auto *Code = std::get_if<ExitCode>(&Options))
-    return *Code;
-  const auto &Run = std::get<RunOptions>(Options);
-  return runLoaded<AgentService>(Run, loadAgentSettings(Run.Settings_));
+  return runPlain<AgentService>(
+      Args, {"agent", "Runs the agent beside one endpoint."},
+      loadAgentSettings);
 }
 
 } // namespace chivelanding
--- /dev/null
+++ b/src/config_feed.cpp
@@ -0,0 +1,102 @@
+#include "config_feed.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <optional>
+
+namespace chivelanding {
+namespace {
+
+// Wait of one reading call. A connection may go silent for good, which only its
+// time-out shows, and a change must be in force within 2 seconds; one call a
+// second is a thousandth of what the store accepts.
+constexpr Duration FollowWait = std::chrono::milliseconds(1000);
+// Time beyond the wait for an answer of a store that is 50 times as slow as
+// its usual 4 ms.
+constexpr Duration AnswerTime = std::chrono::milliseconds(600);
+// Pause after an error.
+constexpr auto RetryPause = std::chrono::milliseconds(150);
+
+} // namespace
+
+struct ConfigFeed::Impl : std::enable_shared_from_this<ConfigFeed::Impl> {
+  Impl(boost::asio::io_context &Io, RecordStore &Store, EventLog &Log,
+       Callback OnConfig)
+      : Store_(Store), Log_(Log), OnConfig_(std::move(OnConfig)), Timer_(Io) {}
+
+  void read();
+  void onRecords(const Result<StoreRecords> &R);
+  void retry(const Error &E);
+
+  RecordStore &Store_;
+  EventLog &Log_;
+  Callback OnConfig_;
+  boost::asio::steady_timer Timer_;
+  /// Where to read on; nothing before the first answer or after an error.
+  std::optional<std::uint64_t> Next_;
+  std::optional<bool> Available_;
+  bool Stopped_ = false;
+};
+
+void ConfigFeed::Impl::read() {
+  const auto Done = [Self = shared_from_this()](const Result<StoreRecords> &R) {
+    if (!Self->Stopped_)
+      Self->onRecords(R);
+  };
+  if (Next_)
+    Store_.follow(StoreStream::Operators, *Next_, FollowWait,
+                  FollowWait + AnswerTime, Done);
+  else
+    Store_.newest(StoreStream::Operators, AnswerTime, Done);
+}
+
+void ConfigFeed::Impl::onRecords(const Result<StoreRecords> &R) {
+  if (!ok(R)) {
+    retry(error(R));
+    return;
+  }
+  if (Available_ != true)
+    Log_.write(events::StoreAvailable, {{"use", "configuration"}});
+  Available_ = true;
+  Next_ = value(R).Next_;
+  const std::string *Newest = nullptr;
+  for (const StoreRecord &Record : value(R).Records_)
+    if (Record.Key_ == Store_.configKey() && !Record.Value_.empty())
+      Newest = &Record.Value_;
+  if (Newest)
+    OnConfig_(*Newest);
+  read();
+}
+
+// The position is given up with the first error: what was written meanwhile may
+// have been deleted, and the newest version is never deleted.
+void ConfigFeed::Impl::retry(const Error &E) {
+  if (Available_ != false)
+    Log_.write(events::StoreUnavailable,
+               {{"use", "configuration"}, {"error", E.str()}});
+  Available_ = false;
+  Next_.reset();
+  Timer_.expires_after(RetryPause);
+  Timer_.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Ec) {
+        if (!Ec && !Self->Stopped_)
+          Self->read();
+      });
+}
+
+ConfigFeed::ConfigFeed(boost::asio::io_context &Io, RecordStore &Store,
+                       EventLog &Log, Callback OnConfig)
+    : Impl_(std::make_shared<Impl>(Io, Store, Log, std::move(OnConfig))) {}
+
+ConfigFeed::~ConfigFeed() { stop(); }
+
+void ConfigFeed::start() { Impl_->read(); }
+
+void ConfigFeed::stop() {
+  Impl_->Stopped_ = true;
+  Impl_->Timer_.cancel();
+}
+
+bool ConfigFeed::available() const { return Impl_->Available_ == true; }
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/dispatch_agent.cpp
@@ -0,0 +1,292 @@
+#include "dispatch_agent.h"
+
+#include "clock.h"
+#include "entry_presence.h"
+#include "http_server.h"
+#include "lease_plan.h"
+#include "metrics.h"
+#include "peer_hub.h"
+#include "random_number.h"
+#include "run_gate.h"
+#include "status_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <optional>
+#include <vector>
+
+namespace chivelanding {
+namespace {
+
+namespace asio = boost::asio;
+
+// Period of the gate's timer: the granularity of stops and list calls.
+constexpr auto TickPeriod = std::chrono::milliseconds(20);
+// Time for the answer to a call of the endpoint on the same VM, which usually
+// takes a millisecond. An order without an answer has to be stopped before its
+// task can run elsewhere, so waiting long makes its job late.
+constexpr Duration CallTimeout = std::chrono::milliseconds(150);
+// Largest announcement.
+constexpr std::uint64_t MaxAnnouncementBytes = 256u << 10;
+constexpr std::uint32_t MaxLocalConnections = 64;
+// Pause between two look-ups of the entries by a process that has none.
+constexpr Duration LookUpPause = std::chrono::milliseconds(1500);
+// Part of the time until the kill that runs at work may take to end.
+constexpr double DrainShare = 0.9;
+
+std::uint64_t unixMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+} // namespace
+
+struct DispatchAgent::Impl : std::enable_shared_from_this<DispatchAgent::Impl> {
+  Impl(asio::io_context &Io, DispatchAgentSettings Settings, AgentPorts Ports,
+       EventLog &Log);
+
+  PeerHandler makeHandler();
+  void onRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
+  void apply(RunGateOutputs Outputs);
+  void perform(MakeStart Make);
+  void perform(const MakeStop &Make);
+  void perform(const MakeHold &Make);
+  HttpResponse metrics();
+  void tick();
+  void endIfDrained(Time Now);
+
+  asio::io_context &Io_;
+  DispatchAgentSettings Settings_;
+  AgentPorts Ports_;
+  EventLog &Log_;
+  AgentId Self_;
+  RunGate Gate_;
+  Metrics Metrics_;
+  HttpServer Http_;
+  StatusServer MetricsServer_;
+  PeerHub Hub_;
+  EntryPresence Presence_;
+  asio::steady_timer Timer_;
+  SocketAddress Endpoint_;
+  std::size_t Entries_ = 0;
+  Time LastLookUp_;
+  std::optional<Time> DrainEnd_;
+  bool Stopped_ = false;
+};
+
+DispatchAgent::Impl::Impl(asio::io_context &Io, DispatchAgentSettings Settings,
+                          AgentPorts Ports, EventLog &Log)
+    : Io_(Io), Settings_(std::move(Settings)), Ports_(std::move(Ports)),
+      Log_(Log), Self_{Settings_.Process_.Name_,
+                       Incarnation(drawRandomNumber())},
+      Gate_(planGateLimits(Settings_.Leases_), unixMilliseconds()),
+      Metrics_({{"role", "agent"}, {"name", Self_.Name_}}),
+      Http_(Io,
+            HttpServerLimits{16u << 10, MaxAnnouncementBytes,
+                             MaxLocalConnections},
+            [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
+              onRequest(Request, Reply);
+            }),
+      MetricsServer_(
+          Io, [this] { return Gate_.usable(); }, [this] { return metrics(); }),
+      Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
+      Presence_(Io, *Ports_.Store_, Log,
+                [this](const SocketAddress &Entry) { Hub_.addSeed(Entry); }),
+      Timer_(Io) {}
+
+PeerHandler DispatchAgent::Impl::makeHandler() {
+  return {[this](const PeerUp &Up) {
+            ++Entries_;
+            apply(Gate_.onEntryUp(Up.Peer_.entry(), steadyNow()));
+          },
+          [](const PeerId &) {},
+          [](const PeerId &) {},
+          [this](const PeerId &Peer) {
+            --Entries_;
+            LastLookUp_ = steadyNow();
+            apply(Gate_.onEntryLost(Peer.entry(), steadyNow()));
+          },
+          [this](const PeerId &From, const Message &M) {
+            apply(Gate_.onMessage(From.entry(), M, steadyNow()));
+          },
+          [this] {
+            Log_.write(events::SelfClosed,
+                       {{"agent", Self_.str()},
+                        {"holder", "a later process of this name"}});
+            Io_.stop();
+          }};
+}
+
+void DispatchAgent::Impl::onRequest(const HttpRequest &Request,
+                                    const HttpReplyPtr &Reply) {
+  const Announcement A = Ports_.Announcements_->decode(Request);
+  if (const auto *Life = std::get_if<EndpointLife>(&A)) {
+    Reply->send({200, "application/json", {}, "{}"});
+    apply(Gate_.onAnnounced(*Life, steadyNow()));
+    if (Gate_.life() && Gate_.life()->Id_ == Life->Id_)
+      Endpoint_ = Gate_.life()->Address_;
+  } else if (const auto *Gone = std::get_if<EndpointWithdrawn>(&A)) {
+    Reply->send({200, "application/json", {}, "{}"});
+    apply(Gate_.onWithdrawn(Gone->Id_, steadyNow()));
+  } else {
+    Log_.write(events::AnnouncementRefused,
+               {{"error", std::get<Error>(A).str()}});
+    Reply->send({400, "application/json", {}, "{}"});
+  }
+}
+
+void DispatchAgent::Impl::apply(RunGateOutputs Outputs) {
+  for (RunGateOutput &O : Outputs) {
+    if (auto *Send = std::get_if<MessageToEntry>(&O)) {
+      Hub_.send(PeerId::of(Send->To_), std::move(Send->Message_));
+    } else if (auto *Start = std::get_if<MakeStart>(&O)) {
+      perform(std::move(*Start));
+    } else if (const auto *Stop = std::get_if<MakeStop>(&O)) {
+      perform(*Stop);
+    } else if (const auto *Hold = std::get_if<MakeHold>(&O)) {
+      perform(*Hold);
+    } else if (const auto *Event = std::get_if<LogEvent>(&O)) {
+      Metrics_.count(*Event->Event_.Type_);
+      Log_.write(Event->Event_);
+    }
+  }
+}
+
+void DispatchAgent::Impl::perform(MakeStart Make) {
+  const Time Sent = steadyNow();
+  Ports_.Endpoint_->start(
+      Endpoint_, Make.Call_, CallTimeout,
+      [Self = shared_from_this(), Id = Make.Id_,
+       Sent](const StartStopAnswer &A) {
+        if (Self->Stopped_)
+          return;
+        const Time Now = steadyNow();
+        Self->Metrics_.observe(
+            "chivelanding_start_call_seconds",
+            "Time of a start call of the endpoint.",
+            std::chrono::duration<double>(Now - Sent).count());
+        Self->apply(Self->Gate_.onStartAnswer(Id, A, Now));
+      });
+}
+
+void DispatchAgent::Impl::perform(const MakeStop &Make) {
+  Ports_.Endpoint_->stop(
+      Endpoint_, Make.Call_, CallTimeout,
+      [Self = shared_from_this(), Id = Make.Id_](const StartStopAnswer &A) {
+        if (!Self->Stopped_)
+          Self->apply(Self->Gate_.onStopAnswer(Id, A, steadyNow()));
+      });
+}
+
+void DispatchAgent::Impl::perform(const MakeHold &Make) {
+  Ports_.Endpoint_->hold(
+      Endpoint_, Make.Call_, Make.Call_.Wait_ + CallTimeout,
+      [Self = shared_from_this(), Id = Make.Id_](const Result<HoldAnswer> &A) {
+        if (!Self->Stopped_)
+          Self->apply(Self->Gate_.onHoldAnswer(Id, A, steadyNow()));
+      });
+}
+
+HttpResponse DispatchAgent::Impl::metrics() {
+  Metrics_.set("chivelanding_runs", "Runs that hold resources.",
+               static_cast<double>(Gate_.runs()));
+  Metrics_.set("chivelanding_held_cpu", "Thousandths of a core held by runs.",
+               Gate_.held().Cpu_);
+  Metrics_.set("chivelanding_usable", "1 if runs may be started here.",
+               Gate_.usable() ? 1 : 0);
+  Metrics_.set("chivelanding_entries", "Entries linked to this agent.",
+               static_cast<double>(Entries_));
+  Metrics_.set("chivelanding_log_lines_dropped", "Log lines left out.",
+               static_cast<double>(Log_.dropped()));
+  return Metrics_.render();
+}
+
+void DispatchAgent::Impl::tick() {
+  Timer_.expires_after(TickPeriod);
+  Timer_.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Ec) {
+        if (Ec || Self->Stopped_)
+          return;
+        const Time Now = steadyNow();
+        Self->apply(Self->Gate_.onTimer(Now));
+        // The seeds of a process may all be gone.
+        if (Self->Entries_ == 0 && Self->LastLookUp_ + LookUpPause <= Now) {
+          Self->LastLookUp_ = Now;
+          Self->Presence_.lookUp();
+        }
+        Self->Log_.flush();
+        Self->endIfDrained(Now);
+        Self->tick();
+      });
+}
+
+void DispatchAgent::Impl::endIfDrained(Time Now) {
+  if (!DrainEnd_)
+    return;
+  if ((Gate_.runs() == 0 && Hub_.allDelivered(true)) || *DrainEnd_ <= Now)
+    Io_.stop();
+}
+
+DispatchAgent::DispatchAgent(asio::io_context &Io,
+                             DispatchAgentSettings Settings, AgentPorts Ports,
+                             EventLog &Log)
+    : Impl_(std::make_shared<Impl>(Io, std::move(Settings), std::move(Ports),
+                                   Log)) {}
+
+DispatchAgent::~DispatchAgent() { DispatchAgent::stop(); }
+
+Result<Done> DispatchAgent::start() {
+  Impl &I = *Impl_;
+  const auto Local = I.Http_.listen(I.Settings_.Listen_);
+  if (!ok(Local))
+    return error(Local);
+  if (I.Settings_.MetricsListen_.Port_ != 0) {
+    const auto Metrics = I.MetricsServer_.listen(I.Settings_.MetricsListen_);
+    if (!ok(Metrics))
+      return error(Metrics);
+  }
+  addSeeds(I.Settings_.Seeds_);
+  I.LastLookUp_ = steadyNow();
+  I.Log_.write(events::ProcessStarted, {{"role", "dispatch-agent"},
+                                        {"agent", I.Self_.str()},
+                                        {"listen", value(Local).str()}});
+  I.tick();
+  return I.Hub_.start();
+}
+
+void DispatchAgent::addSeeds(const std::vector<SocketAddress> &Seeds) {
+  for (const SocketAddress &Seed : Seeds)
+    Impl_->Hub_.addSeed({Seed.Host_, Impl_->Settings_.PeerListen_.Port_});
+}
+
+void DispatchAgent::drain() {
+  Impl &I = *Impl_;
+  if (I.DrainEnd_)
+    return;
+  const Time Now = steadyNow();
+  I.DrainEnd_ =
+      Now + Duration(static_cast<std::int64_t>(
+                static_cast<double>(I.Settings_.Grace_.count()) * DrainShare));
+  I.Log_.write(
+      events::DrainStarted,
+      {{"agent", I.Self_.str()}, {"runs", std::to_string(I.Gate_.runs())}});
+  I.apply(I.Gate_.onDrain(Now));
+}
+
+void DispatchAgent::stop() {
+  if (Impl_->Stopped_)
+    return;
+  Impl_->Stopped_ = true;
+  Impl_->Timer_.cancel();
+  Impl_->Presence_.stop();
+  Impl_->Http_.close();
+  Impl_->MetricsServer_.close();
+  Impl_->Hub_.stop();
+  Impl_->Log_.write(events::ProcessStopped, {{"agent", Impl_->Self_.str()}});
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/dispatch_entry.cpp
@@ -0,0 +1,470 @@
+#include "dispatch_entry.h"
+
+#include "clock.h"
+#include "config_feed.h"
+#include "entry_presence.h"
+#include "http_server.h"
+#include "lease_plan.h"
+#include "metrics.h"
+#include "peer_hub.h"
+#include "random_number.h"
+#include "status_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+namespace chivelanding {
+namespace {
+
+namespace asio = boost::asio;
+
+// Period of the decision modules' timers; a tenth of the shortest wait that a
+// job is given.
+constexpr auto TickPeriod = std::chrono::milliseconds(10);
+// Bounds of a caller's request: a job has up to 4,000 bytes of text, which JSON
+// may escape, and a few hundred bytes of steps.
+constexpr std::uint32_t MaxHeaderBytes = 16u << 10;
+constexpr std::uint64_t MaxBodyBytes = 256u << 10;
+constexpr std::uint32_t MaxConnections = 3000;
+constexpr Duration ReadTimeout = std::chrono::seconds(3);
+constexpr Duration IdleTimeout = std::chrono::seconds(60);
+// The balancer stops sending connections two missed checks, at one a second,
+// after the process reports itself not ready.
+constexpr Duration BalancerDelay = std::chrono::milliseconds(2600);
+// Parts of the time until the kill: from the first on new requests are refused,
+// at the second everything still open is answered.
+constexpr double RefuseShare = 0.6;
+constexpr double EndShare = 0.92;
+
+Duration share(Duration Whole, double Part) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(Whole.count()) * Part));
+}
+
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
+
+} // namespace
+
+struct DispatchEntry::Impl : std::enable_shared_from_this<DispatchEntry::Impl> {
+  struct Waiting {
+    HttpReplyPtr Reply_;
+    Time Received_;
+    std::string Route_;
+  };
+
+  Impl(asio::io_context &Io, DispatchEntrySettings Settings, EntryPorts Ports,
+       EventLog &Log);
+
+  PeerHandler makeHandler();
+  void onRequest(HttpRequest &&Request, const HttpReplyPtr &Reply);
+  void onSubmit(SubmitRequest Request, const HttpReplyPtr &Reply, Time Now);
+  void onCancel(const CancelRequest &Request, const HttpReplyPtr &Reply);
+  void onGone(JobNumber Job, const HttpReply *Reply);
+  void onAnswer(const AnswerJob &A);
+  void onConfig(const std::string &Text, const char *Source);
+  void onPeerMessage(const PeerId &From, const Message &M);
+  void shareConfig(const PeerId &To);
+  void apply();
+  bool ready();
+  HttpResponse metrics();
+  void tick();
+  void checkReady();
+  void drain();
+  void advanceDrain(Time Now);
+
+  asio::io_context &Io_;
+  DispatchEntrySettings Settings_;
+  EntryPorts Ports_;
+  EventLog &Log_;
+  EntryId Self_;
+  Dispatcher Dispatcher_;
+  Metrics Metrics_;
+  HttpServer Http_;
+  StatusServer Ready_;
+  StatusServer MetricsServer_;
+  PeerHub Hub_;
+  ConfigFeed Feed_;
+  EntryPresence Presence_;
+  asio::steady_timer Timer_;
+  std::optional<DispatchConfig> Config_;
+  /// Text of the configuration in force, for other entries.
+  std::string ConfigText_;
+  Time ConfigAt_;
+  std::map<JobNumber, std::vector<Waiting>> Waiting_;
+  std::vector<PeerId> Entries_;
+  std::size_t Agents_ = 0;
+  std::optional<Time> DrainStart_;
+  bool Refusing_ = false;
+  std::optional<bool> WasReady_;
+  bool Stopped_ = false;
+};
+
+DispatchEntry::Impl::Impl(asio::io_context &Io, DispatchEntrySettings Settings,
+                          EntryPorts Ports, EventLog &Log)
+    : Io_(Io), Settings_(std::move(Settings)), Ports_(std::move(Ports)),
+      Log_(Log), Self_{Settings_.Process_.Name_,
+                       Incarnation(drawRandomNumber())},
+      Dispatcher_(Settings_.Process_.Zone_,
+                  planDispatchLimits(Settings_.Leases_), drawRandomNumber()),
+      Metrics_({{"role", "entry"}, {"name", Self_.Name_}}),
+      Http_(Io,
+            HttpServerLimits{MaxHeaderBytes, MaxBodyBytes, MaxConnections,
+                             ReadTimeout, IdleTimeout},
+            [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
+              onRequest(std::move(Request), Reply);
+            }),
+      Ready_(
+          Io, [this] { return ready(); }, [this] { return metrics(); }),
+      MetricsServer_(
+          Io, [this] { return ready(); }, [this] { return metrics(); }),
+      Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
+      Feed_(Io, *Ports_.Store_, Log,
+            [this](const std::string &Text) { onConfig(Text, "store"); }),
+      Presence_(Io, *Ports_.Store_, Log,
+                [this](const SocketAddress &Entry) { Hub_.addSeed(Entry); }),
+      Timer_(Io) {}
+
+PeerHandler DispatchEntry::Impl::makeHandler() {
+  return {
+      [this](const PeerUp &Up) {
+        if (Up.Peer_.Role_ == Role::Entry) {
+          Entries_.push_back(Up.Peer_);
+          shareConfig(Up.Peer_);
+          return;
+        }
+        ++Agents_;
+        Dispatcher_.onAgentUp(Up.Peer_, steadyNow());
+      },
+      [this](const PeerId &Peer) {
+        Dispatcher_.onAgentSuspected(Peer, true, steadyNow());
+      },
+      [this](const PeerId &Peer) {
+        Dispatcher_.onAgentSuspected(Peer, false, steadyNow());
+      },
+      [this](const PeerId &Peer) {
+        if (Peer.Role_ == Role::Entry) {
+          Entries_.erase(std::remove(Entries_.begin(), Entries_.end(), Peer),
+                         Entries_.end());
+          return;
+        }
+        --Agents_;
+        Dispatcher_.onAgentLost(Peer, steadyNow());
+        apply();
+      },
+      [this](const PeerId &From, const Message &M) { onPeerMessage(From, M); },
+      [this] {
+        Log_.write(events::SelfClosed,
+                   {{"entry", Self_.str()},
+                    {"holder", "a later process of this name"}});
+        Io_.stop();
+      }};
+}
+
+void DispatchEntry::Impl::onPeerMessage(const PeerId &From, const Message &M) {
+  const Time Now = steadyNow();
+  if (From.Role_ == Role::Agent) {
+    Dispatcher_.onMessage(From, M, Now);
+    apply();
+  } else if (const auto *Config = std::get_if<ConfigText>(&M)) {
+    if (!Config_ || Config_->version() < Config->Version_)
+      onConfig(Config->Text_, From.Name_.c_str());
+  } else if (const auto *Cancel = std::get_if<CancelJob>(&M)) {
+    Dispatcher_.cancelKey(Cancel->Job_, Now);
+    apply();
+  }
+}
+
+void DispatchEntry::Impl::shareConfig(const PeerId &To) {
+  if (Config_)
+    Hub_.send(To, ConfigText{Config_->version(), ConfigText_});
+}
+
+// A version replaces only an older one, whatever the order of arrival, so that
+// this process never returns to one.
+void DispatchEntry::Impl::onConfig(const std::string &Text,
+                                   const char *Source) {
+  auto Decoded = Ports_.Configs_->decode(Text);
+  if (!ok(Decoded)) {
+    Log_.write(events::ConfigRecordSkipped,
+               {{"source", Source}, {"error", error(Decoded).str()}});
+    return;
+  }
+  if (Config_ && value(Decoded).version() <= Config_->version())
+    return;
+  const auto Former = Config_ ? Config_->version() : ConfigVersion();
+  Config_ = std::move(value(Decoded));
+  ConfigText_ = Text;
+  ConfigAt_ = steadyNow();
+  Metrics_.count(events::ConfigAccepted);
+  Log_.write(events::ConfigAccepted,
+             {{"version", std::to_string(Config_->version().value())},
+              {"former", std::to_string(Former.value())},
+              {"source", Source},
+              {"routes", std::to_string(Config_->routes().size())}});
+  for (const PeerId &Peer : Entries_)
+    shareConfig(Peer);
+}
+
+void DispatchEntry::Impl::onRequest(HttpRequest &&Request,
+                                    const HttpReplyPtr &Reply) {
+  const Time Now = steadyNow();
+  CallerRequest Decoded = Ports_.Callers_->decode(
+      std::move(Request), Config_ ? &*Config_ : nullptr);
+  if (auto *Submit = std::get_if<SubmitRequest>(&Decoded)) {
+    onSubmit(std::move(*Submit), Reply, Now);
+  } else if (const auto *Cancel = std::get_if<CancelRequest>(&Decoded)) {
+    onCancel(*Cancel, Reply);
+  } else if (const auto *State = std::get_if<StateRequest>(&Decoded)) {
+    bool Running = false;
+    const bool Live = Dispatcher_.find(State->Job_, Running);
+    Reply->send(Ports_.Callers_->state(Live, Running));
+  } else if (const auto *Queue = std::get_if<WaitingRequest>(&Decoded)) {
+    Reply->send(Ports_.Callers_->waiting(Dispatcher_.waiting(Queue->Route_)));
+  } else {
+    auto &Refused = std::get<RefusedRequest>(Decoded);
+    Metrics_.count(events::RequestRefused);
+    Log_.write(events::RequestRefused,
+               {{"code", Refused.Reason_.Code_},
+                {"step", Refused.Reason_.Step_},
+                {"detail", Refused.Reason_.Detail_},
+                {"status", std::to_string(Refused.Response_.Status_)},
+                {"version",
+                 std::to_string(Config_ ? Config_->version().value() : 0)}});
+    Reply->send(std::move(Refused.Response_));
+  }
+}
+
+// Close to the end of a drain a job could not be finished any more, so it is
+// refused before anything of it runs.
+void DispatchEntry::Impl::onSubmit(SubmitRequest Request,
+                                   const HttpReplyPtr &Reply, Time Now) {
+  if (Refusing_) {
+    Log_.write(events::JobRefused,
+               {{"job", Request.Job_.Key_.str()}, {"code", "draining"}});
+    Reply->send(
+        Ports_.Callers_->answer({JobNumber(), JobEnding::Refused, "draining",
+                                 Duration(std::chrono::seconds(1))}));
+    return;
+  }
+  std::string Route = Request.Job_.Route_.Name_;
+  const JobNumber Number = Dispatcher_.submit(std::move(Request.Job_), Now);
+  Waiting_[Number].push_back({Reply, Now, std::move(Route)});
+  apply();
+  if (Waiting_.count(Number) > 0)
+    Reply->onGone([Self = shared_from_this(), Number, Raw = Reply.get()] {
+      Self->onGone(Number, Raw);
+    });
+}
+
+void DispatchEntry::Impl::onGone(JobNumber Job, const HttpReply *Reply) {
+  const auto It = Waiting_.find(Job);
+  if (It == Waiting_.end() || Stopped_)
+    return;
+  auto &List = It->second;
+  List.erase(
+      std::remove_if(List.begin(), List.end(),
+                     [&](const Waiting &W) { return W.Reply_.get() == Reply; }),
+      List.end());
+  if (!List.empty())
+    return;
+  Dispatcher_.cancel(Job, "caller_gone", steadyNow());
+  apply();
+}
+
+// The job may be live at another entry, which the caller cannot know.
+void DispatchEntry::Impl::onCancel(const CancelRequest &Request,
+                                   const HttpReplyPtr &Reply) {
+  const bool WasLive = Dispatcher_.cancelKey(Request.Job_, steadyNow());
+  apply();
+  if (!WasLive)
+    for (const PeerId &Peer : Entries_)
+      Hub_.send(Peer, CancelJob{Request.Job_});
+  Reply->send(Ports_.Callers_->cancelled(WasLive));
+}
+
+void DispatchEntry::Impl::onAnswer(const AnswerJob &A) {
+  const auto It = Waiting_.find(A.Job_);
+  if (It == Waiting_.end())
+    return;
+  const auto List = std::move(It->second);
+  Waiting_.erase(It);
+  const Time Now = steadyNow();
+  for (const Waiting &W : List) {
+    Metrics_.observe("chivelanding_job_seconds",
+                     "Time from the request to its answer.",
+                     seconds(Now - W.Received_));
+    W.Reply_->send(Ports_.Callers_->answer(A));
+  }
+}
+
+void DispatchEntry::Impl::apply() {
+  for (DispatchOutput &O : Dispatcher_.take()) {
+    if (auto *Send = std::get_if<MessageToAgent>(&O)) {
+      Hub_.send(Send->To_, std::move(Send->Message_));
+    } else if (const auto *A = std::get_if<AnswerJob>(&O)) {
+      onAnswer(*A);
+    } else if (const auto *Event = std::get_if<LogEvent>(&O)) {
+      Metrics_.count(*Event->Event_.Type_);
+      Log_.write(Event->Event_);
+    }
+  }
+}
+
+// Ready with a configuration and an endpoint to send work to.
+bool DispatchEntry::Impl::ready() {
+  return Config_ && !DrainStart_ && Dispatcher_.anyUsable();
+}
+
+void DispatchEntry::Impl::checkReady() {
+  const bool Ready = ready();
+  if (WasReady_ == Ready)
+    return;
+  WasReady_ = Ready;
+  Log_.write(
+      events::ReadinessChanged,
+      {{"ready", Ready ? "true" : "false"},
+       {"version", std::to_string(Config_ ? Config_->version().value() : 0)},
+       {"agents", std::to_string(Agents_)},
+       {"draining", DrainStart_ ? "true" : "false"}});
+}
+
+HttpResponse DispatchEntry::Impl::metrics() {
+  const Time Now = steadyNow();
+  Metrics_.set("chivelanding_jobs", "Jobs that have no answer yet.",
+               static_cast<double>(Dispatcher_.jobs()));
+  Metrics_.set("chivelanding_waiting_jobs", "Jobs with a task that waits.",
+               static_cast<double>(Dispatcher_.waiting()));
+  Metrics_.set("chivelanding_agents", "Agents linked to this entry.",
+               static_cast<double>(Agents_));
+  Metrics_.set("chivelanding_config_version", "Configuration in force.",
+               static_cast<double>(Config_ ? Config_->version().value() : 0));
+  Metrics_.set("chivelanding_config_age_seconds",
+               "Time since that version came into force.",
+               Config_ ? seconds(Now - ConfigAt_) : 0);
+  Metrics_.set("chivelanding_store_available",
+               "1 if the last call to the store was answered.",
+               Feed_.available() ? 1 : 0);
+  Metrics_.set("chivelanding_connections", "Callers' connections.",
+               static_cast<double>(Http_.connections()));
+  Metrics_.set("chivelanding_log_lines_dropped", "Log lines left out.",
+               static_cast<double>(Log_.dropped()));
+  return Metrics_.render();
+}
+
+void DispatchEntry::Impl::tick() {
+  Timer_.expires_after(TickPeriod);
+  Timer_.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Ec) {
+        if (Ec || Self->Stopped_)
+          return;
+        const Time Now = steadyNow();
+        Self->Dispatcher_.onTimer(Now);
+        Self->apply();
+        Self->checkReady();
+        Self->Log_.flush();
+        Self->advanceDrain(Now);
+        Self->tick();
+      });
+}
+
+void DispatchEntry::Impl::drain() {
+  if (DrainStart_)
+    return;
+  DrainStart_ = steadyNow();
+  Http_.closeAfterReplies();
+  Log_.write(events::DrainStarted,
+             {{"entry", Self_.str()},
+              {"jobs", std::to_string(Dispatcher_.jobs())},
+              {"connections", std::to_string(Http_.connections())}});
+  checkReady();
+}
+
+// Callers go on using their open connections, and new ones come until the
+// balancer has noticed; each response closes its connection. The process ends
+// when nobody is left, or shortly before it would be killed.
+void DispatchEntry::Impl::advanceDrain(Time Now) {
+  if (!DrainStart_)
+    return;
+  const Duration Since = Now - *DrainStart_;
+  if (Since < BalancerDelay)
+    return;
+  Refusing_ = Since >= share(Settings_.Grace_, RefuseShare);
+  const bool Last = Since >= share(Settings_.Grace_, EndShare);
+  if (Last) {
+    std::vector<JobNumber> Left;
+    for (const auto &[Number, List] : Waiting_)
+      Left.push_back(Number);
+    for (const JobNumber Number : Left)
+      Dispatcher_.giveUp(Number, "draining", Now);
+    apply();
+  }
+  if (Last || (Dispatcher_.jobs() == 0 && Refusing_)) {
+    Http_.drain();
+    Io_.stop();
+  }
+}
+
+DispatchEntry::DispatchEntry(asio::io_context &Io,
+                             DispatchEntrySettings Settings, EntryPorts Ports,
+                             EventLog &Log)
+    : Impl_(std::make_shared<Impl>(Io, std::move(Settings), std::move(Ports),
+                                   Log)) {}
+
+DispatchEntry::~DispatchEntry() { DispatchEntry::stop(); }
+
+Result<Done> DispatchEntry::start() {
+  Impl &I = *Impl_;
+  const auto Peers = I.Hub_.listen(I.Settings_.PeerListen_);
+  if (!ok(Peers))
+    return error(Peers);
+  const auto Ready = I.Ready_.listen(I.Settings_.ReadyListen_);
+  if (!ok(Ready))
+    return error(Ready);
+  if (I.Settings_.MetricsListen_.Port_ != 0) {
+    const auto Metrics = I.MetricsServer_.listen(I.Settings_.MetricsListen_);
+    if (!ok(Metrics))
+      return error(Metrics);
+  }
+  const auto Callers = I.Http_.listen(I.Settings_.Listen_);
+  if (!ok(Callers))
+    return error(Callers);
+  addSeeds(I.Settings_.Seeds_);
+  I.Log_.write(events::ProcessStarted,
+               {{"role", "dispatch-entry"},
+                {"entry", I.Self_.str()},
+                {"listen", value(Callers).str()},
+                {"peers", value(Peers).str()},
+                {"zone", I.Settings_.Process_.Zone_.str()}});
+  I.tick();
+  I.Feed_.start();
+  I.Presence_.announce(I.Self_.Name_, I.Settings_.PeerListen_);
+  return I.Hub_.start();
+}
+
+void DispatchEntry::addSeeds(const std::vector<SocketAddress> &Seeds) {
+  for (const SocketAddress &Seed : Seeds)
+    if (Seed.Host_ != Impl_->Settings_.PeerListen_.Host_)
+      Impl_->Hub_.addSeed({Seed.Host_, Impl_->Settings_.PeerListen_.Port_});
+}
+
+void DispatchEntry::drain() { Impl_->drain(); }
+
+void DispatchEntry::stop() {
+  if (Impl_->Stopped_)
+    return;
+  Impl_->Stopped_ = true;
+  Impl_->Timer_.cancel();
+  Impl_->Feed_.stop();
+  Impl_->Presence_.stop();
+  Impl_->Http_.close();
+  Impl_->Ready_.close();
+  Impl_->MetricsServer_.close();
+  Impl_->Hub_.stop();
+  Impl_->Log_.write(events::ProcessStopped, {{"entry", Impl_->Self_.str()}});
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/dispatch_ports.h
@@ -0,0 +1,118 @@
+#ifndef CHIVELANDING_DISPATCH_PORTS_H
+#define CHIVELANDING_DISPATCH_PORTS_H
+
+#include "dispatch_config.h"
+#include "dispatcher.h"
+#include "endpoint_port.h"
+#include "http.h"
+#include "result.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chivelanding {
+
+/// A caller's request on a known route, or the answer to one that becomes
+/// none of these.
+struct SubmitRequest {
+  RunJob Job_;
+};
+struct CancelRequest {
+  JobKey Job_;
+};
+struct StateRequest {
+  JobKey Job_;
+};
+struct WaitingRequest {
+  std::string Route_;
+};
+struct RefusedRequest {
+  HttpResponse Response_;
+  Error Reason_;
+};
+using CallerRequest = std::variant<SubmitRequest, CancelRequest, StateRequest,
+                                   WaitingRequest, RefusedRequest>;
+
+/// Interface to callers: requests into jobs and endings into responses.
+class CallerCodec {
+public:
+  virtual ~CallerCodec() = default;
+  /// Config is null before the first version is known.
+  virtual CallerRequest decode(HttpRequest &&Request,
+                               const DispatchConfig *Config) const = 0;
+  virtual HttpResponse answer(const AnswerJob &A) const = 0;
+  virtual HttpResponse cancelled(bool WasLive) const = 0;
+  virtual HttpResponse state(bool Live, bool Running) const = 0;
+  virtual HttpResponse waiting(std::size_t Jobs) const = 0;
+};
+
+/// Text of a configuration into routes and services. Error code: bad_config.
+class ConfigCodec {
+public:
+  virtual ~ConfigCodec() = default;
+  virtual Result<DispatchConfig> decode(const std::string &Text) const = 0;
+};
+
+/// The life with this id ends.
+struct EndpointWithdrawn {
+  std::string Id_;
+};
+using Announcement = std::variant<EndpointLife, EndpointWithdrawn, Error>;
+
+/// What the endpoint beside an agent says of itself.
+class AnnouncementCodec {
+public:
+  virtual ~AnnouncementCodec() = default;
+  virtual Announcement decode(const HttpRequest &Request) const = 0;
+};
+
+/// Streams of the platform's store that the product uses. Each keeps the newest
+/// record of a key.
+enum class StoreStream : std::uint8_t {
+  /// The operators' records; this product only reads them.
+  Operators,
+  /// Addresses of entries by name.
+  Entries
+};
+
+struct StoreRecord {
+  std::string Key_;
+  std::string Value_;
+};
+
+struct StoreRecords {
+  std::vector<StoreRecord> Records_;
+  /// Offset from which later records are read.
+  std::uint64_t Next_ = 0;
+};
+
+/// The platform's store. Callbacks never run inside a call. Errors are those of
+/// HttpClient, and refused (status in Detail_), deleted (Offset is no longer
+/// retained), bad_response.
+class RecordStore {
+public:
+  RecordStore() = default;
+  RecordStore(const RecordStore &) = delete;
+  RecordStore &operator=(const RecordStore &) = delete;
+  virtual ~RecordStore() = default;
+  using RecordsCallback = std::function<void(const Result<StoreRecords> &)>;
+
+  /// The newest record of each key.
+  virtual void newest(StoreStream Stream, Duration Timeout,
+                      RecordsCallback Done) = 0;
+  /// Records from Offset on; waits for the first of them.
+  virtual void follow(StoreStream Stream, std::uint64_t Offset, Duration Wait,
+                      Duration Timeout, RecordsCallback Done) = 0;
+  virtual void put(StoreStream Stream, const StoreRecord &Record,
+                   Duration Timeout,
+                   std::function<void(const Result<Done> &)> Callback) = 0;
+  /// Key of the configuration in the operators' stream.
+  virtual const std::string &configKey() const = 0;
+};
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/dispatcher.cpp
@@ -0,0 +1,577 @@
+#include "dispatcher.h"
+
+#include <algorithm>
+#include <array>
+
+namespace chivelanding {
+namespace {
+
+// Slowest rate of an endpoint's clock, as in run_gate.cpp, and slack for the
+// granularity of timers at both ends.
+constexpr double SlowestClock = 0.98;
+constexpr Duration LapseSlack = std::chrono::milliseconds(30);
+// A report older than this says nothing any more: two periods were missed.
+constexpr Duration ReportLife = std::chrono::milliseconds(400);
+// Share of a job's time objective that it may wait for its first run. A caller
+// that is refused by then can still go elsewhere.
+constexpr double WaitShare = 0.22;
+// The answer leaves this much before the caller's patience ends.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(30);
+// Share of the fleet that stays free of runs of a class, so that more urgent
+// jobs start at once when the less urgent ones press.
+constexpr std::array<double, 3> FreeShare = {0.0, 0.03, 0.06};
+// Bounds of the moves of one task off slow endpoints, and the factor by which
+// staying must be worse than moving.
+constexpr std::uint32_t MaxMoves = 2;
+constexpr double MoveGain = 1.3;
+// Fixed cost of a move besides the stop: two messages and a start.
+constexpr Duration MoveCost = std::chrono::milliseconds(20);
+// Runs of one task that may end without success or fault of the task.
+constexpr std::uint32_t MaxAttempts = 24;
+// A job is given up when less than this share of a task's length is left.
+constexpr double HopelessShare = 0.5;
+// Period of the comparison of the agents.
+constexpr Duration ComparePeriod = std::chrono::milliseconds(100);
+// Weight of one run in the learned length factor of a route.
+constexpr double LengthWeight = 0.02;
+// Retry-After is at least a second, the header's unit, and is spread over two
+// more, so that refused callers do not return together.
+constexpr Duration FirstRetry = std::chrono::seconds(1);
+constexpr std::int64_t RetrySpreadUs = 2'000'000;
+
+std::string text(Duration D) { return std::to_string(D.count() / 1000); }
+
+Duration scaled(Duration D, double Factor) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(D.count()) * Factor));
+}
+
+} // namespace
+
+const char *jobEndingName(JobEnding E) {
+  static constexpr const char *Names[] = {"completed", "failed", "cancelled",
+                                          "refused", "unknown"};
+  return Names[static_cast<std::size_t>(E)];
+}
+
+Dispatcher::Dispatcher(ZoneName Zone, DispatchLimits Limits, std::uint64_t Seed)
+    : Limits_(Limits), Agents_(std::move(Zone), Seed), Random_(Seed) {}
+
+void Dispatcher::log(const EventType &Type, std::vector<EventField> Fields) {
+  Out_.push_back(LogEvent{{&Type, std::move(Fields)}});
+}
+
+DispatchOutputs Dispatcher::take() {
+  DispatchOutputs Result = std::move(Out_);
+  Out_.clear();
+  return Result;
+}
+
+bool Dispatcher::anyUsable() const {
+  return std::any_of(
+      Agents_.all().begin(), Agents_.all().end(), [](const auto &Item) {
+        return Item.second.Report_.Usable_ && !Item.second.Suspected_;
+      });
+}
+
+std::size_t Dispatcher::waiting(const std::string &Route) const {
+  std::size_t Count = 0;
+  for (const auto &[Number, J] : Jobs_)
+    Count += J.Spec_.Route_.Name_ == Route && J.Outstanding_ == 0 &&
+                     J.Done_ == 0 && !J.MayHaveRun_
+                 ? 1
+                 : 0;
+  return Count;
+}
+
+bool Dispatcher::find(const JobKey &Key, bool &Running) const {
+  const auto It = ByKey_.find(Key);
+  if (It == ByKey_.end())
+    return false;
+  const Job &J = Jobs_.at(It->second);
+  Running = J.Outstanding_ > 0 || J.MayHaveRun_;
+  return true;
+}
+
+// The wait until a job of this class and age would get its first room: the work
+// before it over the rate at which runs of this entry end.
+Duration Dispatcher::expectedWait(const Job &J) const {
+  if (OrderedCpu_ == 0)
+    return Duration(0);
+  double Ahead = 0;
+  for (const auto &[Class, Number] : Queue_) {
+    if (J.Spec_.Route_.Class_ < Class)
+      break;
+    if (Number == J.Number_)
+      continue;
+    const Job &Other = Jobs_.at(Number);
+    Ahead += static_cast<double>(Other.Waiting_) *
+             static_cast<double>(Other.Spec_.Need_.Cpu_) *
+             static_cast<double>(Other.Estimate_.count());
+  }
+  return Duration(
+      static_cast<std::int64_t>(Ahead / static_cast<double>(OrderedCpu_)));
+}
+
+Duration Dispatcher::retryAfter() {
+  std::uniform_int_distribution<std::int64_t> Spread(0, RetrySpreadUs);
+  return FirstRetry + Duration(Spread(Random_));
+}
+
+JobNumber Dispatcher::submit(RunJob Spec, Time Now) {
+  const auto Known = ByKey_.find(Spec.Key_);
+  if (Known != ByKey_.end()) {
+    log(events::JobAttached, {{"job", Spec.Key_.str()}});
+    return Known->second;
+  }
+  const JobNumber Number(NextJob_++);
+  Job &J = Jobs_[Number];
+  ByKey_[Spec.Key_] = Number;
+  J.Number_ = Number;
+  J.Spec_ = std::move(Spec);
+  const RunJob &S = J.Spec_;
+  const auto Factor = LengthFactor_.find(S.Route_.Name_);
+  J.Estimate_ =
+      scaled(S.Estimate_, Factor == LengthFactor_.end() ? 1 : Factor->second);
+  const Duration Objective =
+      scaled(J.Estimate_, S.Route_.Stretch_) + S.Route_.Target_;
+  J.Received_ = Now;
+  J.Deadline_ = Now + std::max(Duration(0), S.Patience_ - AnswerMargin);
+  J.WaitUntil_ = std::min(J.Deadline_, Now + scaled(Objective, WaitShare));
+  J.Tasks_.resize(S.Tasks_);
+  J.Waiting_ = S.Tasks_;
+  const RunAgents::Totals T = Agents_.totals(S.Route_.Service_);
+  log(events::JobAccepted, {{"job", S.Key_.str()},
+                            {"route", S.Route_.Name_},
+                            {"class", std::to_string(S.Route_.Class_.value())},
+                            {"tasks", std::to_string(S.Tasks_)},
+                            {"cpu", std::to_string(S.Need_.Cpu_)},
+                            {"estimate_ms", text(J.Estimate_)},
+                            {"patience_ms", text(S.Patience_)},
+                            {"endpoints", std::to_string(T.Usable_)},
+                            {"free_cpu", std::to_string(T.FreeCpu_)},
+                            {"waiting_jobs", std::to_string(Queue_.size())}});
+  if (Jobs_.size() > Limits_.MaxJobs_) {
+    refuse(J, "too_many_jobs", Now);
+    return Number;
+  }
+  if (T.LargestCpu_ > 0 && (S.Need_.Cpu_ > T.LargestCpu_ ||
+                            S.Need_.MemoryMb_ > T.LargestMemoryMb_)) {
+    refuse(J, "too_large", Now);
+    return Number;
+  }
+  enqueue(J);
+  placeWaiting(Now);
+  const auto Left = Jobs_.find(Number);
+  if (Left != Jobs_.end() && J.Outstanding_ == 0 &&
+      Now + expectedWait(J) > J.WaitUntil_)
+    refuse(J, "overloaded", Now);
+  return Number;
+}
+
+void Dispatcher::enqueue(const Job &J) {
+  Queue_.insert({J.Spec_.Route_.Class_, J.Number_});
+}
+
+bool Dispatcher::mayTake(const Job &J, const RunAgents::Totals &T) const {
+  const auto Class = std::min<std::size_t>(J.Spec_.Route_.Class_.value(),
+                                           FreeShare.size() - 1);
+  return static_cast<double>(T.FreeCpu_) -
+             static_cast<double>(J.Spec_.Need_.Cpu_) >=
+         FreeShare[Class] * static_cast<double>(T.CapacityCpu_);
+}
+
+// The first job that cannot have all the room it asks for keeps the later ones
+// of its service waiting: wide jobs would otherwise never start beside narrow
+// ones. It takes what room there is, task by task.
+void Dispatcher::placeWaiting(Time Now) {
+  std::set<ServiceName> Full;
+  const std::vector<QueueKey> Order(Queue_.begin(), Queue_.end());
+  for (const auto &[Class, Number] : Order) {
+    const auto It = Jobs_.find(Number);
+    if (It == Jobs_.end())
+      continue;
+    Job &J = It->second;
+    if (Full.count(J.Spec_.Route_.Service_) > 0)
+      continue;
+    if (placeJob(J, Now))
+      Queue_.erase({Class, Number});
+    else
+      Full.insert(J.Spec_.Route_.Service_);
+  }
+}
+
+// Starts the waiting tasks for which there is room. True if none is left.
+bool Dispatcher::placeJob(Job &J, Time Now) {
+  RunAgents::Totals T = Agents_.totals(J.Spec_.Route_.Service_);
+  std::map<PeerId, StartRuns> Orders;
+  for (std::size_t I = 0; I < J.Tasks_.size() && J.Waiting_ > 0; ++I) {
+    Task &Waiting = J.Tasks_[I];
+    if (Waiting.State_ != State::Waiting)
+      continue;
+    if (!mayTake(J, T))
+      break;
+    RunAgent *A = Agents_.choose({J.Spec_.Route_.Service_, J.Spec_.Need_,
+                                  J.Spec_.Rack_, Waiting.Avoid_});
+    if (!A)
+      continue;
+    const auto [It, New] = Orders.try_emplace(A->Peer_);
+    StartRuns &Order = It->second;
+    if (New) {
+      Order.Job_ = J.Spec_.Key_;
+      Order.Payload_ = J.Spec_.Payload_;
+      Order.Need_ = J.Spec_.Need_;
+      Order.Estimate_ = J.Estimate_;
+      Order.Sequence_ = ++A->LastSequence_;
+      Order.AgentClock_ = A->Report_.AgentClock_;
+      A->HeldFrom_ = A->ReportedAt_;
+      A->HeldClock_ = A->Report_.AgentClock_;
+    }
+    RunAgents::reserve(*A, Order.Sequence_, J.Spec_.Need_);
+    ++A->Running_;
+    T.FreeCpu_ -= std::min<std::uint64_t>(T.FreeCpu_, J.Spec_.Need_.Cpu_);
+    Waiting.State_ = State::Ordered;
+    Waiting.Agent_ = A->Peer_;
+    ++Waiting.Attempt_;
+    Order.Runs_.push_back(
+        {TaskIndex(static_cast<std::uint32_t>(I)), Waiting.Attempt_});
+    --J.Waiting_;
+    ++J.Outstanding_;
+    OrderedCpu_ += J.Spec_.Need_.Cpu_;
+  }
+  std::string Agents;
+  for (auto &[Peer, Order] : Orders) {
+    const auto &Report = Agents_.find(Peer)->Report_;
+    Agents += (Agents.empty() ? "" : ",") + Peer.Name_ + ":" +
+              std::to_string(Order.Runs_.size()) + "/" +
+              std::to_string(Report.Free_.Cpu_);
+    Out_.push_back(MessageToAgent{Peer, std::move(Order)});
+  }
+  if (!Orders.empty())
+    log(events::JobPlaced, {{"job", J.Spec_.Key_.str()},
+                            {"agents", Agents},
+                            {"unplaced", std::to_string(J.Waiting_)},
+                            {"age_ms", text(Now - J.Received_)}});
+  return J.Waiting_ == 0;
+}
+
+void Dispatcher::refuse(Job &J, const char *Code, Time Now) {
+  answer(J, JobEnding::Refused, Code, retryAfter() + expectedWait(J), Now);
+}
+
+// Takes back the runs that are still ordered. Their agents report the ends,
+// which are then ends of an unknown job.
+void Dispatcher::stopAll(Job &J) {
+  std::map<PeerId, StopRuns> Stops;
+  for (std::size_t I = 0; I < J.Tasks_.size(); ++I) {
+    Task &T = J.Tasks_[I];
+    if (T.State_ != State::Ordered && T.State_ != State::Stopping)
+      continue;
+    release(T.Agent_, J);
+    if (T.State_ == State::Ordered && Agents_.find(T.Agent_))
+      Stops[T.Agent_].Runs_.push_back(
+          {J.Spec_.Key_, TaskIndex(static_cast<std::uint32_t>(I)), T.Attempt_});
+  }
+  for (auto &[Peer, Stop] : Stops)
+    Out_.push_back(MessageToAgent{Peer, std::move(Stop)});
+}
+
+void Dispatcher::release(const PeerId &Agent, Job &J) {
+  if (RunAgent *A = Agents_.find(Agent))
+    A->Running_ -= std::min(A->Running_, 1u);
+  --J.Outstanding_;
+  OrderedCpu_ -= std::min<std::uint64_t>(OrderedCpu_, J.Spec_.Need_.Cpu_);
+}
+
+void Dispatcher::answer(Job &J, JobEnding Ending, const char *Code,
+                        std::optional<Duration> RetryAfter, Time Now) {
+  log(Ending == JobEnding::Refused ? events::JobRefused : events::JobAnswered,
+      {{"job", J.Spec_.Key_.str()},
+       {"route", J.Spec_.Route_.Name_},
+       {"ending", jobEndingName(Ending)},
+       {"code", Code},
+       {"age_ms", text(Now - J.Received_)},
+       {"tasks", std::to_string(J.Tasks_.size())},
+       {"done", std::to_string(J.Done_)},
+       {"outstanding", std::to_string(J.Outstanding_)},
+       {"retry_after_ms", RetryAfter ? text(*RetryAfter) : ""}});
+  stopAll(J);
+  Out_.push_back(AnswerJob{J.Number_, Ending, Code, RetryAfter});
+  Queue_.erase({J.Spec_.Route_.Class_, J.Number_});
+  ByKey_.erase(J.Spec_.Key_);
+  Jobs_.erase(JobNumber(J.Number_));
+}
+
+void Dispatcher::cancel(JobNumber Number, const char *Reason, Time Now) {
+  const auto It = Jobs_.find(Number);
+  if (It == Jobs_.end())
+    return;
+  log(events::JobCancelled,
+      {{"job", It->second.Spec_.Key_.str()}, {"reason", Reason}});
+  answer(It->second, JobEnding::Cancelled, Reason, {}, Now);
+  placeWaiting(Now);
+}
+
+void Dispatcher::giveUp(JobNumber Number, const char *Code, Time Now) {
+  const auto It = Jobs_.find(Number);
+  if (It == Jobs_.end())
+    return;
+  Job &J = It->second;
+  if (J.MayHaveRun_ || J.Outstanding_ > 0)
+    answer(J, JobEnding::Unknown, Code, {}, Now);
+  else
+    refuse(J, Code, Now);
+}
+
+bool Dispatcher::cancelKey(const JobKey &Key, Time Now) {
+  const auto It = ByKey_.find(Key);
+  if (It == ByKey_.end())
+    return false;
+  cancel(JobNumber(It->second), "caller_request", Now);
+  return true;
+}
+
+void Dispatcher::onAgentUp(const PeerId &Agent, Time Now) {
+  Agents_.onUp(Agent, Now);
+}
+
+void Dispatcher::onAgentSuspected(const PeerId &Agent, bool Suspected, Time) {
+  RunAgent *A = Agents_.find(Agent);
+  if (A && Suspected)
+    A->Suspected_ = true;
+}
+
+// The time by which no run that this entry ordered is left at the agent: its
+// owner lease is over, and then the endpoint's lease, should the agent be
+// unable to stop the runs itself.
+Time Dispatcher::lapsedBy(const RunAgent &A) const {
+  return A.HeldFrom_ +
+         scaled(Limits_.OwnerLease_ + Limits_.EndpointLease_,
+                1 / SlowestClock) +
+         Limits_.StopTime_ + LapseSlack;
+}
+
+void Dispatcher::onAgentLost(const PeerId &Agent, Time Now) {
+  const RunAgent *A = Agents_.find(Agent);
+  if (!A)
+    return;
+  const Time LapsedBy = lapsedBy(*A);
+  std::size_t Count = 0;
+  for (auto &[Number, J] : Jobs_)
+    for (Task &T : J.Tasks_)
+      if ((T.State_ == State::Ordered || T.State_ == State::Stopping) &&
+          T.Agent_ == Agent) {
+        T.LapsedBy_ = LapsedBy;
+        ++Count;
+      }
+  log(events::AgentRunsInDoubt,
+      {{"agent", Agent.str()},
+       {"runs", std::to_string(Count)},
+       {"lapsed_in_ms", text(std::max(Duration(0), LapsedBy - Now))}});
+  Agents_.remove(Agent);
+}
+
+void Dispatcher::onMessage(const PeerId &From, const Message &M, Time Now) {
+  if (const auto *Report = std::get_if<EndpointReport>(&M))
+    onReport(From, *Report, Now);
+  else if (const auto *Ended = std::get_if<RunsEnded>(&M))
+    for (const EndedRun &E : Ended->Runs_)
+      onEnded(From, E, Now);
+  else if (const auto *Slow = std::get_if<SlowRuns>(&M))
+    for (const SlowRun &S : Slow->Runs_)
+      onSlow(From, S, Now);
+  placeWaiting(Now);
+}
+
+// A usable report of a later process of the same agent proves that no run of
+// the former one is left.
+void Dispatcher::onReport(const PeerId &From, const EndpointReport &R,
+                          Time Now) {
+  RunAgent *A = Agents_.find(From);
+  if (!A)
+    return;
+  const bool BecameUsable = R.Usable_ && !A->Report_.Usable_;
+  Agents_.onReport(*A, R, Now);
+  A->Suspected_ = false;
+  if (!BecameUsable)
+    return;
+  for (auto &[Number, J] : Jobs_)
+    for (Task &T : J.Tasks_)
+      if (T.LapsedBy_ && T.Agent_.Name_ == From.Name_ && !(T.Agent_ == From))
+        T.LapsedBy_ = Now;
+}
+
+Dispatcher::Job *Dispatcher::findRun(const PeerId &From, const RunRef &Ref,
+                                     Task *&T) {
+  const auto Known = ByKey_.find(Ref.Job_);
+  if (Known == ByKey_.end())
+    return nullptr;
+  Job &J = Jobs_.at(Known->second);
+  if (Ref.Index_.value() >= J.Tasks_.size())
+    return nullptr;
+  T = &J.Tasks_[Ref.Index_.value()];
+  const bool Active =
+      T->State_ == State::Ordered || T->State_ == State::Stopping;
+  return Active && T->Attempt_ == Ref.Attempt_ && T->Agent_ == From ? &J
+                                                                    : nullptr;
+}
+
+void Dispatcher::onEnded(const PeerId &From, const EndedRun &E, Time Now) {
+  Task *T = nullptr;
+  if (Job *J = findRun(From, E.Run_, T))
+    taskEnded(*J, *T, E, Now);
+}
+
+void Dispatcher::taskEnded(Job &J, Task &T, const EndedRun &E, Time Now) {
+  release(T.Agent_, J);
+  T.LapsedBy_.reset();
+  J.MayHaveRun_ = J.MayHaveRun_ || !neverStarted(E.Ending_);
+  if (E.Ending_ == RunEnding::Done) {
+    T.State_ = State::Done;
+    if (J.Spec_.Estimate_ > Duration(0)) {
+      double &Factor =
+          LengthFactor_.try_emplace(J.Spec_.Route_.Name_, 1.0).first->second;
+      const double Seen = static_cast<double>(E.Length_.count()) /
+                          static_cast<double>(J.Spec_.Estimate_.count());
+      Factor += LengthWeight * (std::min(Seen, 4.0) - Factor);
+    }
+    if (++J.Done_ == J.Tasks_.size())
+      answer(J, JobEnding::Completed, "completed", {}, Now);
+    return;
+  }
+  T.State_ = State::Waiting;
+  ++J.Waiting_;
+  T.Failures_ += E.Ending_ == RunEnding::Failed ? 1 : 0;
+  if (E.Ending_ != RunEnding::NoRoom)
+    T.Avoid_ = T.Agent_.Name_;
+  log(events::TaskRerun, {{"job", J.Spec_.Key_.str()},
+                          {"task", std::to_string(E.Run_.Index_.value())},
+                          {"attempt", std::to_string(T.Attempt_)},
+                          {"agent", T.Agent_.str()},
+                          {"ending", runEndingName(E.Ending_)},
+                          {"failures", std::to_string(T.Failures_)},
+                          {"age_ms", text(Now - J.Received_)}});
+  if (T.Failures_ >= J.Spec_.Route_.Attempts_) {
+    answer(J, JobEnding::Failed, "attempts_used", {}, Now);
+    return;
+  }
+  enqueue(J);
+  if (T.Attempt_ >= MaxAttempts) {
+    answer(J, JobEnding::Unknown, "too_many_runs", {}, Now);
+    return;
+  }
+  giveUpIfHopeless(J, Now);
+}
+
+// A task that has to run once more and cannot end before the caller leaves
+// makes the rest of the job worthless.
+void Dispatcher::giveUpIfHopeless(Job &J, Time Now) {
+  if (J.Waiting_ == 0 ||
+      Now + scaled(J.Estimate_, HopelessShare) <= J.Deadline_)
+    return;
+  giveUp(J.Number_, "deadline_unreachable", Now);
+}
+
+// A move costs the stop and a whole run elsewhere, so it must beat what the run
+// still takes by a margin, and end before the caller leaves.
+void Dispatcher::onSlow(const PeerId &From, const SlowRun &S, Time Now) {
+  Task *T = nullptr;
+  Job *J = findRun(From, S.Run_, T);
+  if (!J || T->State_ != State::Ordered || T->Moves_ >= MaxMoves)
+    return;
+  const Duration Elsewhere = J->Estimate_ + Limits_.StopTime_ + MoveCost;
+  if (S.Remaining_ < scaled(Elsewhere, MoveGain) ||
+      Now + Elsewhere > J->Deadline_)
+    return;
+  const RunAgents::Totals Totals = Agents_.totals(J->Spec_.Route_.Service_);
+  if (Totals.FreeCpu_ < J->Spec_.Need_.Cpu_ || Totals.Usable_ < 2)
+    return;
+  log(events::TaskMoved, {{"job", J->Spec_.Key_.str()},
+                          {"task", std::to_string(S.Run_.Index_.value())},
+                          {"agent", From.str()},
+                          {"remaining_ms", text(S.Remaining_)},
+                          {"elsewhere_ms", text(Elsewhere)}});
+  T->State_ = State::Stopping;
+  T->Avoid_ = From.Name_;
+  ++T->Moves_;
+  Out_.push_back(MessageToAgent{From, StopRuns{{S.Run_}}});
+}
+
+void Dispatcher::renewHolds(Time Now) {
+  if (LastHold_ + Limits_.HoldPeriod_ > Now)
+    return;
+  LastHold_ = Now;
+  for (auto &[Peer, A] : Agents_.all()) {
+    if (A.Running_ == 0 || A.Report_.AgentClock_ <= A.HeldClock_)
+      continue;
+    A.HeldClock_ = A.Report_.AgentClock_;
+    A.HeldFrom_ = A.ReportedAt_;
+    Out_.push_back(MessageToAgent{Peer, HoldRuns{A.HeldClock_}});
+  }
+}
+
+// Reruns the tasks of which no run can be left: their agent is gone or has not
+// taken note of this entry for the length of both leases.
+void Dispatcher::rerunLapsed(JobNumber Number, Time Now) {
+  Job &J = Jobs_.at(Number);
+  for (std::size_t I = 0; I < J.Tasks_.size(); ++I) {
+    Task &T = J.Tasks_[I];
+    if (T.State_ != State::Ordered && T.State_ != State::Stopping)
+      continue;
+    const RunAgent *A = Agents_.find(T.Agent_);
+    if (!T.LapsedBy_ && !A)
+      continue;
+    if ((T.LapsedBy_ ? *T.LapsedBy_ : lapsedBy(*A)) > Now)
+      continue;
+    const RunRef Ref{J.Spec_.Key_, TaskIndex(static_cast<std::uint32_t>(I)),
+                     T.Attempt_};
+    taskEnded(J, T, {Ref, RunEnding::Lost, Duration(0)}, Now);
+    if (Jobs_.count(Number) == 0)
+      return;
+  }
+}
+
+void Dispatcher::checkAgents(Time Now) {
+  for (auto &[Peer, A] : Agents_.all())
+    if (A.ReportedAt_ + ReportLife < Now)
+      A.Suspected_ = true;
+  for (const RunAgent *A : Agents_.compare())
+    log(A->SetAside_ ? events::EndpointSetAside : events::EndpointReinstated,
+        {{"agent", A->Peer_.str()},
+         {"slowness_permille", std::to_string(A->Report_.SlownessPermille_)},
+         {"failed_permille", std::to_string(A->Report_.FailedPermille_)},
+         {"report_age_ms", text(Now - A->ReportedAt_)}});
+}
+
+void Dispatcher::checkTimes(JobNumber Number, Time Now) {
+  Job &J = Jobs_.at(Number);
+  const bool NeverRan = !J.MayHaveRun_ && J.Outstanding_ == 0;
+  if (J.Deadline_ <= Now)
+    giveUp(Number, "deadline", Now);
+  else if (J.WaitUntil_ <= Now && NeverRan)
+    refuse(J, "no_room_in_time", Now);
+  else
+    giveUpIfHopeless(J, Now);
+}
+
+void Dispatcher::onTimer(Time Now) {
+  renewHolds(Now);
+  const bool Compare = LastCompare_ + ComparePeriod <= Now;
+  if (Compare) {
+    LastCompare_ = Now;
+    checkAgents(Now);
+  }
+  std::vector<JobNumber> Numbers;
+  Numbers.reserve(Jobs_.size());
+  for (const auto &[Number, J] : Jobs_)
+    Numbers.push_back(Number);
+  for (const JobNumber Number : Numbers) {
+    if (Compare)
+      rerunLapsed(Number, Now);
+    if (Jobs_.count(Number) > 0)
+      checkTimes(Number, Now);
+  }
+  placeWaiting(Now);
+}
+
+} // namespace chivelanding
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -1,5 +1,7 @@
 #include "events.h"
 
+#include <string_view>
+
 namespace chivelanding {
 
 namespace events {
@@ -11,6 +13,11 @@
                                 "The settings file is not valid."};
 const EventType DrainStarted{103, "drain_started", Severity::Info,
                              "The process takes no new work from now on."};
+const EventType SettingsReloaded{104, "settings_reloaded", Severity::Info,
+                                 "The settings file was read again."};
+const EventType LogLinesDropped{105, "log_lines_dropped", Severity::Warning,
+                                "Lines were left out because of their number "
+                                "or because nobody reads them."};
 const EventType LinkUp{200, "link_up", Severity::Info,
                        "A connection to a peer is established."};
 const EventType LinkDown{201, "link_down", Severity::Info,
@@ -70,6 +77,56 @@
                              "The platform's log answers again."};
 const EventType AdminAction{605, "admin_action", Severity::Info,
                             "An operator's action, for the audit."};
+const EventType StoreUnavailable{
+    606, "store_unavailable", Severity::Warning,
+    "The platform's store does not answer as it should."};
+const EventType StoreAvailable{607, "store_available", Severity::Info,
+                               "The platform's store answers again."};
+const EventType RunRefused{700, "run_refused", Severity::Info,
+                           "The agent refuses an order; nothing was started."};
+const EventType RunRejected{701, "run_rejected", Severity::Info,
+                            "The endpoint did not accept a start call."};
+const EventType RunStopping{702, "run_stopping", Severity::Info,
+                            "The agent stops a run."};
+const EventType RunEnded{703, "run_ended", Severity::Info,
+                         "A run is over and holds no resources."};
+const EventType RunSlow{704, "run_slow", Severity::Info,
+                        "A run is far behind its estimate."};
+const EventType EndpointUnheard{
+    705, "endpoint_unheard", Severity::Warning,
+    "The endpoint does not answer; nothing is started there."};
+const EventType EndpointHeard{706, "endpoint_heard", Severity::Info,
+                              "The endpoint answers."};
+const EventType EndpointLifeBegan{
+    707, "endpoint_life_began", Severity::Info,
+    "The endpoint has started anew; nothing of its former life is left."};
+const EventType EndpointLapsed{
+    708, "endpoint_lapsed", Severity::Warning,
+    "The endpoint's lease is over, and with it every run."};
+const EventType ForeignRunStopped{
+    709, "foreign_run_stopped", Severity::Warning,
+    "A run that this process did not order, or an order that was carried out "
+    "late, is stopped."};
+const EventType JobPlaced{
+    720, "job_placed", Severity::Info,
+    "Tasks of a job were ordered; agents as name:tasks/free processor."};
+const EventType TaskRerun{
+    721, "task_rerun", Severity::Info,
+    "A run ended without success; the task waits for another run."};
+const EventType TaskMoved{722, "task_moved", Severity::Info,
+                          "A slow run is stopped to run the task elsewhere."};
+const EventType AgentRunsInDoubt{
+    723, "agent_runs_in_doubt", Severity::Warning,
+    "An agent is lost; its runs count as over once both leases have lapsed."};
+const EventType RequestRefused{
+    724, "request_refused", Severity::Info,
+    "A caller's request is refused before it becomes a job."};
+const EventType AnnouncementRefused{
+    725, "announcement_refused", Severity::Warning,
+    "An endpoint's announcement is not valid and names no endpoint to use."};
+const EventType ReadinessChanged{
+    726, "readiness_changed", Severity::Info,
+    "The process reports itself ready or not ready to the load balancer."};
 } // namespace events
 
 const std::vector<const EventType *> &allEventTypes() {
@@ -78,6 +135,8 @@
                                                      &ProcessStopped,
                                                      &SettingsRefused,
                                                      &DrainStarted,
+                                                     &SettingsReloaded,
+                                                     &LogLinesDropped,
                                                      &LinkUp,
                                                      &LinkDown,
                                                      &PeerSuspected,
@@ -105,7 +164,26 @@
                                                      &ConfigRecordSkipped,
                                                      &LogUnavailable,
                                                      &LogAvailable,
-                                                     &AdminAction};
+                                                     &AdminAction,
+                                                     &StoreUnavailable,
+                                                     &StoreAvailable,
+                                                     &RunRefused,
+                                                     &RunRejected,
+                                                     &RunStopping,
+                                                     &RunEnded,
+                                                     &RunSlow,
+                                                     &EndpointUnheard,
+                                                     &EndpointHeard,
+                                                     &EndpointLifeBegan,
+                                                     &EndpointLapsed,
+                                                     &ForeignRunStopped,
+                                                     &JobPlaced,
+                                                     &TaskRerun,
+                                                     &TaskMoved,
+                                                     &AgentRunsInDoubt,
+                                                     &RequestRefused,
+                                                     &AnnouncementRefused,
+                                                     &ReadinessChanged};
   return All;
 }
 
@@ -145,6 +223,53 @@
   return Line;
 }
 
+namespace {
+
+bool isNumber(const std::string &Text) {
+  const std::size_t First = !Text.empty() && Text[0] == '-' ? 1 : 0;
+  const std::size_t Digits = Text.size() - First;
+  return Digits > 0 && Digits < 16 &&
+         Text.find_first_not_of("0123456789", First) == std::string::npos &&
+         (Digits == 1 || Text[First] != '0');
+}
+
+// Bytes that are not printable ASCII are replaced, so that a line is valid JSON
+// whatever a peer sent.
+void appendJson(std::string &Line, const std::string &Text) {
+  Line += '"';
+  for (const char C : Text) {
+    if (C == '"' || C == '\\')
+      Line += '\\';
+    Line += C >= 0x20 && C < 0x7f ? C : '?';
+  }
+  Line += '"';
+}
+
+} // namespace
+
+// Written by hand, since a document tree costs more than the rest of a line.
+// Identifiers are always strings, even those of digits only.
+std::string Event::json(std::int64_t UnixMs) const {
+  static constexpr const char *Severities[] = {"debug", "info", "warning",
+                                               "error"};
+  std::string Line = "{\"time_ms\":" + std::to_string(UnixMs);
+  Line += ",\"level\":\"";
+  Line += Severities[static_cast<std::size_t>(Type_->Severity_)];
+  Line += "\",\"event\":\"";
+  Line += Type_->Name_;
+  Line += "\",\"number\":" + std::to_string(Type_->Number_);
+  for (const auto &[Key, Text] : Fields_) {
+    Line += ",\"";
+    Line += Key;
+    Line += "\":";
+    if (isNumber(Text) && std::string_view(Key) != "job")
+      Line += Text;
+    else
+      appendJson(Line, Text);
+  }
+  return Line + '}';
+}
+
 std::string eventsPage() {
   static constexpr const char *Severities[] = {"debug", "info", "warning",
                                                "error"};
--- a/src/events.h
+++ b/src/events.h
@@ -29,6 +29,9 @@
 
   /// One line: "NUMBER NAME field=value ...", values quoted where needed.
   std::string str() const;
+  /// One JSON object with the time of day in Unix milliseconds. Values that are
+  /// whole numbers are written as numbers.
+  std::string json(std::int64_t UnixMs) const;
 };
 
 /// Output of a decision module: write this event to the log.
@@ -42,6 +45,8 @@
 extern const EventType ProcessStopped;
 extern const EventType SettingsRefused;
 extern const EventType DrainStarted;
+extern const EventType SettingsReloaded;
+extern const EventType LogLinesDropped;
 // 200-299: membership and links.
 extern const EventType LinkUp;
 extern const EventType LinkDown;
@@ -75,6 +80,26 @@
 extern const EventType LogUnavailable;
 extern const EventType LogAvailable;
 extern const EventType AdminAction;
+extern const EventType StoreUnavailable;
+extern const EventType StoreAvailable;
+// 700-799: runs under leases.
+extern const EventType RunRefused;
+extern const EventType RunRejected;
+extern const EventType RunStopping;
+extern const EventType RunEnded;
+extern const EventType RunSlow;
+extern const EventType EndpointUnheard;
+extern const EventType EndpointHeard;
+extern const EventType EndpointLifeBegan;
+extern const EventType EndpointLapsed;
+extern const EventType ForeignRunStopped;
+extern const EventType JobPlaced;
+extern const EventType TaskRerun;
+extern const EventType TaskMoved;
+extern const EventType AgentRunsInDoubt;
+extern const EventType RequestRefused;
+extern const EventType AnnouncementRefused;
+extern const EventType ReadinessChanged;
 } // namespace events
 
 /// Every event type, by number.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -60,7 +60,7 @@
   asio::steady_timer Sweep_;
   std::unordered_set<Session *> Sessions_;
   bool Accepting_ = false;
-  bool Draining_ = false;
+  bool CloseAfterReplies_ = false;
 };
 
 /// One connection. At most one request is being answered; requests that follow
@@ -247,7 +247,8 @@
   Response_.set(http::field::content_type, Response.ContentType_);
   for (const HttpHeader &H : Response.Headers_)
     Response_.set(H.Name_, H.Value_);
-  Response_.keep_alive(KeepAlive_ && !Draining_);
+  Response_.keep_alive(KeepAlive_ && !Draining_ &&
+                       !Server_->CloseAfterReplies_);
   Response_.body() = std::move(Response.Body_);
   Response_.prepare_payload();
   http::async_write(
@@ -342,6 +343,8 @@
   return SocketAddress{Address.Host_, Acceptor.local_endpoint(Ec).port()};
 }
 
+void HttpServer::closeAfterReplies() { Impl_->CloseAfterReplies_ = true; }
+
 void HttpServer::drain() {
   error_code Ec;
   Impl_->Acceptor_.close(Ec);
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -50,6 +50,8 @@
   /// Returns the bound address, with the port chosen if it was 0. Error code:
   /// listen_failed.
   Result<SocketAddress> listen(const SocketAddress &Address);
+  /// Goes on serving, but each response closes its connection.
+  void closeAfterReplies();
   /// Accepts no more connections and closes each after its pending reply.
   void drain();
   /// Closes everything at once.
--- a/src/link_session.cpp
+++ b/src/link_session.cpp
@@ -35,6 +35,10 @@
     Bytes += T.Id_.size() + T.Result_.size() + 16;
   return Bytes;
 }
+std::size_t payloadBytes(const StartRuns &M) {
+  return M.Payload_.size() + 16 * M.Runs_.size();
+}
+std::size_t payloadBytes(const ConfigText &M) { return M.Text_.size(); }
 std::size_t payloadBytes(const ConfigState &M) { return M.Toml_.size(); }
 template <typename T> std::size_t payloadBytes(const T &) { return 0; }
 
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,5 +1,7 @@
 #include "log.h"
 
+#include "log_output.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -11,6 +13,8 @@
 #include <ctime>
 #include <iostream>
 
+#include <unistd.h>
+
 namespace chivelanding {
 namespace {
 
@@ -63,6 +67,31 @@
   char Text_[24] = "";
 };
 
+// Lines of one event a second. A request takes about six lines; the bound lets
+// a busy entry write all of them and keeps a storm to a few hundred kilobytes
+// a second.
+constexpr std::uint32_t LinesPerSecond = 400;
+// Lines that wait for a reader.
+constexpr std::size_t WaitingBytes = 256u << 10;
+
+// Passes lines that EventLog has formatted to an output that never blocks.
+class OutputAppender : public log4cplus::Appender {
+public:
+  explicit OutputAppender(LogOutput &Output) : Output_(Output) {}
+  ~OutputAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+  std::uint64_t dropped() const { return Dropped_; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &E) override {
+    Dropped_ += Output_.add(E.getMessage()) ? 0 : 1;
+  }
+
+private:
+  LogOutput &Output_;
+  std::uint64_t Dropped_ = 0;
+};
+
 constexpr log4cplus::LogLevel Levels[] = {
     log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
     log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
@@ -70,36 +99,92 @@
 } // namespace
 
 struct EventLog::Impl {
+  void configureText();
+  void configureJson();
+
   log4cplus::Initializer Initializer_;
   log4cplus::Logger Logger_ = log4cplus::Logger::getInstance("chivelanding");
+  LogFormat Format_ = LogFormat::Text;
+  LogOutput Output_{STDOUT_FILENO, WaitingBytes};
+  LogRate Rate_{LinesPerSecond};
+  OutputAppender *Appender_ = nullptr;
+  std::uint64_t Sampled_ = 0;
+  /// Lines left out when that was last logged.
+  std::uint64_t Told_ = 0;
+  std::int64_t ToldSecond_ = 0;
 };
 
-EventLog::EventLog(const std::string &Level)
-    : Impl_(std::make_unique<Impl>()), Least_(severityOf(Level)) {
+void EventLog::Impl::configureText() {
   std::setvbuf(stderr, nullptr, _IOFBF, BufferBytes);
   std::cerr.unsetf(std::ios::unitbuf);
   log4cplus::SharedAppenderPtr Appender(
       new log4cplus::ConsoleAppender(true, false));
   Appender->setLayout(std::make_unique<EventLayout>());
+  Logger_.addAppender(Appender);
+}
+
+void EventLog::Impl::configureJson() {
+  Appender_ = new OutputAppender(Output_);
+  Logger_.addAppender(log4cplus::SharedAppenderPtr(Appender_));
+}
+
+EventLog::EventLog(const std::string &Level, LogFormat Format)
+    : Impl_(std::make_unique<Impl>()), Least_(severityOf(Level)) {
+  Impl_->Format_ = Format;
   Impl_->Logger_.removeAllAppenders();
-  Impl_->Logger_.addAppender(Appender);
+  if (Format == LogFormat::Json)
+    Impl_->configureJson();
+  else
+    Impl_->configureText();
   Impl_->Logger_.setAdditivity(false);
   Impl_->Logger_.setLogLevel(Levels[static_cast<std::size_t>(Least_)]);
 }
 
-EventLog::~EventLog() { EventLog::flush(); }
+// The appender refers to the output, which ends with this object.
+EventLog::~EventLog() {
+  EventLog::flush();
+  Impl_->Logger_.removeAllAppenders();
+}
+
+std::uint64_t EventLog::dropped() const {
+  return Impl_->Sampled_ + (Impl_->Appender_ ? Impl_->Appender_->dropped() : 0);
+}
 
 void EventLog::flush() {
+  if (Impl_->Format_ == LogFormat::Json) {
+    Impl_->Output_.flush();
+    return;
+  }
   std::cerr.flush();
   std::fflush(stderr);
 }
 
 void EventLog::write(const Event &E) {
-  if (enabled(*E.Type_))
-    Impl_->Logger_.forcedLog(
-        Levels[static_cast<std::size_t>(E.Type_->Severity_)], E.str());
-  if (E.Type_->Severity_ >= Severity::Warning)
-    flush();
+  if (!enabled(*E.Type_))
+    return;
+  const auto Level = Levels[static_cast<std::size_t>(E.Type_->Severity_)];
+  if (Impl_->Format_ == LogFormat::Text) {
+    Impl_->Logger_.forcedLog(Level, E.str());
+    if (E.Type_->Severity_ >= Severity::Warning)
+      flush();
+    return;
+  }
+  using namespace std::chrono;
+  const auto Now = system_clock::now().time_since_epoch();
+  const auto Second = duration_cast<seconds>(Now).count();
+  if (!Impl_->Rate_.admit(E.Type_->Number_, Second)) {
+    ++Impl_->Sampled_;
+    return;
+  }
+  const auto Ms = duration_cast<milliseconds>(Now).count();
+  if (dropped() > Impl_->Told_ && Second != Impl_->ToldSecond_) {
+    Impl_->ToldSecond_ = Second;
+    Impl_->Told_ = dropped();
+    const Event Dropped{&events::LogLinesDropped,
+                        {{"total", std::to_string(Impl_->Told_)}}};
+    Impl_->Logger_.forcedLog(Level, Dropped.json(Ms));
+  }
+  Impl_->Logger_.forcedLog(Level, E.json(Ms));
 }
 
 void EventLog::write(const EventType &Type, std::vector<EventField> Fields) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 #include "cli.h"
+#include "commands.h"
 
 #include <cstdio>
 
@@ -18,6 +19,10 @@
     {"events", "print the catalogue of log events", runEvents},
     {"entry", "run an entry", runEntry},
     {"agent", "run the agent beside an endpoint", runAgent},
+    {"dispatch-entry", "run an entry on the platform",
+     platform::runDispatchEntry},
+    {"dispatch-agent", "run the agent beside a worker of the platform",
+     platform::runDispatchAgent},
     {"submit", "submit a job and print its answer", runSubmit},
     {"status", "print the state of a process", runStatus},
     {"drain", "make a process finish and exit", runDrain},
@@ -27,7 +32,7 @@
 int usage(FILE *Stream) {
   std::fprintf(Stream, "usage: chivelanding COMMAND [OPTIONS]\n\n");
   for (const Command &C : Commands)
-    std::fprintf(Stream, "  %-10s %s\n", C.Name_, C.Summary_);
+    std::fprintf(Stream, "  %-14s %s\n", C.Name_, C.Summary_);
   std::fprintf(Stream, "\nchivelanding COMMAND --help describes one command.\n"
                        "Exit codes: 0 done, 1 failed, 2 usage, 3 outcome "
                        "unknown.\n");
--- a/src/message.cpp
+++ b/src/message.cpp
@@ -183,6 +183,9 @@
 std::uint64_t lastOf(TaskState) {
   return static_cast<std::uint64_t>(TaskState::Unknown);
 }
+std::uint64_t lastOf(RunEnding) {
+  return static_cast<std::uint64_t>(RunEnding::Expired);
+}
 std::uint64_t lastOf(Role) { return static_cast<std::uint64_t>(Role::Agent); }
 
 std::uint64_t readUnsigned(const Json &J, std::uint64_t Max) {
@@ -302,6 +305,12 @@
   return Names[static_cast<std::size_t>(R)];
 }
 
+const char *runEndingName(RunEnding E) {
+  static constexpr const char *Names[] = {
+      "done", "failed", "stopped", "lost", "no_room", "unavailable", "expired"};
+  return Names[static_cast<std::size_t>(E)];
+}
+
 const char *messageName(const Message &M) {
   static constexpr const char *Names[] = {
       "AnnounceEndpoint",   "StartTasks",     "TasksRejected",
@@ -313,7 +322,9 @@
       "RelayCancel",        "ConfigDigest",   "ConfigRequest",
       "ConfigState",        "UsageSummary",   "EpochsExpired",
       "AgentsSynchronized", "ConfigDelta",    "WithdrawJobs",
-      "JobsWithdrawn"};
+      "JobsWithdrawn",      "StartRuns",      "StopRuns",
+      "HoldRuns",           "RunsEnded",      "SlowRuns",
+      "EndpointReport",     "ConfigText",     "CancelJob"};
   static_assert(std::size(Names) == std::variant_size_v<Message>);
   return Names[M.index()];
 }
--- a/src/message.h
+++ b/src/message.h
@@ -3,6 +3,7 @@
 
 #include "job.h"
 #include "result.h"
+#include "run_message.h"
 #include "types.h"
 
 #include <cstdint>
@@ -420,7 +421,9 @@
                  AgentAnnounced, AgentAnnouncedAck, KnownEntries, RelaySubmit,
                  RelayAnswer, RelayCancel, ConfigDigest, ConfigRequest,
                  ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized,
-                 ConfigDelta, WithdrawJobs, JobsWithdrawn>;
+                 ConfigDelta, WithdrawJobs, JobsWithdrawn, StartRuns, StopRuns,
+                 HoldRuns, RunsEnded, SlowRuns, EndpointReport, ConfigText,
+                 CancelJob>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
--- /dev/null
+++ b/src/run_agents.h
@@ -0,0 +1,90 @@
+#ifndef CHIVELANDING_RUN_AGENTS_H
+#define CHIVELANDING_RUN_AGENTS_H
+
+#include "link.h"
+#include "message.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// What an entry believes of one agent and its endpoint.
+struct RunAgent {
+  PeerId Peer_;
+  EndpointReport Report_;
+  Time ReportedAt_;
+  /// Silent on its link.
+  bool Suspected_ = false;
+  /// Gets one run at a time, because it fails or is far slower than others.
+  bool SetAside_ = false;
+  std::uint64_t LastSequence_ = 0;
+  /// Orders that the last report does not account for yet.
+  std::deque<std::pair<std::uint64_t, Resources>> Unseen_;
+  /// Runs of this entry that were ordered and have not ended.
+  std::uint32_t Running_ = 0;
+  /// Receipt of the report whose clock was returned last: the owner lease that
+  /// the agent grants this entry counts from before this time.
+  Time HeldFrom_;
+  std::uint64_t HeldClock_ = 0;
+};
+
+/// The agents of an entry, and the choice among them. Decides without I/O.
+class RunAgents {
+public:
+  /// Seed of the choice among equal agents.
+  RunAgents(ZoneName Zone, std::uint64_t Seed);
+
+  RunAgent &onUp(const PeerId &Peer, Time Now);
+  void onReport(RunAgent &A, const EndpointReport &R, Time Now);
+  void remove(const PeerId &Peer);
+  RunAgent *find(const PeerId &Peer);
+  const std::map<PeerId, RunAgent> &all() const { return Agents_; }
+  std::map<PeerId, RunAgent> &all() { return Agents_; }
+
+  /// What a run asks of an agent.
+  struct Wish {
+    ServiceName Service_;
+    Resources Need_;
+    /// Preferred rack, or empty.
+    RackName Rack_;
+    /// Name of an agent that is taken only if there is no other.
+    std::optional<std::string> Avoid_;
+  };
+  /// The agent at which a run is best started now; null if none has room.
+  RunAgent *choose(const Wish &W);
+  /// Accounts for an order of Count runs in a message with this sequence.
+  static void reserve(RunAgent &A, std::uint64_t Sequence, Resources Need);
+  static Resources freeRoom(const RunAgent &A);
+
+  struct Totals {
+    std::uint64_t CapacityCpu_ = 0;
+    std::uint64_t FreeCpu_ = 0;
+    std::uint32_t Usable_ = 0;
+    /// Largest processor need that any endpoint could ever take.
+    std::uint32_t LargestCpu_ = 0;
+    std::uint32_t LargestMemoryMb_ = 0;
+  };
+  Totals totals(const ServiceName &Service) const;
+
+  /// Compares the agents with each other and sets the conspicuous ones aside.
+  /// Returns those whose state changed.
+  std::vector<const RunAgent *> compare();
+
+private:
+  double score(const RunAgent &A, const RackName &Rack) const;
+
+  ZoneName Zone_;
+  std::mt19937_64 Random_;
+  std::map<PeerId, RunAgent> Agents_;
+  double MedianSlowness_ = 1000;
+};
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/run_gate.cpp
@@ -0,0 +1,654 @@
+#include "run_gate.h"
+
+#include <algorithm>
+
+namespace chivelanding {
+namespace {
+
+// Slowest rate of an endpoint's clock against ours: it may be 2 % slow.
+constexpr double SlowestClock = 0.98;
+// Added to the end of a lease for the granularity of both clocks.
+constexpr Duration ClockSlack = std::chrono::milliseconds(20);
+// A repetition under a higher number after the endpoint called one stale, and
+// the bound of such repetitions. The step exceeds the attempts of any entry.
+constexpr std::uint32_t RunNumberStep = 16;
+constexpr std::uint32_t MaxRenumbered = 4;
+// Step of the fencing token when the endpoint has seen a higher one, in
+// milliseconds of time of day: more than any step of a clock that was observed.
+constexpr std::uint64_t TokenStep = 60'000;
+// A run is slow when it is predicted to take this many times its estimate.
+// Estimates are off by up to a half, slow endpoints by a factor of 4 or more.
+constexpr double SlowFactor = 2.5;
+// No prediction before this time: the percentage is too coarse.
+constexpr Duration FirstPrediction = std::chrono::milliseconds(40);
+// Pause between two predictions about one run that are told to its owner.
+constexpr Duration SlowPause = std::chrono::milliseconds(200);
+// Pause between two stops of the same foreign run.
+constexpr Duration ForeignPause = std::chrono::milliseconds(150);
+
+std::uint64_t micros(Time T) {
+  return static_cast<std::uint64_t>(T.time_since_epoch().count());
+}
+
+std::string text(Duration D) { return std::to_string(D.count() / 1000); }
+
+std::string taskText(const TaskKey &K) {
+  return K.Job_.str() + "/" + std::to_string(K.Index_.value());
+}
+
+} // namespace
+
+const char *callAnswerName(CallAnswer A) {
+  static constexpr const char *Names[] = {
+      "accepted",  "stale_token", "stale_run", "lease_over", "no_room",
+      "unhealthy", "other_life",  "malformed", "not_sent",   "unanswered"};
+  return Names[static_cast<std::size_t>(A)];
+}
+
+RunGate::RunGate(RunGateLimits Limits, std::uint64_t Token)
+    : Limits_(Limits), Token_(Token) {}
+
+bool RunGate::usable() const {
+  return Life_ && !Life_->Leaving_ && Heard_ && Clean_ && !Draining_;
+}
+
+Resources RunGate::freeRoom() const {
+  return Life_ ? minus(Life_->Capacity_, Held_) : Resources();
+}
+
+void RunGate::log(const EventType &Type, std::vector<EventField> Fields) {
+  Out_.push_back(LogEvent{{&Type, std::move(Fields)}});
+}
+
+GateCall RunGate::record(Call C) {
+  const GateCall Id(NextCall_++);
+  Calls_.emplace(Id, std::move(C));
+  return Id;
+}
+
+void RunGate::changed() {
+  for (auto &[Id, O] : Owners_)
+    O.ReportDue_ = true;
+}
+
+// The clock value was read before the answer travelled, so the true value is
+// not lower. Answers may overtake each other; an older value is not taken.
+void RunGate::syncClock(std::uint64_t ClockMs, Time Now) {
+  if (ClockMs <= ClockMs_)
+    return;
+  ClockMs_ = ClockMs;
+  ClockAt_ = Now;
+}
+
+std::uint64_t RunGate::leaseEnd(Time Now) const {
+  const Duration Since = Now - ClockAt_;
+  return ClockMs_ + static_cast<std::uint64_t>(
+                        (Since + Limits_.EndpointLease_).count() / 1000);
+}
+
+// The time by which the endpoint has ended every run, if no renewal is sent
+// from now on: its clock may be slow, and a call that is still outstanding may
+// have renewed the lease.
+Time RunGate::lapsedBy() const {
+  std::uint64_t End = LastLeaseEndMs_;
+  for (const auto &[Id, C] : Calls_)
+    if (C.LeaseEndMs_)
+      End = std::max(End, *C.LeaseEndMs_);
+  const std::uint64_t LeftMs = End > ClockMs_ ? End - ClockMs_ : 0;
+  const auto Left =
+      Duration(static_cast<std::int64_t>(LeftMs * 1000 / SlowestClock));
+  return ClockAt_ + Left + Limits_.StopTime_ + ClockSlack;
+}
+
+void RunGate::setHeard(bool Heard, const char *Reason, Time Now) {
+  if (Heard_ == Heard)
+    return;
+  Heard_ = Heard;
+  if (Heard)
+    log(events::EndpointHeard, {{"endpoint", Life_ ? Life_->Id_ : ""},
+                                {"runs", std::to_string(Runs_.size())}});
+  else
+    log(events::EndpointUnheard, {{"endpoint", Life_ ? Life_->Id_ : ""},
+                                  {"reason", Reason},
+                                  {"runs", std::to_string(Runs_.size())},
+                                  {"lapsed_in_ms", text(lapsedBy() - Now)}});
+  changed();
+}
+
+RunGateOutputs RunGate::onAnnounced(const EndpointLife &Life, Time Now) {
+  const bool Same =
+      Life_ && Life_->Id_ == Life.Id_ && Life_->Born_ == Life.Born_;
+  // A late announcement of a former life, or one overtaken by a later one.
+  if (Life_ && !Same && Life.Born_ <= Life_->Born_ &&
+      (Life.Born_ != 0 || Life_->Born_ != 0))
+    return take(Now);
+  if (Same && Life.Sequence_ <= Life_->Sequence_)
+    return take(Now);
+  if (!Same)
+    beginLife(Life, Now);
+  const bool Changed = !Same || Life_->Leaving_ != Life.Leaving_ ||
+                       !(Life_->Capacity_ == Life.Capacity_);
+  if (Same && Life.Leaving_ && !Life_->Leaving_)
+    log(events::EndpointLeaving,
+        {{"endpoint", Life.Id_}, {"runs", std::to_string(Runs_.size())}});
+  Life_ = Life;
+  syncClock(Life.ClockMs_, Now);
+  if (Changed)
+    changed();
+  return take(Now);
+}
+
+// A new life has nothing of the former one. Only orders that were never
+// answered can still reach it, if it has the same id; they stay until a stop of
+// them is confirmed by the new life.
+void RunGate::beginLife(const EndpointLife &Life, Time Now) {
+  const bool SameId = Life_ && Life_->Id_ == Life.Id_;
+  log(events::EndpointLifeBegan, {{"endpoint", Life.Id_},
+                                  {"born", std::to_string(Life.Born_)},
+                                  {"service", Life.Service_.str()},
+                                  {"rack", Life.Rack_.str()},
+                                  {"cpu", std::to_string(Life.Capacity_.Cpu_)},
+                                  {"former", Life_ ? Life_->Id_ : ""},
+                                  {"runs", std::to_string(Runs_.size())}});
+  ClockMs_ = 0;
+  LastLeaseEndMs_ = 0;
+  Acknowledged_ = 0;
+  Foreign_.clear();
+  Life_ = Life;
+  ClockMs_ = Life.ClockMs_;
+  ClockAt_ = Now;
+  for (auto It = Runs_.begin(); It != Runs_.end();) {
+    Run &R = It->second;
+    const bool Unanswered = R.State_ == State::Starting || R.Doubtful_;
+    if (!SameId || !Unanswered) {
+      It = finish(It, RunEnding::Lost, Now);
+      continue;
+    }
+    R.Doubtful_ = true;
+    R.StopAccepted_.reset();
+    stop(It->first, R, "new_life", Now);
+    ++It;
+  }
+  Clean_ = false;
+  NextHold_ = Now;
+}
+
+RunGateOutputs RunGate::onWithdrawn(const std::string &Id, Time Now) {
+  if (Life_ && Life_->Id_ == Id && !Life_->Leaving_) {
+    Life_->Leaving_ = true;
+    log(events::EndpointLeaving,
+        {{"endpoint", Id}, {"runs", std::to_string(Runs_.size())}});
+    changed();
+  }
+  return take(Now);
+}
+
+RunGateOutputs RunGate::onEntryUp(const EntryId &Entry, Time Now) {
+  Owner &O = Owners_[Entry];
+  O.HeldUntil_ = Now + Limits_.OwnerLease_;
+  O.ReportDue_ = true;
+  return take(Now);
+}
+
+// An entry that is given up will never take an end from this process.
+RunGateOutputs RunGate::onEntryLost(const EntryId &Entry, Time Now) {
+  for (auto &[Key, R] : Runs_)
+    if (R.Owner_ == Entry)
+      stop(Key, R, "owner_lost", Now);
+  Owners_.erase(Entry);
+  return take(Now);
+}
+
+RunGateOutputs RunGate::onMessage(const EntryId &From, const Message &M,
+                                  Time Now) {
+  const auto Known = Owners_.find(From);
+  if (Known == Owners_.end())
+    return take(Now);
+  Owner &O = Known->second;
+  const auto Renew = [&](std::uint64_t AgentClock) {
+    const Time Until = Time(Duration(static_cast<std::int64_t>(AgentClock))) +
+                       Limits_.OwnerLease_;
+    // A value from the future can only come from a faulty peer.
+    if (Until <= Now + Limits_.OwnerLease_)
+      O.HeldUntil_ = std::max(O.HeldUntil_, Until);
+  };
+  if (const auto *Start = std::get_if<StartRuns>(&M)) {
+    Renew(Start->AgentClock_);
+    O.SeenSequence_ = std::max(O.SeenSequence_, Start->Sequence_);
+    for (const RunStart &R : Start->Runs_)
+      startOne(From, *Start, R, Now);
+    O.ReportDue_ = true;
+  } else if (const auto *Stop = std::get_if<StopRuns>(&M)) {
+    for (const RunRef &Ref : Stop->Runs_) {
+      const auto It = Runs_.find({Ref.Job_, Ref.Index_});
+      if (It != Runs_.end() && It->second.Owner_ == From &&
+          It->second.Attempt_ == Ref.Attempt_)
+        stop(It->first, It->second, "owner_request", Now);
+    }
+  } else if (const auto *Hold = std::get_if<HoldRuns>(&M)) {
+    Renew(Hold->AgentClock_);
+  }
+  return take(Now);
+}
+
+void RunGate::refuse(const EntryId &To, RunRef Ref, RunEnding Why) {
+  log(events::RunRefused, {{"job", Ref.Job_.str()},
+                           {"task", std::to_string(Ref.Index_.value())},
+                           {"attempt", std::to_string(Ref.Attempt_)},
+                           {"entry", To.str()},
+                           {"reason", runEndingName(Why)},
+                           {"free_cpu", std::to_string(freeRoom().Cpu_)}});
+  const auto It = Owners_.find(To);
+  if (It == Owners_.end())
+    return;
+  It->second.Ended_.push_back({std::move(Ref), Why, Duration(0)});
+  It->second.ReportDue_ = true;
+}
+
+void RunGate::startOne(const EntryId &From, const StartRuns &M,
+                       const RunStart &Start, Time Now) {
+  const RunRef Ref{M.Job_, Start.Index_, Start.Attempt_};
+  const TaskKey Key{M.Job_, Start.Index_};
+  const Time Ordered = Time(Duration(static_cast<std::int64_t>(M.AgentClock_)));
+  const auto Known = Runs_.find(Key);
+  if (Known != Runs_.end()) {
+    // A run of the same task under another owner or attempt must end first.
+    if (!(Known->second.Owner_ == From) ||
+        Known->second.Attempt_ != Start.Attempt_) {
+      stop(Key, Known->second, "superseded", Now);
+      refuse(From, Ref, RunEnding::Unavailable);
+    }
+    return;
+  }
+  // The entry may have given up on an order that arrives after its lease, and
+  // may have started the task elsewhere.
+  if (Ordered + Limits_.OwnerLease_ < Now) {
+    refuse(From, Ref, RunEnding::Expired);
+    return;
+  }
+  if (!usable()) {
+    refuse(From, Ref, RunEnding::Unavailable);
+    return;
+  }
+  if (!fits(M.Need_, freeRoom())) {
+    refuse(From, Ref, RunEnding::NoRoom);
+    return;
+  }
+  Run R;
+  R.Owner_ = From;
+  R.Attempt_ = Start.Attempt_;
+  R.Number_ = Start.Attempt_;
+  R.Need_ = M.Need_;
+  R.Estimate_ = M.Estimate_;
+  R.Payload_ = M.Payload_;
+  R.Ordered_ = Now;
+  Held_ += R.Need_;
+  makeStart(Key, Runs_.emplace(Key, std::move(R)).first->second, Now);
+  changed();
+}
+
+void RunGate::makeStart(const TaskKey &Key, Run &R, Time Now) {
+  const std::uint64_t End = leaseEnd(Now);
+  const GateCall Id = record({Key, R.Number_, Now, End});
+  Out_.push_back(
+      MakeStart{Id, {Life_->Id_, Key, R.Number_, R.Payload_, End, Token_}});
+}
+
+void RunGate::makeStop(const TaskKey &Key, std::uint32_t Number, Time Now) {
+  if (!Life_)
+    return;
+  const GateCall Id = record({Key, Number, Now, {}});
+  Out_.push_back(MakeStop{Id, {Life_->Id_, Key, Number, Token_}});
+}
+
+void RunGate::stop(const TaskKey &Key, Run &R, const char *Reason, Time Now) {
+  if (R.State_ == State::Stopping && R.StopSent_ + Limits_.StopRetry_ > Now)
+    return;
+  if (R.State_ != State::Stopping) {
+    log(events::RunStopping, {{"job", Key.Job_.str()},
+                              {"task", std::to_string(Key.Index_.value())},
+                              {"attempt", std::to_string(R.Attempt_)},
+                              {"entry", R.Owner_.str()},
+                              {"reason", Reason},
+                              {"age_ms", text(Now - R.Ordered_)},
+                              {"percent", std::to_string(R.Percent_)}});
+    R.Doubtful_ = R.Doubtful_ || R.State_ == State::Starting;
+    R.State_ = State::Stopping;
+  }
+  R.StopSent_ = Now;
+  makeStop(Key, R.Number_, Now);
+}
+
+RunGate::Runs::iterator RunGate::finish(Runs::iterator It, RunEnding Ending,
+                                        Time Now) {
+  Run &R = It->second;
+  const Duration Length = Now - R.Ordered_;
+  if (Ending == RunEnding::Done) {
+    Health_.onSuccess(Now);
+    Health_.onLength(Length, R.Estimate_, Now);
+  } else if (Ending == RunEnding::Failed) {
+    Health_.onFailure(Now);
+  }
+  Held_ = minus(Held_, R.Need_);
+  log(events::RunEnded, {{"job", It->first.Job_.str()},
+                         {"task", std::to_string(It->first.Index_.value())},
+                         {"attempt", std::to_string(R.Attempt_)},
+                         {"entry", R.Owner_.str()},
+                         {"ending", runEndingName(Ending)},
+                         {"length_ms", text(Length)},
+                         {"estimate_ms", text(R.Estimate_)}});
+  const auto O = Owners_.find(R.Owner_);
+  if (O != Owners_.end())
+    O->second.Ended_.push_back(
+        {{It->first.Job_, It->first.Index_, R.Attempt_}, Ending, Length});
+  changed();
+  return Runs_.erase(It);
+}
+
+void RunGate::finishAll(RunEnding Ending, const char *Reason, Time Now) {
+  log(events::EndpointLapsed, {{"endpoint", Life_ ? Life_->Id_ : ""},
+                               {"reason", Reason},
+                               {"runs", std::to_string(Runs_.size())}});
+  for (auto It = Runs_.begin(); It != Runs_.end();)
+    It = finish(It, Ending, Now);
+}
+
+RunGateOutputs RunGate::onStartAnswer(GateCall Id, const StartStopAnswer &A,
+                                      Time Now) {
+  const auto Found = Calls_.find(Id);
+  if (Found == Calls_.end())
+    return take(Now);
+  const Call C = Found->second;
+  Calls_.erase(Found);
+  if (C.LeaseEndMs_ && A.Answer_ != CallAnswer::NotSent)
+    LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
+  if (A.ClockMs_)
+    syncClock(*A.ClockMs_, Now);
+  const auto It = Runs_.find(C.Task_);
+  if (It == Runs_.end() || It->second.Number_ != C.Run_)
+    return take(Now);
+  Run &R = It->second;
+  const bool Stopping = R.State_ == State::Stopping;
+  if (A.Answer_ == CallAnswer::Accepted) {
+    R.Answered_ = Now;
+    R.Doubtful_ = false;
+    R.Payload_.clear();
+    if (!Stopping)
+      R.State_ = State::Running;
+    return take(Now);
+  }
+  log(events::RunRejected, {{"job", C.Task_.Job_.str()},
+                            {"task", std::to_string(C.Task_.Index_.value())},
+                            {"run", std::to_string(C.Run_)},
+                            {"endpoint", Life_ ? Life_->Id_ : ""},
+                            {"answer", callAnswerName(A.Answer_)},
+                            {"after_ms", text(Now - C.Sent_)}});
+  if (A.Answer_ == CallAnswer::Unanswered) {
+    R.Doubtful_ = true;
+    if (!Stopping)
+      stop(C.Task_, R, "start_unanswered", Now);
+    return take(Now);
+  }
+  // The endpoint says that it did nothing.
+  if (!Stopping && usable() && R.Renumbered_ < MaxRenumbered &&
+      (A.Answer_ == CallAnswer::StaleRun ||
+       A.Answer_ == CallAnswer::StaleToken)) {
+    ++R.Renumbered_;
+    if (A.Answer_ == CallAnswer::StaleRun)
+      R.Number_ += RunNumberStep;
+    else
+      Token_ += TokenStep;
+    makeStart(C.Task_, R, Now);
+    return take(Now);
+  }
+  if (A.Answer_ == CallAnswer::Unhealthy)
+    Health_.onFailure(Now);
+  finish(It,
+         Stopping                          ? RunEnding::Stopped
+         : A.Answer_ == CallAnswer::NoRoom ? RunEnding::NoRoom
+                                           : RunEnding::Unavailable,
+         Now);
+  return take(Now);
+}
+
+RunGateOutputs RunGate::onStopAnswer(GateCall Id, const StartStopAnswer &A,
+                                     Time Now) {
+  const auto Found = Calls_.find(Id);
+  if (Found == Calls_.end())
+    return take(Now);
+  const Call C = Found->second;
+  Calls_.erase(Found);
+  if (A.ClockMs_)
+    syncClock(*A.ClockMs_, Now);
+  const auto It = Runs_.find(C.Task_);
+  if (It == Runs_.end() || It->second.Number_ != C.Run_)
+    return take(Now);
+  Run &R = It->second;
+  if (A.Answer_ == CallAnswer::StaleToken)
+    Token_ += TokenStep;
+  if (A.Answer_ != CallAnswer::Accepted)
+    return take(Now);
+  R.Doubtful_ = false;
+  if (!R.StopAccepted_)
+    R.StopAccepted_ = Now;
+  return take(Now);
+}
+
+void RunGate::makeHold(Duration Wait, Time Now) {
+  std::optional<std::uint64_t> End;
+  // A renewal to an endpoint that does not answer would only delay the proof
+  // that its runs have ended.
+  if (Heard_ && Clean_)
+    End = leaseEnd(Now);
+  const GateCall Id = record({{}, 0, Now, End});
+  Holds_.insert(Id);
+  Out_.push_back(MakeHold{Id, {Life_->Id_, End, Token_, Acknowledged_, Wait}});
+}
+
+RunGateOutputs RunGate::onHoldAnswer(GateCall Id, const Result<HoldAnswer> &A,
+                                     Time Now) {
+  const auto Found = Calls_.find(Id);
+  if (Found == Calls_.end())
+    return take(Now);
+  const Call C = Found->second;
+  Calls_.erase(Found);
+  Holds_.erase(Id);
+  if (!ok(A)) {
+    if (C.LeaseEndMs_ && error(A).Code_ != "connect_failed")
+      LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
+    if (error(A).Code_ == "stale_token")
+      Token_ += TokenStep;
+    setHeard(false, error(A).Code_.c_str(), Now);
+    NextHold_ = Now + Limits_.HoldRetry_;
+    return take(Now);
+  }
+  const HoldAnswer &H = value(A);
+  if (Life_ && H.Born_ != 0 && H.Born_ != Life_->Born_) {
+    if (H.Born_ > Life_->Born_) {
+      EndpointLife Next = *Life_;
+      Next.Born_ = H.Born_;
+      Next.Sequence_ = 0;
+      Next.ClockMs_ = H.ClockMs_;
+      Next.Leaving_ = false;
+      beginLife(Next, Now);
+    }
+    return take(Now);
+  }
+  if (C.LeaseEndMs_)
+    LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
+  syncClock(H.ClockMs_, Now);
+  setHeard(true, "", Now);
+  takeEnds(H, Now);
+  takeRunning(H, C.Sent_, Now);
+  NextHold_ = Now;
+  return take(Now);
+}
+
+void RunGate::takeEnds(const HoldAnswer &A, Time Now) {
+  for (const ListedEnd &E : A.Ended_) {
+    if (E.Number_ <= Acknowledged_)
+      continue;
+    Acknowledged_ = E.Number_;
+    const auto It = Runs_.find(E.Task_);
+    if (It != Runs_.end() && It->second.Number_ == E.Run_)
+      finish(It, E.Ending_, Now);
+  }
+}
+
+// A list answers for the time after its call was sent: a run that was started
+// or whose stop was confirmed before, and that is in neither list, is over.
+void RunGate::takeRunning(const HoldAnswer &A, Time Sent, Time Now) {
+  std::set<TaskKey> Listed;
+  bool Foreign = false;
+  for (const RunningRun &Row : A.Running_) {
+    const auto It = Runs_.find(Row.Task_);
+    if (It != Runs_.end() && It->second.Number_ == Row.Run_) {
+      Listed.insert(Row.Task_);
+      Run &R = It->second;
+      R.Percent_ = Row.Percent_;
+      if (R.State_ == State::Running)
+        checkPace(Row.Task_, R, Now);
+      continue;
+    }
+    Foreign = true;
+    Time &LastStop = Foreign_[Row.Task_];
+    if (LastStop != Time() && LastStop + ForeignPause > Now)
+      continue;
+    LastStop = Now;
+    log(events::ForeignRunStopped, {{"task", taskText(Row.Task_)},
+                                    {"run", std::to_string(Row.Run_)},
+                                    {"endpoint", Life_->Id_}});
+    makeStop(Row.Task_, Row.Run_, Now);
+  }
+  if (!Foreign) {
+    Foreign_.clear();
+    if (!Clean_)
+      changed();
+    Clean_ = true;
+  }
+  for (auto It = Runs_.begin(); It != Runs_.end();) {
+    const Run &R = It->second;
+    const bool Known = Listed.count(It->first) > 0;
+    const bool Gone = R.State_ == State::Running && R.Answered_ < Sent;
+    const bool Stopped = R.State_ == State::Stopping && R.StopAccepted_ &&
+                         *R.StopAccepted_ < Sent;
+    if (!Known && (Gone || Stopped))
+      It = finish(It, Stopped ? RunEnding::Stopped : RunEnding::Lost, Now);
+    else
+      ++It;
+  }
+}
+
+// A run without any progress after its whole estimate stands still; the time
+// that it still takes is not known, and ten estimates say "too long".
+void RunGate::checkPace(const TaskKey &Key, Run &R, Time Now) {
+  const Duration Age = Now - R.Ordered_;
+  if (R.Estimate_ <= Duration(0) || Age < FirstPrediction)
+    return;
+  Duration Total = 10 * R.Estimate_;
+  if (R.Percent_ > 0)
+    Total = Age * 100 / R.Percent_;
+  else if (Age < R.Estimate_ + FirstPrediction)
+    return;
+  if (static_cast<double>(Total.count()) <
+      SlowFactor * static_cast<double>(R.Estimate_.count()))
+    return;
+  if (R.SlowTold_ != Time() && R.SlowTold_ + SlowPause > Now)
+    return;
+  R.SlowTold_ = Now;
+  Health_.onLength(Total, R.Estimate_, Now);
+  const Duration Remaining = std::max(Duration(0), Total - Age);
+  log(events::RunSlow, {{"job", Key.Job_.str()},
+                        {"task", std::to_string(Key.Index_.value())},
+                        {"attempt", std::to_string(R.Attempt_)},
+                        {"percent", std::to_string(R.Percent_)},
+                        {"age_ms", text(Age)},
+                        {"estimate_ms", text(R.Estimate_)},
+                        {"remaining_ms", text(Remaining)}});
+  const auto O = Owners_.find(R.Owner_);
+  if (O != Owners_.end())
+    O->second.Slow_.push_back({{Key.Job_, Key.Index_, R.Attempt_}, Remaining});
+}
+
+void RunGate::stopSilentOwners(Time Now) {
+  for (const auto &[Id, O] : Owners_) {
+    if (O.HeldUntil_ >= Now)
+      continue;
+    for (auto &[Key, R] : Runs_)
+      if (R.Owner_ == Id && R.State_ != State::Stopping)
+        stop(Key, R, "owner_silent", Now);
+  }
+}
+
+RunGateOutputs RunGate::onTimer(Time Now) {
+  stopSilentOwners(Now);
+  bool LookDue = false;
+  for (auto &[Key, R] : Runs_) {
+    if (R.State_ != State::Stopping)
+      continue;
+    if (!R.StopAccepted_)
+      stop(Key, R, "repeated", Now);
+    else if (*R.StopAccepted_ + Limits_.StopTime_ <= Now)
+      LookDue = true;
+  }
+  if (!Heard_ && !Runs_.empty() && lapsedBy() <= Now) {
+    // Orders that were never answered carry a lease end that is over as well,
+    // so the endpoint refuses them from now on.
+    finishAll(RunEnding::Lost, "lease_over", Now);
+  }
+  if (Life_ && Holds_.empty() && NextHold_ <= Now)
+    makeHold(Heard_ && Clean_ ? Limits_.HoldWait_ : Duration(0), Now);
+  else if (Life_ && LookDue && Holds_.size() == 1)
+    makeHold(Duration(0), Now);
+  return take(Now);
+}
+
+RunGateOutputs RunGate::onDrain(Time Now) {
+  Draining_ = true;
+  changed();
+  return take(Now);
+}
+
+EndpointReport RunGate::report(const Owner &O, Time Now) const {
+  EndpointReport R;
+  if (Life_) {
+    R.Endpoint_ = Life_->Id_;
+    R.Service_ = Life_->Service_;
+    R.Zone_ = Life_->Zone_;
+    R.Rack_ = Life_->Rack_;
+    R.Capacity_ = Life_->Capacity_;
+  }
+  R.Usable_ = usable();
+  R.Free_ = R.Usable_ ? freeRoom() : Resources();
+  R.AgentClock_ = micros(Now);
+  R.SeenSequence_ = O.SeenSequence_;
+  R.SlownessPermille_ = Health_.slownessPermille(Now);
+  R.FailedPermille_ = Health_.failedPermille(Now);
+  return R;
+}
+
+// Ends leave at once; a report goes with them, so that the owner knows the room
+// before it places a task again. Reports alone are spaced.
+RunGateOutputs RunGate::take(Time Now) {
+  for (auto &[Id, O] : Owners_) {
+    const bool Urgent = !O.Ended_.empty();
+    const Duration Since = Now - O.LastReport_;
+    if (Urgent || Since >= Limits_.ReportPeriod_ ||
+        (O.ReportDue_ && Since >= Limits_.ReportPause_)) {
+      Out_.push_back(MessageToEntry{Id, report(O, Now)});
+      O.LastReport_ = Now;
+      O.ReportDue_ = false;
+    }
+    if (Urgent)
+      Out_.push_back(MessageToEntry{Id, RunsEnded{std::move(O.Ended_)}});
+    if (!O.Slow_.empty())
+      Out_.push_back(MessageToEntry{Id, SlowRuns{std::move(O.Slow_)}});
+    O.Ended_.clear();
+    O.Slow_.clear();
+  }
+  RunGateOutputs Result = std::move(Out_);
+  Out_.clear();
+  return Result;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/run_gate.h
@@ -0,0 +1,187 @@
+#ifndef CHIVELANDING_RUN_GATE_H
+#define CHIVELANDING_RUN_GATE_H
+
+#include "endpoint_port.h"
+#include "events.h"
+#include "message.h"
+#include "run_health.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chivelanding {
+
+/// Numbers a call that the gate asked for.
+using GateCall = Number<struct GateCallTag>;
+
+/// Output: make this call and report its answer under Id_.
+struct MakeStart {
+  GateCall Id_;
+  StartCall Call_;
+};
+struct MakeStop {
+  GateCall Id_;
+  StopCall Call_;
+};
+struct MakeHold {
+  GateCall Id_;
+  HoldCall Call_;
+};
+/// Output: send a message to an entry.
+struct MessageToEntry {
+  EntryId To_;
+  Message Message_;
+};
+
+using RunGateOutput =
+    std::variant<MakeStart, MakeStop, MakeHold, MessageToEntry, LogEvent>;
+using RunGateOutputs = std::vector<RunGateOutput>;
+
+/// Periods of an agent that runs tasks under leases. docs/platform.md derives
+/// how they guarantee one run at a time.
+struct RunGateLimits {
+  /// Time without a renewal after which the endpoint ends all runs.
+  Duration EndpointLease_ = std::chrono::milliseconds(800);
+  /// Time without word of an entry after which its runs are stopped.
+  Duration OwnerLease_ = std::chrono::milliseconds(600);
+  /// Longest time that the endpoint takes to stop a run.
+  Duration StopTime_ = std::chrono::milliseconds(50);
+  /// Longest wait of a list call for an end; bounds the age of the progress.
+  Duration HoldWait_ = std::chrono::milliseconds(150);
+  /// Pause before an unanswered stop call is repeated.
+  Duration StopRetry_ = std::chrono::milliseconds(120);
+  /// Pause between list calls that fail.
+  Duration HoldRetry_ = std::chrono::milliseconds(40);
+  /// Period of reports without a change.
+  Duration ReportPeriod_ = std::chrono::milliseconds(150);
+  /// Shortest time between two reports.
+  Duration ReportPause_ = std::chrono::milliseconds(20);
+};
+
+/// The agent's decisions for tasks that run under leases and may be started
+/// again elsewhere after they ended: which runs may start at the endpoint, when
+/// they are stopped, and when nothing of them is left. Decides without I/O.
+///
+/// A run keeps its resources until the endpoint has listed its end, confirmed a
+/// stop, lost its lease or begun another life; only then is its owner told.
+class RunGate {
+public:
+  /// Token orders the processes of this agent: a later one has a higher token.
+  RunGate(RunGateLimits Limits, std::uint64_t Token);
+
+  RunGateOutputs onAnnounced(const EndpointLife &Life, Time Now);
+  /// The endpoint's life of this id has ended in an orderly way.
+  RunGateOutputs onWithdrawn(const std::string &Id, Time Now);
+  RunGateOutputs onEntryUp(const EntryId &Entry, Time Now);
+  RunGateOutputs onEntryLost(const EntryId &Entry, Time Now);
+  RunGateOutputs onMessage(const EntryId &From, const Message &M, Time Now);
+  RunGateOutputs onStartAnswer(GateCall Id, const StartStopAnswer &A, Time Now);
+  RunGateOutputs onStopAnswer(GateCall Id, const StartStopAnswer &A, Time Now);
+  RunGateOutputs onHoldAnswer(GateCall Id, const Result<HoldAnswer> &A,
+                              Time Now);
+  RunGateOutputs onTimer(Time Now);
+  /// Starts nothing more; the runs at work go on.
+  RunGateOutputs onDrain(Time Now);
+
+  std::size_t runs() const { return Runs_.size(); }
+  const std::optional<EndpointLife> &life() const { return Life_; }
+  bool usable() const;
+  Resources held() const { return Held_; }
+
+private:
+  enum class State : std::uint8_t { Starting, Running, Stopping };
+  struct Run {
+    EntryId Owner_;
+    std::uint32_t Attempt_ = 0;
+    /// Number of the run at the endpoint.
+    std::uint32_t Number_ = 0;
+    Resources Need_;
+    Duration Estimate_{0};
+    /// Kept until the start is answered, for a repetition.
+    std::string Payload_;
+    State State_ = State::Starting;
+    Time Ordered_;
+    Time Answered_;
+    std::uint32_t Percent_ = 0;
+    std::uint32_t Renumbered_ = 0;
+    /// True while a start may still be carried out that was never answered.
+    bool Doubtful_ = false;
+    Time StopSent_;
+    std::optional<Time> StopAccepted_;
+    Time SlowTold_;
+  };
+  using Runs = std::map<TaskKey, Run>;
+  struct Call {
+    TaskKey Task_;
+    std::uint32_t Run_ = 0;
+    Time Sent_;
+    std::optional<std::uint64_t> LeaseEndMs_;
+  };
+  struct Owner {
+    Time HeldUntil_;
+    std::uint64_t SeenSequence_ = 0;
+    Time LastReport_;
+    bool ReportDue_ = true;
+    std::vector<EndedRun> Ended_;
+    std::vector<SlowRun> Slow_;
+  };
+
+  void startOne(const EntryId &From, const StartRuns &M, const RunStart &R,
+                Time Now);
+  void makeStart(const TaskKey &Key, Run &R, Time Now);
+  void stop(const TaskKey &Key, Run &R, const char *Reason, Time Now);
+  void makeStop(const TaskKey &Key, std::uint32_t Number, Time Now);
+  void makeHold(Duration Wait, Time Now);
+  void refuse(const EntryId &To, RunRef Ref, RunEnding Why);
+  Runs::iterator finish(Runs::iterator It, RunEnding Ending, Time Now);
+  void finishAll(RunEnding Ending, const char *Reason, Time Now);
+  void beginLife(const EndpointLife &Life, Time Now);
+  void takeEnds(const HoldAnswer &A, Time Now);
+  void takeRunning(const HoldAnswer &A, Time Sent, Time Now);
+  void checkPace(const TaskKey &Key, Run &R, Time Now);
+  void syncClock(std::uint64_t ClockMs, Time Now);
+  std::uint64_t leaseEnd(Time Now) const;
+  Time lapsedBy() const;
+  void setHeard(bool Heard, const char *Reason, Time Now);
+  void stopSilentOwners(Time Now);
+  void changed();
+  Resources freeRoom() const;
+  EndpointReport report(const Owner &O, Time Now) const;
+  void log(const EventType &Type, std::vector<EventField> Fields);
+  RunGateOutputs take(Time Now);
+  GateCall record(Call C);
+
+  RunGateLimits Limits_;
+  std::uint64_t Token_;
+  std::optional<EndpointLife> Life_;
+  Runs Runs_;
+  Resources Held_;
+  std::map<EntryId, Owner> Owners_;
+  std::map<GateCall, Call> Calls_;
+  std::set<GateCall> Holds_;
+  std::uint64_t NextCall_ = 1;
+  std::uint64_t Acknowledged_ = 0;
+  /// The last known value of the endpoint's clock and when it was received.
+  std::uint64_t ClockMs_ = 0;
+  Time ClockAt_;
+  /// Latest lease end that the endpoint may have taken.
+  std::uint64_t LastLeaseEndMs_ = 0;
+  /// The last list call was answered.
+  bool Heard_ = false;
+  /// The endpoint lists no run that this process does not know.
+  bool Clean_ = false;
+  bool Draining_ = false;
+  Time NextHold_;
+  /// Runs of former processes or of late orders, by the time of the last stop.
+  std::map<TaskKey, Time> Foreign_;
+  RunHealth Health_;
+  RunGateOutputs Out_;
+};
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/run_health.cpp
@@ -0,0 +1,59 @@
+#include "run_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivelanding {
+namespace {
+
+// Weight of one run. Estimates are off by tens of per cent, so single lengths
+// say little; ten of them tell a slow endpoint from a wrong estimate.
+constexpr double LengthWeight = 0.1;
+// Weight of one outcome. Three failures in a row pass one half, which chance
+// failures of a healthy endpoint (a fifth of a per cent) never do.
+constexpr double OutcomeWeight = 0.25;
+// Time in which the distance from the neutral value halves without news.
+// Observed troubles of endpoints last 4 to 8 seconds.
+constexpr double HalfLifeSeconds = 2;
+// One length counts for at most this factor, so that a single stalled task does
+// not condemn its endpoint.
+constexpr double MaxFactor = 8;
+
+double decay(Time From, Time Now) {
+  const double Seconds = std::chrono::duration<double>(Now - From).count();
+  return std::exp2(-std::max(0.0, Seconds) / HalfLifeSeconds);
+}
+
+} // namespace
+
+void RunHealth::onLength(Duration Length, Duration Estimate, Time Now) {
+  if (Estimate <= Duration(0))
+    return;
+  const double Factor =
+      std::min(MaxFactor, static_cast<double>(Length.count()) /
+                              static_cast<double>(Estimate.count()));
+  const double Known = 1 + (Slowness_ - 1) * decay(LastLength_, Now);
+  Slowness_ = Known + LengthWeight * (Factor - Known);
+  LastLength_ = Now;
+}
+
+void RunHealth::observeOutcome(double Failed, Time Now) {
+  const double Known = Failed_ * decay(LastOutcome_, Now);
+  Failed_ = Known + OutcomeWeight * (Failed - Known);
+  LastOutcome_ = Now;
+}
+
+void RunHealth::onSuccess(Time Now) { observeOutcome(0, Now); }
+void RunHealth::onFailure(Time Now) { observeOutcome(1, Now); }
+
+std::uint32_t RunHealth::slownessPermille(Time Now) const {
+  const double Value = 1 + (Slowness_ - 1) * decay(LastLength_, Now);
+  return static_cast<std::uint32_t>(std::lround(Value * 1000));
+}
+
+std::uint32_t RunHealth::failedPermille(Time Now) const {
+  return static_cast<std::uint32_t>(
+      std::lround(Failed_ * decay(LastOutcome_, Now) * 1000));
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/run_message.h
@@ -0,0 +1,211 @@
+#ifndef CHIVELANDING_RUN_MESSAGE_H
+#define CHIVELANDING_RUN_MESSAGE_H
+
+#include "types.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace chivelanding {
+
+/// Amounts of an endpoint's resources.
+struct Resources {
+  /// Thousandths of a core.
+  std::uint32_t Cpu_ = 0;
+  /// Mebibytes.
+  std::uint32_t MemoryMb_ = 0;
+  std::uint32_t Accelerators_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&Resources::Cpu_, &Resources::MemoryMb_,
+                           &Resources::Accelerators_);
+  }
+  friend bool operator==(const Resources &A, const Resources &B) {
+    return A.Cpu_ == B.Cpu_ && A.MemoryMb_ == B.MemoryMb_ &&
+           A.Accelerators_ == B.Accelerators_;
+  }
+};
+
+/// True if Room has at least Need of everything.
+inline bool fits(const Resources &Need, const Resources &Room) {
+  return Need.Cpu_ <= Room.Cpu_ && Need.MemoryMb_ <= Room.MemoryMb_ &&
+         Need.Accelerators_ <= Room.Accelerators_;
+}
+
+inline Resources &operator+=(Resources &A, const Resources &B) {
+  A.Cpu_ += B.Cpu_;
+  A.MemoryMb_ += B.MemoryMb_;
+  A.Accelerators_ += B.Accelerators_;
+  return A;
+}
+
+/// A - B, but nothing below zero.
+inline Resources minus(const Resources &A, const Resources &B) {
+  const auto Less = [](std::uint32_t X, std::uint32_t Y) {
+    return X > Y ? X - Y : 0;
+  };
+  return {Less(A.Cpu_, B.Cpu_), Less(A.MemoryMb_, B.MemoryMb_),
+          Less(A.Accelerators_, B.Accelerators_)};
+}
+
+/// One start of one task by one entry.
+struct RunRef {
+  JobKey Job_;
+  TaskIndex Index_;
+  /// Counts the entry's starts of this task, from 1.
+  std::uint32_t Attempt_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&RunRef::Job_, &RunRef::Index_, &RunRef::Attempt_);
+  }
+};
+
+/// Index and attempt of one run in StartRuns.
+struct RunStart {
+  TaskIndex Index_;
+  std::uint32_t Attempt_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&RunStart::Index_, &RunStart::Attempt_);
+  }
+};
+
+/// Entry to agent: start these tasks of one job, which all have the same
+/// payload and needs.
+struct StartRuns {
+  JobKey Job_;
+  std::string Payload_;
+  Resources Need_;
+  /// Expected length of one run; zero if not known.
+  Duration Estimate_{0};
+  /// Counts the messages of this type from this entry to this agent, from 1.
+  std::uint64_t Sequence_ = 0;
+  /// The agent's clock as last reported to the entry, in microseconds. The
+  /// agent refuses the runs once its owner lease counted from here is over.
+  std::uint64_t AgentClock_ = 0;
+  std::vector<RunStart> Runs_;
+  static constexpr auto fields() {
+    return std::make_tuple(&StartRuns::Job_, &StartRuns::Payload_,
+                           &StartRuns::Need_, &StartRuns::Estimate_,
+                           &StartRuns::Sequence_, &StartRuns::AgentClock_,
+                           &StartRuns::Runs_);
+  }
+};
+
+/// Entry to agent: stop these runs; each one's end is reported as usual.
+struct StopRuns {
+  std::vector<RunRef> Runs_;
+  static constexpr auto fields() { return std::make_tuple(&StopRuns::Runs_); }
+};
+
+/// Entry to agent: the entry still owns its runs. Renews the owner lease, which
+/// counts from this value of the agent's own clock and is therefore not
+/// lengthened by a delay of the message.
+struct HoldRuns {
+  std::uint64_t AgentClock_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&HoldRuns::AgentClock_);
+  }
+};
+
+/// How a run ended. The last three say that nothing was started.
+enum class RunEnding : std::uint8_t {
+  Done,
+  /// Through the fault of the task or of the endpoint.
+  Failed,
+  Stopped,
+  /// The endpoint's lease lapsed, or the endpoint ended.
+  Lost,
+  NoRoom,
+  /// The endpoint refuses runs, drains or is not heard.
+  Unavailable,
+  /// The owner lease was over when the order arrived.
+  Expired
+};
+
+/// Stable text of an ending in logs.
+const char *runEndingName(RunEnding E);
+
+/// True if the ending says that the run never started.
+inline bool neverStarted(RunEnding E) { return E >= RunEnding::NoRoom; }
+
+struct EndedRun {
+  RunRef Run_;
+  RunEnding Ending_ = RunEnding::Done;
+  /// Time from the order to the end.
+  Duration Length_{0};
+  static constexpr auto fields() {
+    return std::make_tuple(&EndedRun::Run_, &EndedRun::Ending_,
+                           &EndedRun::Length_);
+  }
+};
+
+/// Agent to entry: these runs are over and hold no resources.
+struct RunsEnded {
+  std::vector<EndedRun> Runs_;
+  static constexpr auto fields() { return std::make_tuple(&RunsEnded::Runs_); }
+};
+
+struct SlowRun {
+  RunRef Run_;
+  /// Time that the run still takes at its present pace.
+  Duration Remaining_{0};
+  static constexpr auto fields() {
+    return std::make_tuple(&SlowRun::Run_, &SlowRun::Remaining_);
+  }
+};
+
+/// Agent to entry: these runs are far behind their estimate.
+struct SlowRuns {
+  std::vector<SlowRun> Runs_;
+  static constexpr auto fields() { return std::make_tuple(&SlowRuns::Runs_); }
+};
+
+/// Agent to entry: state of the endpoint, sent on change and periodically.
+struct EndpointReport {
+  /// Id of the endpoint's present life; empty if none is known.
+  std::string Endpoint_;
+  ServiceName Service_;
+  ZoneName Zone_;
+  RackName Rack_;
+  Resources Capacity_;
+  Resources Free_;
+  /// The agent's clock in microseconds, to be returned in HoldRuns.
+  std::uint64_t AgentClock_ = 0;
+  /// Sequence_ of the last StartRuns from this entry that Free_ accounts for.
+  std::uint64_t SeenSequence_ = 0;
+  /// False if no run may be started here. True also says that no run of an
+  /// earlier process of this agent is left.
+  bool Usable_ = false;
+  /// Length of the runs here over their estimates, in thousandths.
+  std::uint32_t SlownessPermille_ = 1000;
+  /// Share of the runs that failed here lately, in thousandths.
+  std::uint32_t FailedPermille_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(
+        &EndpointReport::Endpoint_, &EndpointReport::Service_,
+        &EndpointReport::Zone_, &EndpointReport::Rack_,
+        &EndpointReport::Capacity_, &EndpointReport::Free_,
+        &EndpointReport::AgentClock_, &EndpointReport::SeenSequence_,
+        &EndpointReport::Usable_, &EndpointReport::SlownessPermille_,
+        &EndpointReport::FailedPermille_);
+  }
+};
+
+/// Entry to entry: text of the configuration in force, as read from the store.
+struct ConfigText {
+  ConfigVersion Version_;
+  std::string Text_;
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfigText::Version_, &ConfigText::Text_);
+  }
+};
+
+/// Entry to entry: the caller has cancelled this job.
+struct CancelJob {
+  JobKey Job_;
+  static constexpr auto fields() { return std::make_tuple(&CancelJob::Job_); }
+};
+
+} // namespace chivelanding
+
+#endif
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -8,7 +8,9 @@
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <sstream>
+#include <string_view>
 
 namespace chivelanding {
 namespace {
@@ -18,8 +20,9 @@
 template <typename T> struct Key {
   using Member =
       std::variant<std::string T::*, ZoneName T::*, RegionName T::*,
-                   Duration T::*, std::uint32_t T::*, std::uint64_t T::*,
-                   SocketAddress T::*, std::vector<SocketAddress> T::*>;
+                   ServiceName T::*, Duration T::*, std::uint32_t T::*,
+                   std::uint64_t T::*, SocketAddress T::*,
+                   std::vector<SocketAddress> T::*>;
   const char *Name_;
   Member Member_;
   std::int64_t Min_;
@@ -41,6 +44,9 @@
       {"region", &S::Region_, 1, 63, true, "region of this VM"},
       {"log_level", &S::LogLevel_, 0, 0, false,
        "lowest severity that is logged: `debug`, `info`, `warning`, `error`"},
+      {"log_format", &S::LogFormat_, 0, 0, false,
+       "`json`: one object a line on standard output; `text`: plain lines on "
+       "standard error"},
       {"heartbeat_ms", &S::Heartbeat_, 10, 60'000, false,
        "heartbeat period on an idle link"},
       {"suspect_after_ms", &S::SuspectAfter_, 50, 600'000, false,
@@ -107,6 +113,60 @@
   return Keys;
 }
 
+const std::vector<Key<LeaseSettings>> &leaseKeys() {
+  using S = LeaseSettings;
+  static const std::vector<Key<S>> Keys = {
+      {"max_endpoint_lease_ms", &S::MaxEndpointLease_, 300, 60'000, false,
+       "longest lease that the endpoints grant"},
+      {"caller_retry_ms", &S::CallerRetry_, 500, HourMs, false,
+       "pause after which a caller sends a job again; the runs of a lost entry "
+       "are over by then"},
+      {"stop_time_ms", &S::StopTime_, 1, 10'000, false,
+       "longest time that an endpoint takes to stop a run"},
+  };
+  return Keys;
+}
+
+const std::vector<Key<DispatchEntrySettings>> &dispatchEntryKeys() {
+  using S = DispatchEntrySettings;
+  static const std::vector<Key<S>> Keys = {
+      {"listen", &S::Listen_, 0, 0, true, "callers' HTTP listener"},
+      {"ready_listen", &S::ReadyListen_, 0, 0, true,
+       "listener for the load balancer's readiness check"},
+      {"metrics_listen", &S::MetricsListen_, 0, 0, false,
+       "listener for metrics; off if not set"},
+      {"peer_listen", &S::PeerListen_, 0, 0, true,
+       "listener for agents and other entries"},
+      {"seeds", &S::Seeds_, 0, 64, false,
+       "addresses on the VMs of other entries; the port is that of "
+       "`peer_listen`"},
+      {"grace_ms", &S::Grace_, 100, HourMs, false,
+       "time from SIGTERM until the process is killed"},
+  };
+  return Keys;
+}
+
+const std::vector<Key<DispatchAgentSettings>> &dispatchAgentKeys() {
+  using S = DispatchAgentSettings;
+  static const std::vector<Key<S>> Keys = {
+      {"listen", &S::Listen_, 0, 0, true,
+       "HTTP listener for the endpoint on this VM"},
+      {"endpoint", &S::Endpoint_, 0, 0, true,
+       "address of the endpoint on this VM"},
+      {"service", &S::Service_, 1, 63, true,
+       "service that the endpoint belongs to"},
+      {"metrics_listen", &S::MetricsListen_, 0, 0, false,
+       "listener for metrics; off if not set"},
+      {"peer_listen", &S::PeerListen_, 0, 0, true,
+       "address for peers; the entries listen at this port"},
+      {"seeds", &S::Seeds_, 0, 64, false,
+       "addresses on the VMs of entries; the port is that of `peer_listen`"},
+      {"grace_ms", &S::Grace_, 100, HourMs, false,
+       "time from SIGTERM until the process is killed"},
+  };
+  return Keys;
+}
+
 // Collects errors with their position in the file.
 class Reporter {
 public:
@@ -197,18 +257,30 @@
       Out.push_back(*Address);
 }
 
+template <typename T>
+void readWord(const toml::node &Node, const Key<T> &K,
+              const std::optional<std::string> &Text, Reporter &Report,
+              const std::function<void(std::string)> &Store) {
+  static const std::vector<std::string> Levels = {"debug", "info", "warning",
+                                                  "error"};
+  static const std::vector<std::string> Formats = {"json", "text"};
+  const bool IsFormat = std::string_view(K.Name_) == "log_format";
+  const auto &Words = IsFormat ? Formats : Levels;
+  if (Text && std::find(Words.begin(), Words.end(), *Text) != Words.end())
+    Store(*Text);
+  else
+    Report.add(Node.source(),
+               std::string(K.Name_) +
+                   (IsFormat ? " must be json or text"
+                             : " must be debug, info, warning or error"));
+}
+
 template <typename T>
 void readText(const toml::node &Node, const Key<T> &K, Reporter &Report,
               const std::function<void(std::string)> &Store) {
   const auto Text = Node.value_exact<std::string>();
   if (K.Max_ == 0) {
-    static const char *const Levels[] = {"debug", "info", "warning", "error"};
-    if (Text && std::find(std::begin(Levels), std::end(Levels), *Text) !=
-                    std::end(Levels))
-      Store(*Text);
-    else
-      Report.add(Node.source(), std::string(K.Name_) +
-                                    " must be debug, info, warning or error");
+    readWord(Node, K, Text, Report, Store);
   } else if (Text && isName(*Text)) {
     Store(*Text);
   } else {
@@ -277,6 +349,10 @@
     Report.add("lost_after_ms must be at least twice suspect_after_ms");
 }
 
+template <typename T, typename = void> struct HasLeases : std::false_type {};
+template <typename T>
+struct HasLeases<T, std::void_t<decltype(&T::Leases_)>> : std::true_type {};
+
 template <typename T>
 LoadedSettings<T> parse(const std::string &Text, const std::string &File,
                         const char *Role, const std::vector<Key<T>> &Keys) {
@@ -285,11 +361,14 @@
   try {
     const toml::table Parsed = toml::parse(Text);
     for (const auto &[Given, Node] : Parsed)
-      if (Given.str() != "process" && Given.str() != Role)
+      if (Given.str() != "process" && Given.str() != Role &&
+          !(HasLeases<T>::value && Given.str() == "leases"))
         Report.add(Given.source(),
                    "unknown table or key '" + std::string(Given.str()) + "'");
     readTable(Parsed, "process", processKeys(), Out.Process_, Report);
     readTable(Parsed, Role, Keys, Out, Report);
+    if constexpr (HasLeases<T>::value)
+      readTable(Parsed, "leases", leaseKeys(), Out.Leases_, Report);
     checkTimes(Out.Process_, Report);
   } catch (const toml::parse_error &E) {
     Report.add(E.source(), std::string(E.description()));
@@ -367,6 +446,28 @@
   return parse<AgentSettings>(Text, File, "agent", agentKeys());
 }
 
+LoadedSettings<DispatchEntrySettings>
+parseDispatchEntrySettings(const std::string &Text, const std::string &File) {
+  return parse<DispatchEntrySettings>(Text, File, "dispatch_entry",
+                                      dispatchEntryKeys());
+}
+
+LoadedSettings<DispatchAgentSettings>
+parseDispatchAgentSettings(const std::string &Text, const std::string &File) {
+  return parse<DispatchAgentSettings>(Text, File, "dispatch_agent",
+                                      dispatchAgentKeys());
+}
+
+LoadedSettings<DispatchEntrySettings>
+loadDispatchEntrySettings(const std::string &Path) {
+  return load<DispatchEntrySettings>(Path, parseDispatchEntrySettings);
+}
+
+LoadedSettings<DispatchAgentSettings>
+loadDispatchAgentSettings(const std::string &Path) {
+  return load<DispatchAgentSettings>(Path, parseDispatchAgentSettings);
+}
+
 LoadedSettings<EntrySettings> loadEntrySettings(const std::string &Path) {
   return load<EntrySettings>(Path, parseEntrySettings);
 }
@@ -376,16 +477,22 @@
 }
 
 std::string settingsPage() {
-  return std::string("# Settings\n\n"
-                     "A process reads one TOML file: `chivelanding entry "
-                     "--settings FILE` or\n`chivelanding agent --settings "
-                     "FILE`. `--check-settings` checks the file and\nexits. "
-                     "Keys that end in `_ms` are in milliseconds, those that "
-                     "end in `_bytes`\nin bytes. Unknown keys are refused. "
-                     "This page is made by `chivelanding settings`;\na test "
-                     "holds it equal to the code.\n") +
+  return std::string(
+             "# Settings\n\n"
+             "A process reads one TOML file: `chivelanding entry "
+             "--settings FILE` or\n`chivelanding agent --settings "
+             "FILE`. `--check-settings` checks the file and\nexits. "
+             "Keys that end in `_ms` are in milliseconds, those that "
+             "end in `_bytes`\nin bytes. Unknown keys are refused. "
+             "`chivelanding dispatch-entry` and `chivelanding dispatch-agent` "
+             "read [process],\n[leases] and the table of their own "
+             "name.\n"
+             "This page is made by `chivelanding settings`;\na test "
+             "holds it equal to the code.\n") +
          section("process", processKeys()) + section("entry", entryKeys()) +
-         section("agent", agentKeys());
+         section("agent", agentKeys()) + section("leases", leaseKeys()) +
+         section("dispatch_entry", dispatchEntryKeys()) +
+         section("dispatch_agent", dispatchAgentKeys());
 }
 
 } // namespace chivelanding
--- a/src/settings.h
+++ b/src/settings.h
@@ -27,6 +27,9 @@
   ZoneName Zone_;
   RegionName Region_;
   std::string LogLevel_ = "info";
+  /// One JSON object a line on standard output, or plain text on standard
+  /// error.
+  std::string LogFormat_ = "json";
   /// Heartbeat period on an idle link.
   Duration Heartbeat_ = std::chrono::milliseconds(200);
   /// Silence after which a peer is suspected and dialled beside.
@@ -71,6 +74,50 @@
   Duration Retention_ = std::chrono::minutes(10);
 };
 
+/// Leases that both roles of the dispatch of reruns must have alike.
+struct LeaseSettings {
+  /// Longest lease that the endpoints grant.
+  Duration MaxEndpointLease_ = std::chrono::milliseconds(1000);
+  /// Pause after which a caller sends a job again.
+  Duration CallerRetry_ = std::chrono::milliseconds(1300);
+  /// Longest time that an endpoint takes to stop a run.
+  Duration StopTime_ = std::chrono::milliseconds(50);
+};
+
+/// An entry that dispatches jobs whose tasks may run again.
+struct DispatchEntrySettings {
+  ProcessSettings Process_;
+  LeaseSettings Leases_;
+  /// Callers' HTTP.
+  SocketAddress Listen_;
+  /// Readiness for the load balancer.
+  SocketAddress ReadyListen_;
+  /// Metrics; port 0 if switched off.
+  SocketAddress MetricsListen_;
+  SocketAddress PeerListen_;
+  /// Other entries; their peer listeners have the port of PeerListen_.
+  std::vector<SocketAddress> Seeds_;
+  /// Time from SIGTERM until the process is killed.
+  Duration Grace_ = std::chrono::milliseconds(6000);
+};
+
+/// An agent whose endpoint runs tasks under leases.
+struct DispatchAgentSettings {
+  ProcessSettings Process_;
+  LeaseSettings Leases_;
+  /// The endpoint on this VM and the service that it belongs to; announcements
+  /// that say otherwise are refused.
+  SocketAddress Endpoint_;
+  ServiceName Service_;
+  /// Local HTTP for the endpoint's announcements.
+  SocketAddress Listen_;
+  SocketAddress MetricsListen_;
+  /// Own address for peers; its port is that of the entries' peer listeners.
+  SocketAddress PeerListen_;
+  std::vector<SocketAddress> Seeds_;
+  Duration Grace_ = std::chrono::milliseconds(6000);
+};
+
 /// Every problem of a settings file, one line each with file, line and column.
 struct SettingsErrors {
   std::vector<std::string> Lines_;
@@ -84,6 +131,16 @@
 LoadedSettings<EntrySettings> loadEntrySettings(const std::string &Path);
 /// Reads the [process] and [agent] tables of a TOML file.
 LoadedSettings<AgentSettings> loadAgentSettings(const std::string &Path);
+/// Reads the [process], [leases] and [dispatch_entry] or [dispatch_agent]
+/// tables of a TOML file.
+LoadedSettings<DispatchEntrySettings>
+loadDispatchEntrySettings(const std::string &Path);
+LoadedSettings<DispatchAgentSettings>
+loadDispatchAgentSettings(const std::string &Path);
+LoadedSettings<DispatchEntrySettings>
+parseDispatchEntrySettings(const std::string &Text, const std::string &File);
+LoadedSettings<DispatchAgentSettings>
+parseDispatchAgentSettings(const std::string &Text, const std::string &File);
 /// The same from text; File names it in errors.
 LoadedSettings<EntrySettings> parseEntrySettings(const std::string &Text,
                                                  const std::string &File);
--- /dev/null
+++ b/src/status_server.cpp
@@ -0,0 +1,45 @@
+#include "status_server.h"
+
+namespace chivelanding {
+namespace {
+
+// The balancer and a few collectors of metrics are the only clients.
+constexpr std::uint32_t MaxConnections = 32;
+constexpr std::uint64_t MaxBodyBytes = 4096;
+
+} // namespace
+
+StatusServer::StatusServer(boost::asio::io_context &Io,
+                           std::function<bool()> IsReady,
+                           std::function<HttpResponse()> RenderMetrics)
+    : IsReady_(std::move(IsReady)), RenderMetrics_(std::move(RenderMetrics)),
+      Server_(Io,
+              HttpServerLimits{8u << 10, MaxBodyBytes, MaxConnections,
+                               std::chrono::seconds(5),
+                               std::chrono::seconds(30)},
+              [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
+                answer(Request, Reply);
+              }) {}
+
+Result<Done> StatusServer::listen(const SocketAddress &Address) {
+  const auto Bound = Server_.listen(Address);
+  if (!ok(Bound))
+    return error(Bound);
+  return Done();
+}
+
+void StatusServer::answer(const HttpRequest &Request,
+                          const HttpReplyPtr &Reply) const {
+  if (Request.Target_ == "/ready" || Request.Target_ == "/readyz")
+    Reply->send(IsReady_()
+                    ? HttpResponse{200, "text/plain", {}, "ready\n"}
+                    : HttpResponse{503, "text/plain", {}, "not ready\n"});
+  else if (Request.Target_ == "/healthz")
+    Reply->send({200, "text/plain", {}, "ok\n"});
+  else if (Request.Target_ == "/metrics")
+    Reply->send(RenderMetrics_());
+  else
+    Reply->send({404, "application/json", {}, R"({"code":"not_found"})"});
+}
+
+} // namespace chivelanding
