--- /dev/null
+++ b/tests/dispatcher_test.cpp
@@ -0,0 +1,367 @@
+#include "dispatcher.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivelanding;
+using std::chrono::milliseconds;
+
+namespace {
+
+Time at(std::int64_t Ms) { return Time(milliseconds(Ms)); }
+
+PeerId agentId(const std::string &Name, std::uint64_t Incarnation_ = 1) {
+  return {Role::Agent, Name, Incarnation(Incarnation_)};
+}
+
+// A dispatcher with agents whose endpoints have Places places of 1,000 each.
+struct Bench {
+  Bench() : Dispatcher_(ZoneName("z1"), DispatchLimits(), 1) {}
+
+  void addAgent(const std::string &Name, std::uint32_t Places, Time Now,
+                std::uint64_t Incarnation_ = 1) {
+    const PeerId Id = agentId(Name, Incarnation_);
+    Dispatcher_.onAgentUp(Id, Now);
+    report(Name, Places, Places, Now, Incarnation_);
+  }
+
+  void report(const std::string &Name, std::uint32_t Places, std::uint32_t Free,
+              Time Now, std::uint64_t Incarnation_ = 1) {
+    EndpointReport R;
+    R.Endpoint_ = "w-" + Name;
+    R.Service_ = ServiceName("tasks");
+    R.Zone_ = ZoneName("z1");
+    R.Capacity_ = {Places * 1000, 100000, 0};
+    R.Free_ = {Free * 1000, 100000, 0};
+    R.AgentClock_ = static_cast<std::uint64_t>(Now.time_since_epoch().count());
+    R.SeenSequence_ = Seen_[Name];
+    R.Usable_ = true;
+    Dispatcher_.onMessage(agentId(Name, Incarnation_), R, Now);
+  }
+
+  RunJob job(const std::string &Key, std::uint32_t Tasks,
+             std::uint32_t Class = 0) const {
+    RunJob J;
+    J.Key_ = JobKey(Key);
+    J.Route_.Name_ = "route-" + std::to_string(Class);
+    J.Route_.Service_ = ServiceName("tasks");
+    J.Route_.Class_ = PriorityClass(Class);
+    J.Route_.Attempts_ = 2;
+    J.Route_.Stretch_ = 1.6;
+    J.Route_.Target_ = milliseconds(60);
+    J.Tasks_ = Tasks;
+    J.Need_ = {1000, 10, 0};
+    J.Estimate_ = milliseconds(200);
+    J.Patience_ = milliseconds(2000);
+    return J;
+  }
+
+  // Takes the outputs and sorts them.
+  void take() {
+    for (DispatchOutput &O : Dispatcher_.take()) {
+      if (const auto *A = std::get_if<AnswerJob>(&O)) {
+        Answers_.push_back(*A);
+      } else if (const auto *M = std::get_if<MessageToAgent>(&O)) {
+        if (const auto *S = std::get_if<StartRuns>(&M->Message_)) {
+          Seen_[M->To_.Name_] = S->Sequence_;
+          for (const RunStart &R : S->Runs_)
+            Starts_.push_back({M->To_, {S->Job_, R.Index_, R.Attempt_}});
+        } else if (const auto *Stop = std::get_if<StopRuns>(&M->Message_)) {
+          for (const RunRef &R : Stop->Runs_)
+            Stops_.push_back({M->To_, R});
+        } else if (std::holds_alternative<HoldRuns>(M->Message_)) {
+          ++Holds_;
+        }
+      }
+    }
+  }
+
+  void end(const std::pair<PeerId, RunRef> &Run, RunEnding Ending, Time Now) {
+    Dispatcher_.onMessage(
+        Run.first, RunsEnded{{{Run.second, Ending, milliseconds(100)}}}, Now);
+    take();
+  }
+
+  Dispatcher Dispatcher_;
+  std::vector<AnswerJob> Answers_;
+  std::vector<std::pair<PeerId, RunRef>> Starts_;
+  std::vector<std::pair<PeerId, RunRef>> Stops_;
+  std::map<std::string, std::uint64_t> Seen_;
+  std::size_t Holds_ = 0;
+};
+
+} // namespace
+
+// Guards against an answer before the last task, or none after it.
+TEST_CASE("A job is completed with its last task", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  B.addAgent("b", 4, at(0));
+  B.Dispatcher_.submit(B.job("j", 3), at(1));
+  B.take();
+  REQUIRE(B.Starts_.size() == 3);
+  B.end(B.Starts_[0], RunEnding::Done, at(100));
+  B.end(B.Starts_[1], RunEnding::Done, at(110));
+  CHECK(B.Answers_.empty());
+  B.end(B.Starts_[2], RunEnding::Done, at(120));
+  REQUIRE(B.Answers_.size() == 1);
+  CHECK(B.Answers_[0].Ending_ == JobEnding::Completed);
+  CHECK(B.Dispatcher_.jobs() == 0);
+}
+
+// Guards against a rush of one entry into an endpoint whose report is old.
+TEST_CASE("Orders on their way count against the room", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 3, at(0));
+  B.addAgent("b", 3, at(0));
+  for (int I = 0; I < 8; ++I)
+    B.Dispatcher_.submit(B.job("j" + std::to_string(I), 1), at(1));
+  B.take();
+  CHECK(B.Starts_.size() == 6);
+}
+
+// Guards against a refusal that comes late or without a time to return, and
+// against one that says "never ran" of a job that may have run.
+TEST_CASE("A job without room is refused while it has not run",
+          "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 2, at(0));
+  B.Dispatcher_.submit(B.job("first", 2), at(1));
+  B.Dispatcher_.submit(B.job("second", 1), at(1));
+  B.take();
+  REQUIRE(B.Starts_.size() == 2);
+  // A fifth of the objective of 380 ms has passed.
+  B.Dispatcher_.onTimer(at(90));
+  B.take();
+  REQUIRE(B.Answers_.size() == 1);
+  CHECK(B.Answers_[0].Ending_ == JobEnding::Refused);
+  REQUIRE(B.Answers_[0].RetryAfter_);
+  CHECK(*B.Answers_[0].RetryAfter_ >= std::chrono::seconds(1));
+  // The first job has runs, so at its deadline nothing is claimed about them.
+  for (std::int64_t Ms = 100; Ms < 1900; Ms += 100) {
+    B.report("a", 2, 0, at(Ms));
+    B.Dispatcher_.onTimer(at(Ms));
+  }
+  B.Dispatcher_.onTimer(at(2000));
+  B.take();
+  REQUIRE(B.Answers_.size() == 2);
+  CHECK(B.Answers_[1].Ending_ == JobEnding::Unknown);
+  CHECK(B.Stops_.size() == 2);
+}
+
+// Guards against a wait that is already known to be in vain.
+TEST_CASE("A job behind a long queue is refused at once", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 2, at(0));
+  B.Dispatcher_.submit(B.job("running", 2), at(1));
+  B.Dispatcher_.submit(B.job("waiting", 2), at(1));
+  B.Dispatcher_.submit(B.job("late", 1), at(2));
+  B.take();
+  REQUIRE(B.Answers_.size() == 1);
+  CHECK(B.Answers_[0].Code_ == "overloaded");
+}
+
+// Guards against less urgent work before more urgent work.
+TEST_CASE("Waiting jobs start in the order of their classes", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 2, at(0));
+  B.Dispatcher_.submit(B.job("running", 2), at(1));
+  B.Dispatcher_.submit(B.job("later", 1, 2), at(2));
+  B.Dispatcher_.submit(B.job("urgent", 1, 0), at(3));
+  B.take();
+  REQUIRE(B.Starts_.size() == 2);
+  B.end(B.Starts_[0], RunEnding::Done, at(10));
+  B.report("a", 2, 1, at(11));
+  B.take();
+  REQUIRE(B.Starts_.size() == 3);
+  CHECK(B.Starts_[2].second.Job_ == JobKey("urgent"));
+}
+
+// Guards against wide jobs that never start because narrow ones take each free
+// place.
+TEST_CASE("A wide job at the head takes places one by one", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  B.Dispatcher_.submit(B.job("running", 4), at(1));
+  B.Dispatcher_.submit(B.job("wide", 3), at(2));
+  B.Dispatcher_.submit(B.job("narrow", 1), at(3));
+  B.take();
+  REQUIRE(B.Starts_.size() == 4);
+  for (std::uint32_t I = 0; I < 2; ++I) {
+    B.end(B.Starts_[I], RunEnding::Done, at(10 + I));
+    B.report("a", 4, 1, at(10 + I));
+    B.take();
+  }
+  REQUIRE(B.Starts_.size() == 6);
+  CHECK(B.Starts_[4].second.Job_ == JobKey("wide"));
+  CHECK(B.Starts_[5].second.Job_ == JobKey("wide"));
+}
+
+// Guards against a hopeless job that runs for ever, and against one that is
+// given up because an endpoint was at fault once.
+TEST_CASE("A task fails its job after its attempts", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  B.addAgent("b", 4, at(0));
+  B.Dispatcher_.submit(B.job("j", 1), at(1));
+  B.take();
+  B.end(B.Starts_.at(0), RunEnding::NoRoom, at(2));
+  B.end(B.Starts_.at(1), RunEnding::Failed, at(3));
+  CHECK(B.Answers_.empty());
+  // The second run goes to the other endpoint.
+  REQUIRE(B.Starts_.size() == 3);
+  CHECK(B.Starts_[2].first.Name_ != B.Starts_[1].first.Name_);
+  B.end(B.Starts_[2], RunEnding::Failed, at(4));
+  REQUIRE(B.Answers_.size() == 1);
+  CHECK(B.Answers_[0].Ending_ == JobEnding::Failed);
+}
+
+// Guards against two runs of a task at the same time: a lost agent may still
+// work until both leases are over.
+TEST_CASE("Runs of a lost agent are repeated after both leases",
+          "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  B.Dispatcher_.submit(B.job("j", 1), at(0));
+  B.take();
+  REQUIRE(B.Starts_.size() == 1);
+  B.addAgent("b", 4, at(10));
+  B.Dispatcher_.onAgentLost(agentId("a"), at(20));
+  const DispatchLimits L;
+  const auto Leases =
+      std::chrono::duration_cast<milliseconds>(L.OwnerLease_ + L.EndpointLease_)
+          .count();
+  for (std::int64_t Ms = 100; Ms <= Leases; Ms += 100) {
+    B.report("b", 4, 4, at(Ms));
+    B.Dispatcher_.onTimer(at(Ms));
+    B.take();
+    CHECK(B.Starts_.size() == 1);
+  }
+  B.report("b", 4, 4, at(Leases + 200));
+  B.Dispatcher_.onTimer(at(Leases + 200));
+  B.take();
+  REQUIRE(B.Starts_.size() == 2);
+  CHECK(B.Starts_[1].first.Name_ == "b");
+}
+
+// Guards against a wait for both leases where a later process of the agent has
+// already cleared its endpoint.
+TEST_CASE("A usable successor of an agent frees its runs", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  B.Dispatcher_.submit(B.job("j", 1), at(0));
+  B.take();
+  B.Dispatcher_.onAgentLost(agentId("a"), at(20));
+  B.addAgent("a", 4, at(200), 2);
+  B.Dispatcher_.onTimer(at(210));
+  B.take();
+  REQUIRE(B.Starts_.size() == 2);
+  CHECK(B.Starts_[1].first == agentId("a", 2));
+  CHECK(B.Starts_[1].second.Attempt_ == 2);
+}
+
+// Guards against renewals that claim more than the agent's last report proves.
+TEST_CASE("Holds return only a newer clock of the agent", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  B.Dispatcher_.submit(B.job("j", 1), at(1));
+  B.Dispatcher_.onTimer(at(200));
+  B.take();
+  CHECK(B.Holds_ == 0);
+  B.report("a", 4, 3, at(210));
+  B.Dispatcher_.onTimer(at(340));
+  B.take();
+  CHECK(B.Holds_ == 1);
+}
+
+// Guards against slow runs that make their job late, against a second run
+// before the first has ended, and against moves that gain nothing.
+TEST_CASE("A slow run is stopped and its task run elsewhere", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  B.addAgent("b", 4, at(0));
+  B.Dispatcher_.submit(B.job("j", 1), at(1));
+  B.take();
+  REQUIRE(B.Starts_.size() == 1);
+  const auto First = B.Starts_[0];
+  const auto Slow = [&](std::int64_t RemainingMs, Time Now) {
+    B.Dispatcher_.onMessage(
+        First.first, SlowRuns{{{First.second, milliseconds(RemainingMs)}}},
+        Now);
+    B.take();
+  };
+  Slow(250, at(100));
+  CHECK(B.Stops_.empty());
+  Slow(900, at(200));
+  REQUIRE(B.Stops_.size() == 1);
+  CHECK(B.Starts_.size() == 1);
+  B.end(First, RunEnding::Stopped, at(260));
+  REQUIRE(B.Starts_.size() == 2);
+  CHECK(B.Starts_[1].first.Name_ != First.first.Name_);
+}
+
+// Guards against the work of callers that have left.
+TEST_CASE("The runs of a cancelled job are stopped", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  const JobNumber Number = B.Dispatcher_.submit(B.job("j", 2), at(1));
+  B.Dispatcher_.cancel(Number, "caller_gone", at(50));
+  B.take();
+  CHECK(B.Stops_.size() == 2);
+  CHECK(B.Dispatcher_.jobs() == 0);
+  // The ends of its runs concern nobody.
+  B.end(B.Starts_[0], RunEnding::Stopped, at(60));
+  CHECK(B.Answers_.size() == 1);
+}
+
+// Guards against a second job for a caller that sends its request again.
+TEST_CASE("A repeated key joins the live job", "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 4, at(0));
+  const JobNumber First = B.Dispatcher_.submit(B.job("j", 1), at(1));
+  CHECK(B.Dispatcher_.submit(B.job("j", 1), at(2)) == First);
+  B.take();
+  CHECK(B.Starts_.size() == 1);
+}
+
+// Guards against an endpoint that fails everything and keeps getting work.
+TEST_CASE("A failing endpoint is set aside", "[dispatcher]") {
+  Bench B;
+  for (const char *Name : {"a", "b", "c", "d"})
+    B.addAgent(Name, 10, at(0));
+  EndpointReport R;
+  R.Service_ = ServiceName("tasks");
+  R.Capacity_ = R.Free_ = {10000, 100000, 0};
+  R.Usable_ = true;
+  R.FailedPermille_ = 900;
+  R.AgentClock_ = 1000;
+  B.Dispatcher_.onMessage(agentId("a"), R, at(1));
+  B.Dispatcher_.onTimer(at(100));
+  for (int I = 0; I < 12; ++I)
+    B.Dispatcher_.submit(B.job("j" + std::to_string(I), 1), at(101));
+  B.take();
+  const auto AtA =
+      std::count_if(B.Starts_.begin(), B.Starts_.end(),
+                    [](const auto &S) { return S.first.Name_ == "a"; });
+  CHECK(AtA <= 1);
+  CHECK(B.Starts_.size() == 12);
+}
+
+// Guards against a kind of work that fails everywhere and takes the whole
+// fleet out of use.
+TEST_CASE("A fault of all endpoints sets none aside", "[dispatcher]") {
+  Bench B;
+  for (const char *Name : {"a", "b", "c"}) {
+    B.addAgent(Name, 10, at(0));
+    EndpointReport R;
+    R.Service_ = ServiceName("tasks");
+    R.Capacity_ = R.Free_ = {10000, 100000, 0};
+    R.Usable_ = true;
+    R.FailedPermille_ = 800;
+    R.AgentClock_ = 1000;
+    B.Dispatcher_.onMessage(agentId(Name), R, at(1));
+  }
+  B.Dispatcher_.onTimer(at(100));
+  B.Dispatcher_.submit(B.job("j", 9), at(101));
+  B.take();
+  CHECK(B.Starts_.size() == 9);
+}
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,316 @@
+#include "caller_http.h"
+#include "config_json.h"
+#include "names.h"
+#include "store_http.h"
+#include "worker_http.h"
+
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+using namespace chivelanding;
+using namespace chivelanding::platform;
+using nlohmann::json;
+
+namespace {
+
+const char *const Config = R"({"version":7,"routes":[
+ {"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"x",
+  "timeoutMs":1500,"targetLatencyMs":60,"priority":2,"service":"s1",
+  "attempts":3,"stretch":1.6},
+ {"name":"r2","host":"h.example","pathPrefix":"/a/b/","priority":0,
+  "service":"s1","attempts":4}],
+ "services":[{"name":"s1"}],"limits":{}})";
+
+DispatchConfig config() {
+  const auto Decoded = ConfigJson().decode(Config);
+  REQUIRE(ok(Decoded));
+  return value(Decoded);
+}
+
+HttpRequest request(const char *Method, const char *Target,
+                    const std::string &Body = "") {
+  HttpRequest R;
+  R.Method_ = Method;
+  R.Target_ = Target;
+  R.Headers_ = {{"Host", "h.example:8161"}, {"X-Deadline-Ms", "1800"}};
+  R.Body_ = Body;
+  return R;
+}
+
+const char *const Job =
+    R"({"spec":"text","bestEffort":true,"steps":[{"count":4,"cpu":6200,)"
+    R"("memMb":64,"estRuntimeMs":900}]})";
+
+CallerRequest decoded(HttpRequest R) {
+  const DispatchConfig C = config();
+  return CallerHttp().decode(std::move(R), &C);
+}
+
+unsigned refusalOf(const CallerRequest &R) {
+  const auto *Refused = std::get_if<RefusedRequest>(&R);
+  return Refused ? Refused->Response_.Status_ : 0;
+}
+
+json heartbeat() {
+  return {{"service", "s1"},
+          {"address", "10.0.0.1:8165"},
+          {"zone", "z1"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"coldRemainingMs", 0},
+          {"capacity", {{"cpu", 64000}, {"memMb", 262144}, {"gpu", 0}}},
+          {"labels", {"a", "r1-3"}},
+          {"clockMs", 482113},
+          {"born", 1700000000000},
+          {"seq", 4}};
+}
+
+Announcement announced(const json &Body,
+                       const char *Path = "/Instances.Heartbeat/i-1") {
+  HttpRequest R;
+  R.Method_ = "POST";
+  R.Target_ = Path;
+  R.Body_ = Body.dump();
+  return WorkerHeartbeat({"10.0.0.1", 8165}, ServiceName("s1")).decode(R);
+}
+
+HttpResponse response(unsigned Status, const json &Body) {
+  HttpResponse R;
+  R.Status_ = Status;
+  R.Body_ = Body.dump();
+  return R;
+}
+
+} // namespace
+
+// Guards against fields that land in the wrong place or unit.
+TEST_CASE("A job is decoded with its route", "[platform]") {
+  const auto R = decoded(request("POST", "/a/0123456789abcdef", Job));
+  const auto *Submit = std::get_if<SubmitRequest>(&R);
+  REQUIRE(Submit);
+  const RunJob &J = Submit->Job_;
+  CHECK(J.Key_ == JobKey("0123456789abcdef"));
+  CHECK(J.Route_.Name_ == "r1");
+  CHECK(J.Route_.Class_ == PriorityClass(2));
+  CHECK(J.Route_.Attempts_ == 3);
+  CHECK(J.Tasks_ == 4);
+  CHECK(J.Need_ == Resources{6200, 64, 0});
+  CHECK(J.Estimate_ == std::chrono::milliseconds(900));
+  CHECK(J.Patience_ == std::chrono::milliseconds(1800));
+}
+
+// Guards against a route with a shorter prefix that hides a longer one.
+TEST_CASE("The longest prefix selects the route", "[platform]") {
+  const auto R = decoded(request("POST", "/a/b/0123456789abcdef", Job));
+  REQUIRE(std::get_if<SubmitRequest>(&R));
+  CHECK(std::get<SubmitRequest>(R).Job_.Route_.Name_ == "r2");
+}
+
+// Guards against jobs that are accepted in a form that is not kept: a stored
+// job that a crash would lose, or a condition that is ignored.
+TEST_CASE("Jobs of a form that is not built are refused", "[platform]") {
+  const auto With = [](const std::function<void(json &)> &Change) {
+    json Body = json::parse(Job);
+    Change(Body);
+    return refusalOf(
+        decoded(request("POST", "/a/0123456789abcdef", Body.dump())));
+  };
+  CHECK(With([](json &B) { B.erase("bestEffort"); }) == 503);
+  CHECK(With([](json &B) { B["times"] = 3; }) == 503);
+  CHECK(With([](json &B) { B["steps"].push_back(B["steps"][0]); }) == 503);
+  CHECK(With([](json &B) { B["steps"][0]["gang"] = true; }) == 503);
+  CHECK(With([](json &B) { B["steps"][0]["requiredLabel"] = "a"; }) == 503);
+  CHECK(With([](json &B) { B["steps"][0]["maxPerServer"] = 1; }) == 503);
+  CHECK(With([](json &B) { B["steps"][0]["longRunning"] = true; }) == 503);
+  CHECK(With([](json &B) { B["steps"][0]["gang"] = false; }) == 0);
+  CHECK(With([](json &B) { B["steps"][0]["dataRack"] = "r1"; }) == 0);
+}
+
+// Guards against malformed requests that end the process or become jobs.
+TEST_CASE("Malformed requests are refused", "[platform]") {
+  const auto Post = [](const std::string &Body) {
+    return refusalOf(decoded(request("POST", "/a/0123456789abcdef", Body)));
+  };
+  for (const char *Text :
+       {"", "{", "[]", "null", R"({"spec":1,"steps":[{}]})",
+        R"({"spec":"x","bestEffort":true,"steps":[]})",
+        R"({"spec":"x","bestEffort":true,"steps":[7]})",
+        R"({"spec":"x","bestEffort":true,"steps":[{"count":-1}]})",
+        R"({"spec":"x","bestEffort":true,"steps":[{"count":1e9}]})"})
+    CHECK(Post(Text) == 400);
+  CHECK(refusalOf(decoded(request("POST", "/a/short", Job))) == 404);
+  CHECK(refusalOf(decoded(request("POST", "/none/0123456789abcdef", Job))) ==
+        404);
+  CHECK(refusalOf(CallerHttp().decode(
+            request("POST", "/a/0123456789abcdef", Job), nullptr)) == 503);
+}
+
+// Guards against a response that says "never ran" of a job that may have run:
+// 503 and 429 say so, 504 does not.
+TEST_CASE("Endings have their status", "[platform]") {
+  const CallerHttp Callers;
+  const auto Status = [&](JobEnding E) {
+    return Callers.answer({JobNumber(1), E, "code", {}}).Status_;
+  };
+  CHECK(Status(JobEnding::Completed) == 200);
+  CHECK(Status(JobEnding::Failed) == 200);
+  CHECK(Status(JobEnding::Refused) == 503);
+  CHECK(Status(JobEnding::Unknown) == 504);
+  const auto R = Callers.answer({JobNumber(1), JobEnding::Refused, "code",
+                                 std::chrono::milliseconds(1200)});
+  REQUIRE(R.Headers_.size() == 1);
+  CHECK(R.Headers_[0].Value_ == "2");
+}
+
+// Guards against a configuration that is taken in part.
+TEST_CASE("A malformed configuration is refused", "[platform]") {
+  for (const char *Text :
+       {"", "{}", R"({"version":"7","routes":[],"services":[]})",
+        R"({"version":7,"routes":[{}],"services":[]})",
+        R"({"version":7,"routes":[],"services":[{}]})"})
+    CHECK(!ok(ConfigJson().decode(Text)));
+}
+
+// Guards against announcements of other writers that name a wrong endpoint.
+TEST_CASE("Only whole heartbeats of the own worker are taken", "[platform]") {
+  const auto Good = announced(heartbeat());
+  REQUIRE(std::get_if<EndpointLife>(&Good));
+  const auto &L = std::get<EndpointLife>(Good);
+  CHECK(L.Id_ == "i-1");
+  CHECK(L.Born_ == 1700000000000);
+  CHECK(L.Rack_ == RackName("r1-3"));
+  CHECK(L.Capacity_ == Resources{64000, 262144, 0});
+  CHECK(!L.Leaving_);
+  const auto Bad = [](const std::function<void(json &)> &Change) {
+    json Body = heartbeat();
+    Change(Body);
+    const auto A = announced(Body);
+    return std::holds_alternative<Error>(A);
+  };
+  CHECK(Bad([](json &B) { B.erase("seq"); }));
+  CHECK(Bad([](json &B) { B["seq"] = "4"; }));
+  CHECK(Bad([](json &B) { B["state"] = "resting"; }));
+  CHECK(Bad([](json &B) { B["service"] = "s2"; }));
+  CHECK(Bad([](json &B) { B["address"] = "10.0.0.2:8165"; }));
+  CHECK(Bad([](json &B) { B["born"] = 1.5; }));
+  CHECK(Bad([](json &B) { B["capacity"] = 7; }));
+  CHECK(Bad([](json &B) { B = json::array(); }));
+}
+
+// Guards against answers that are taken for more than they prove.
+TEST_CASE("Answers of a worker are told apart", "[platform]") {
+  const auto Answer = [](unsigned Status, const json &Body) {
+    return decodeStartStop(response(Status, Body)).Answer_;
+  };
+  CHECK(Answer(200, {{"clockMs", 5}}) == CallAnswer::Accepted);
+  CHECK(Answer(409, {{"reason", "fence"}}) == CallAnswer::StaleToken);
+  CHECK(Answer(409, {{"reason", "old"}}) == CallAnswer::StaleRun);
+  CHECK(Answer(409, {{"reason", "late"}}) == CallAnswer::LeaseOver);
+  CHECK(Answer(409, {{"reason", "room"}}) == CallAnswer::NoRoom);
+  CHECK(Answer(421, json::object()) == CallAnswer::OtherLife);
+  CHECK(Answer(503, json::object()) == CallAnswer::Unhealthy);
+  CHECK(Answer(500, json::object()) == CallAnswer::Unanswered);
+  CHECK(decodeStartStop(Error{"connect_failed", "", "", ""}).Answer_ ==
+        CallAnswer::NotSent);
+  CHECK(decodeStartStop(Error{"timeout", "", "", ""}).Answer_ ==
+        CallAnswer::Unanswered);
+}
+
+// Guards against lists that are misread.
+TEST_CASE("Lists of runs are decoded", "[platform]") {
+  const auto A = decodeHold(
+      response(200, {{"clockMs", 9},
+                     {"born", 3},
+                     {"running", {{"0123456789abcdef.0.0.17", 2, "", 41}}},
+                     {"endedRuns",
+                      {{58, "0123456789abcdef.0.0.9", 1, "done", ""},
+                       {59, "0123456789abcdef.0.0.8", 1, "lapsed", ""}}}}));
+  REQUIRE(ok(A));
+  REQUIRE(value(A).Running_.size() == 1);
+  CHECK(value(A).Running_[0].Task_.Index_ == TaskIndex(17));
+  CHECK(value(A).Running_[0].Percent_ == 41);
+  REQUIRE(value(A).Ended_.size() == 2);
+  CHECK(value(A).Ended_[0].Number_ == 58);
+  CHECK(value(A).Ended_[0].Ending_ == RunEnding::Done);
+  CHECK(value(A).Ended_[1].Ending_ == RunEnding::Lost);
+  CHECK(!ok(decodeHold(response(200, {{"clockMs", 9}}))));
+  CHECK(!ok(decodeHold(response(409, {{"reason", "fence"}}))));
+}
+
+// Guards against calls whose fields a worker does not know.
+TEST_CASE("Calls of a worker have their fields", "[platform]") {
+  const auto Start =
+      json::parse(encodeStart({"i-1",
+                               {JobKey("0123456789abcdef"), TaskIndex(3)},
+                               2,
+                               "text",
+                               500,
+                               7})
+                      .Body_);
+  CHECK(Start == json({{"task", "0123456789abcdef.0.0.3"},
+                       {"run", 2},
+                       {"spec", "text"},
+                       {"deadlineMs", 500},
+                       {"fencingToken", 7}}));
+  const HoldCall Look{"i-1", {}, 7, 57, Duration(0)};
+  const auto Hold = json::parse(encodeHold(Look).Body_);
+  CHECK(Hold == json({{"fencingToken", 7}, {"ackIndex", 57}}));
+}
+
+// Guards against records that are read in pieces or at a wrong offset.
+TEST_CASE("Records of the store survive their format", "[platform]") {
+  const std::string Header =
+      std::string(7, '\0') + char(9) + std::string(7, '\0') + char(2);
+  HttpResponse R;
+  R.Body_ =
+      Header + encodeRecord({"config", "text"}) + encodeRecord({"wave/1", ""});
+  const auto Read = decodeRead(R, 7);
+  REQUIRE(ok(Read));
+  REQUIRE(value(Read).Records_.size() == 2);
+  CHECK(value(Read).Records_[0].Key_ == "config");
+  CHECK(value(Read).Records_[0].Value_ == "text");
+  CHECK(value(Read).Records_[1].Value_.empty());
+  CHECK(value(Read).Next_ == 9);
+  R.Body_.resize(R.Body_.size() - 1);
+  CHECK(!ok(decodeRead(R, 7)));
+  R.Status_ = 410;
+  CHECK(error(decodeRead(R, 7)).Code_ == "deleted");
+}
+
+// Guards against pages that are lost.
+TEST_CASE("Pages of the newest records are followed", "[platform]") {
+  const auto Page = decodeNewest(
+      response(200, {{"items", {{{"key", "config"}, {"value", "dGV4dA=="}}}},
+                     {"morePages", true},
+                     {"end", 6}}));
+  REQUIRE(ok(Page));
+  CHECK(value(Page).Records_.Records_.at(0).Value_ == "text");
+  CHECK(value(Page).After_ == "config");
+  CHECK(value(Page).Records_.Next_ == 6);
+}
+
+// Guards against names of the platform outside of its folder.
+TEST_CASE("Only platform/ knows the platform's names", "[platform]") {
+  const std::regex Names(
+      "run-start|run-stop|log-append|log-newest|log-read|Instances\\.|"
+      "endedRuns|op/config|keyed\\.op|X-Deadline-Ms|X-Expect-Instance|"
+      "bestEffort|estRuntimeMs|fencingToken|deadlineMs|ackIndex|pathPrefix|"
+      "targetLatencyMs|CHIVELANDING_SETTINGS[^_]");
+  const std::filesystem::path Root = CHIVELANDING_SOURCE_DIR;
+  for (const char *Folder : {"src", "standin"})
+    for (const auto &File :
+         std::filesystem::directory_iterator(Root / Folder)) {
+      std::ifstream In(File.path());
+      std::ostringstream Text;
+      Text << In.rdbuf();
+      INFO(File.path().string());
+      CHECK(!std::regex_search(Text.str(), Names));
+    }
+}
--- a/tests/process/lib.bash
+++ b/tests/process/lib.bash
@@ -77,6 +77,7 @@
 lost_after_ms = ${LOST_MS:-1500}
 drain_limit_ms = 30000
 log_level = "${LOG_LEVEL:-info}"
+log_format = "text"
 ${PROCESS_EXTRA:-}
 X
 }
--- /dev/null
+++ b/tests/run_gate_test.cpp
@@ -0,0 +1,386 @@
+#include "run_gate.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace chivelanding;
+using std::chrono::milliseconds;
+
+namespace {
+
+const EntryId EntryA{"entry-a", Incarnation(1)};
+const EntryId EntryB{"entry-b", Incarnation(2)};
+
+Time at(std::int64_t Ms) { return Time(milliseconds(Ms)); }
+std::uint64_t clockAt(std::int64_t Ms) {
+  return static_cast<std::uint64_t>(Ms) * 1000;
+}
+
+EndpointLife life(std::uint64_t Born, const char *Id = "worker-1") {
+  EndpointLife L;
+  L.Id_ = Id;
+  L.Born_ = Born;
+  L.Service_ = ServiceName("tasks");
+  L.Capacity_ = {4000, 4096, 0};
+  L.Sequence_ = 1;
+  L.ClockMs_ = 100;
+  return L;
+}
+
+// A gate with the endpoint's answers under control of the test.
+struct Bench {
+  Bench() : Gate_(RunGateLimits(), 7) {}
+
+  template <typename T> std::vector<T> outputs() const {
+    std::vector<T> Found;
+    for (const RunGateOutput &O : Last_)
+      if (const auto *Match = std::get_if<T>(&O))
+        Found.push_back(*Match);
+    return Found;
+  }
+
+  template <typename T> std::vector<T> messages(const EntryId &To) const {
+    std::vector<T> Found;
+    for (const auto &M : outputs<MessageToEntry>())
+      if (const auto *Match = std::get_if<T>(&M.Message_))
+        if (M.To_ == To)
+          Found.push_back(*Match);
+    return Found;
+  }
+
+  void take(RunGateOutputs O) { Last_ = std::move(O); }
+
+  // Announces the endpoint and answers its first, empty list.
+  void makeUsable(Time Now) {
+    take(Gate_.onAnnounced(life(10), Now));
+    take(Gate_.onTimer(Now));
+    answerHold({}, {}, Now);
+    for (const EntryId &E : {EntryA, EntryB})
+      take(Gate_.onEntryUp(E, Now));
+    REQUIRE(Gate_.usable());
+  }
+
+  void answerHold(std::vector<RunningRun> Running, std::vector<ListedEnd> Ended,
+                  Time Now, std::uint64_t Born = 10) {
+    const auto Holds = outputs<MakeHold>();
+    REQUIRE(!Holds.empty());
+    HoldAnswer A;
+    A.ClockMs_ =
+        static_cast<std::uint64_t>(100 + Now.time_since_epoch().count() / 1000);
+    A.Born_ = Born;
+    A.Running_ = std::move(Running);
+    A.Ended_ = std::move(Ended);
+    take(Gate_.onHoldAnswer(Holds.back().Id_, A, Now));
+  }
+
+  MakeStart order(const EntryId &From, const char *Job, std::uint32_t Attempt,
+                  Time Now, std::uint32_t Cpu = 1000) {
+    take(Gate_.onMessage(From, startOf(Job, Attempt, Now, Cpu), Now));
+    const auto Starts = outputs<MakeStart>();
+    return Starts.empty() ? MakeStart() : Starts.front();
+  }
+
+  static StartRuns startOf(const char *Job, std::uint32_t Attempt, Time Now,
+                           std::uint32_t Cpu) {
+    StartRuns M;
+    M.Job_ = JobKey(Job);
+    M.Payload_ = "payload";
+    M.Need_ = {Cpu, 10, 0};
+    M.Estimate_ = milliseconds(200);
+    M.Sequence_ = ++Sequence;
+    M.AgentClock_ = static_cast<std::uint64_t>(Now.time_since_epoch().count());
+    M.Runs_ = {{TaskIndex(0), Attempt}};
+    return M;
+  }
+
+  // Orders a run and has the endpoint accept it.
+  void startRun(const EntryId &From, const char *Job, Time Now) {
+    const auto Start = order(From, Job, 1, Now);
+    REQUIRE(Start.Id_.value() != 0);
+    take(Gate_.onStartAnswer(Start.Id_, {CallAnswer::Accepted, {}}, Now));
+  }
+
+  // The ending that this entry is told of its only ended run.
+  std::optional<RunEnding> ending(const EntryId &To) const {
+    const auto Ended = messages<RunsEnded>(To);
+    if (Ended.empty())
+      return std::nullopt;
+    REQUIRE(Ended.front().Runs_.size() == 1);
+    return Ended.front().Runs_.front().Ending_;
+  }
+
+  static inline std::uint64_t Sequence = 0;
+  RunGate Gate_;
+  RunGateOutputs Last_;
+};
+
+RunningRun row(const char *Job, std::uint32_t Run, std::uint32_t Percent = 0) {
+  return {{JobKey(Job), TaskIndex(0)}, Run, Percent};
+}
+
+} // namespace
+
+// Guards against starts beside the runs of a former process of this agent.
+TEST_CASE("A gate stops foreign runs before it is usable", "[run_gate]") {
+  Bench B;
+  B.take(B.Gate_.onEntryUp(EntryA, at(0)));
+  B.take(B.Gate_.onAnnounced(life(10), at(0)));
+  B.take(B.Gate_.onTimer(at(0)));
+  // Nothing is renewed while foreign runs are there.
+  CHECK(!B.outputs<MakeHold>().front().Call_.LeaseEndMs_);
+  B.answerHold({row("old", 3)}, {}, at(2));
+  REQUIRE(B.outputs<MakeStop>().size() == 1);
+  CHECK(B.outputs<MakeStop>().front().Call_.Run_ == 3);
+  CHECK(!B.Gate_.usable());
+  CHECK(B.order(EntryA, "new", 1, at(3)).Id_.value() == 0);
+  CHECK(B.ending(EntryA) == RunEnding::Unavailable);
+  B.take(B.Gate_.onTimer(at(20)));
+  B.answerHold({}, {}, at(22));
+  CHECK(B.Gate_.usable());
+}
+
+// Guards against starts beyond the room, which the endpoint rejects at a price.
+TEST_CASE("A gate refuses a run without room for it", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  for (const char *Job : {"a", "b", "c", "d"})
+    B.startRun(EntryA, Job, at(10));
+  CHECK(B.order(EntryB, "e", 1, at(11)).Id_.value() == 0);
+  CHECK(B.ending(EntryB) == RunEnding::NoRoom);
+  CHECK(B.Gate_.held().Cpu_ == 4000);
+}
+
+// Guards against a task that runs twice because its order was delayed until
+// after its entry had started it elsewhere.
+TEST_CASE("A gate refuses an order older than the owner lease", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  const auto Late = Bench::startOf("a", 1, at(100), 1000);
+  B.take(B.Gate_.onMessage(EntryA, Late, at(100 + 601)));
+  CHECK(B.outputs<MakeStart>().empty());
+  CHECK(B.ending(EntryA) == RunEnding::Expired);
+}
+
+// Guards against runs that go on after their entry has died, while the caller
+// submits the job to another one.
+TEST_CASE("Runs of a silent owner are stopped", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "a", at(10));
+  B.startRun(EntryB, "b", at(10));
+  B.take(B.Gate_.onMessage(EntryB, HoldRuns{clockAt(400)}, at(410)));
+  B.take(B.Gate_.onTimer(at(640)));
+  const auto Stops = B.outputs<MakeStop>();
+  REQUIRE(Stops.size() == 1);
+  CHECK(Stops.front().Call_.Task_.Job_ == JobKey("a"));
+}
+
+// Guards against a lease that a delayed or repeated renewal prolongs.
+TEST_CASE("A late renewal does not lengthen the owner lease", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "a", at(10));
+  B.take(B.Gate_.onMessage(EntryA, HoldRuns{clockAt(20)}, at(600)));
+  B.take(B.Gate_.onTimer(at(640)));
+  CHECK(B.outputs<MakeStop>().size() == 1);
+}
+
+// Guards against a report of an end while the endpoint still works: the task
+// would be started elsewhere beside its first run.
+TEST_CASE("A stopped run ends only when the endpoint shows it", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "a", at(10));
+  B.take(B.Gate_.onMessage(EntryA, StopRuns{{{JobKey("a"), TaskIndex(0), 1}}},
+                           at(100)));
+  const auto Stop = B.outputs<MakeStop>();
+  REQUIRE(Stop.size() == 1);
+  CHECK(!B.ending(EntryA));
+  B.take(
+      B.Gate_.onStopAnswer(Stop[0].Id_, {CallAnswer::Accepted, {}}, at(101)));
+  CHECK(!B.ending(EntryA));
+  B.take(B.Gate_.onTimer(at(110)));
+  B.answerHold({row("a", 1)}, {}, at(112));
+  CHECK(!B.ending(EntryA));
+  CHECK(B.Gate_.held().Cpu_ == 1000);
+  B.take(B.Gate_.onTimer(at(160)));
+  B.answerHold({}, {{1, {JobKey("a"), TaskIndex(0)}, 1, RunEnding::Stopped}},
+               at(162));
+  CHECK(B.ending(EntryA) == RunEnding::Stopped);
+  CHECK(B.Gate_.held().Cpu_ == 0);
+}
+
+// Guards against an unanswered start that the endpoint carries out seconds
+// later, beside a rerun elsewhere: the task stays here until a stop of the same
+// run, which forbids that start, is confirmed.
+TEST_CASE("An unanswered start is stopped before it is given back",
+          "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  const auto Start = B.order(EntryA, "a", 1, at(10));
+  B.take(
+      B.Gate_.onStartAnswer(Start.Id_, {CallAnswer::Unanswered, {}}, at(160)));
+  const auto Stop = B.outputs<MakeStop>();
+  REQUIRE(Stop.size() == 1);
+  CHECK(Stop[0].Call_.Run_ == 1);
+  CHECK(!B.ending(EntryA));
+  // The stop is not answered either, and is repeated.
+  B.take(
+      B.Gate_.onStopAnswer(Stop[0].Id_, {CallAnswer::Unanswered, {}}, at(310)));
+  B.take(B.Gate_.onTimer(at(320)));
+  const auto Again = B.outputs<MakeStop>();
+  REQUIRE(Again.size() == 1);
+  B.answerHold({}, {}, at(321));
+  CHECK(!B.ending(EntryA));
+  B.take(
+      B.Gate_.onStopAnswer(Again[0].Id_, {CallAnswer::Accepted, {}}, at(322)));
+  B.take(B.Gate_.onTimer(at(340)));
+  B.answerHold({}, {}, at(341));
+  CHECK(B.ending(EntryA) == RunEnding::Stopped);
+}
+
+// Guards against a rerun while a silent endpoint still works on its lease.
+TEST_CASE("Runs of a silent endpoint end with its lease", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "a", at(10));
+  B.take(B.Gate_.onMessage(EntryA, HoldRuns{clockAt(15)}, at(20)));
+  B.take(B.Gate_.onTimer(at(20)));
+  const auto Hold = B.outputs<MakeHold>();
+  REQUIRE(Hold.size() == 1);
+  REQUIRE(Hold[0].Call_.LeaseEndMs_);
+  B.take(B.Gate_.onHoldAnswer(
+      Hold[0].Id_, Error{"timeout", "list the runs", "worker", ""}, at(320)));
+  CHECK(!B.Gate_.usable());
+  // The lease may last until 820 ms on a clock that is 2 % slow.
+  for (int Ms = 340; Ms <= 860; Ms += 20) {
+    B.take(B.Gate_.onTimer(at(Ms)));
+    for (const auto &Retry : B.outputs<MakeHold>()) {
+      CHECK(!Retry.Call_.LeaseEndMs_);
+      B.take(B.Gate_.onHoldAnswer(
+          Retry.Id_, Error{"timeout", "list the runs", "worker", ""}, at(Ms)));
+    }
+    CHECK(B.Gate_.runs() == 1);
+  }
+  B.take(B.Gate_.onTimer(at(920)));
+  CHECK(B.Gate_.runs() == 0);
+  CHECK(B.ending(EntryA) == RunEnding::Lost);
+}
+
+// Guards against a late announcement of a former life, and against runs of that
+// life that are waited for.
+TEST_CASE("A new life ends the runs of the former one", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "a", at(10));
+  B.take(B.Gate_.onAnnounced(life(20, "worker-2"), at(50)));
+  CHECK(B.ending(EntryA) == RunEnding::Lost);
+  CHECK(!B.Gate_.usable());
+  EndpointLife Former = life(10);
+  Former.Sequence_ = 99;
+  B.take(B.Gate_.onAnnounced(Former, at(60)));
+  CHECK(B.Gate_.life()->Id_ == "worker-2");
+}
+
+// Guards against an order to the former life that the new one, which kept the
+// id, carries out late.
+TEST_CASE("An unanswered order outlives a life with the same id",
+          "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.order(EntryA, "a", 1, at(10));
+  B.take(B.Gate_.onAnnounced(life(20), at(50)));
+  CHECK(!B.ending(EntryA));
+  const auto Stop = B.outputs<MakeStop>();
+  REQUIRE(Stop.size() == 1);
+  B.take(B.Gate_.onStopAnswer(Stop[0].Id_, {CallAnswer::Accepted, {}}, at(52)));
+  B.take(B.Gate_.onTimer(at(60)));
+  B.answerHold({}, {}, at(62), 20);
+  CHECK(B.ending(EntryA) == RunEnding::Stopped);
+}
+
+// Guards against an endpoint that leaves and still gets work.
+TEST_CASE("A leaving endpoint gets no run", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  EndpointLife Leaving = life(10);
+  Leaving.Sequence_ = 2;
+  Leaving.Leaving_ = true;
+  B.take(B.Gate_.onAnnounced(Leaving, at(5)));
+  CHECK(B.order(EntryA, "a", 1, at(6)).Id_.value() == 0);
+  CHECK(B.ending(EntryA) == RunEnding::Unavailable);
+}
+
+// Guards against a task that can never start again where a run of it was
+// stopped under a number that its new owner does not know.
+TEST_CASE("A stale run number is raised", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  const auto Start = B.order(EntryA, "a", 1, at(10));
+  B.take(B.Gate_.onStartAnswer(Start.Id_, {CallAnswer::StaleRun, {}}, at(11)));
+  const auto Again = B.outputs<MakeStart>();
+  REQUIRE(Again.size() == 1);
+  CHECK(Again[0].Call_.Run_ > 1);
+  CHECK(Again[0].Call_.Payload_ == "payload");
+}
+
+// Guards against a clock that went back before this process started: its token
+// would be below the one of the process before.
+TEST_CASE("A stale token is raised", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  const auto Start = B.order(EntryA, "a", 1, at(10));
+  CHECK(Start.Call_.Token_ == 7);
+  B.take(
+      B.Gate_.onStartAnswer(Start.Id_, {CallAnswer::StaleToken, {}}, at(11)));
+  REQUIRE(B.outputs<MakeStart>().size() == 1);
+  CHECK(B.outputs<MakeStart>()[0].Call_.Token_ > 7);
+}
+
+// Guards against slow or stalled runs that nobody hears of, and against runs
+// that are called slow because their estimate was somewhat low.
+TEST_CASE("Only a run far behind its estimate is reported", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "a", at(10));
+  B.startRun(EntryA, "b", at(10));
+  B.startRun(EntryA, "c", at(10));
+  B.take(B.Gate_.onMessage(EntryA, HoldRuns{clockAt(15)}, at(20)));
+  B.take(B.Gate_.onTimer(at(200)));
+  // Predicted lengths: 320 ms, 1,600 ms; c has made no progress, but its
+  // estimate of 200 ms is not over.
+  B.answerHold({row("a", 1, 50), row("b", 1, 10), row("c", 1, 0)}, {}, at(170));
+  const auto Slow = B.messages<SlowRuns>(EntryA);
+  REQUIRE(Slow.size() == 1);
+  REQUIRE(Slow[0].Runs_.size() == 1);
+  CHECK(Slow[0].Runs_[0].Run_.Job_ == JobKey("b"));
+  CHECK(Slow[0].Runs_[0].Remaining_ > milliseconds(1400));
+}
+
+// Guards against ends that are counted twice when the endpoint lists them
+// again, and against acknowledgements that run ahead of what was taken.
+TEST_CASE("Ends are taken once and acknowledged", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "a", at(10));
+  B.take(B.Gate_.onTimer(at(20)));
+  CHECK(B.outputs<MakeHold>()[0].Call_.Acknowledged_ == 0);
+  const ListedEnd End{5, {JobKey("a"), TaskIndex(0)}, 1, RunEnding::Done};
+  B.answerHold({}, {End}, at(30));
+  CHECK(B.ending(EntryA) == RunEnding::Done);
+  B.take(B.Gate_.onTimer(at(40)));
+  CHECK(B.outputs<MakeHold>()[0].Call_.Acknowledged_ == 5);
+  B.answerHold({}, {End}, at(50));
+  CHECK(!B.ending(EntryA));
+}
+
+// Guards against new runs after SIGTERM, and against an end while runs work.
+TEST_CASE("A draining gate finishes its runs only", "[run_gate]") {
+  Bench B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "a", at(10));
+  B.take(B.Gate_.onDrain(at(20)));
+  CHECK(B.order(EntryB, "b", 1, at(21)).Id_.value() == 0);
+  CHECK(B.Gate_.runs() == 1);
+}
