--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -12,11 +12,13 @@
 constexpr Duration LapseSlack = std::chrono::milliseconds(30);
 // A report older than this says nothing any more: two periods were missed.
 constexpr Duration ReportLife = std::chrono::milliseconds(400);
-// Share of a job's time objective that it may wait for its first run. A caller
-// that is refused by then can still go elsewhere.
-constexpr double WaitShare = 0.22;
+// Part of a job's slack, which is its time objective less its expected length,
+// that it may wait for its first run: later it would end too late.
+constexpr double WaitShare = 0.8;
 // The answer leaves this much before the caller's patience ends.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(30);
+// Below this share of free places, runs are packed rather than spread.
+constexpr double TightShare = 0.15;
 // Share of the fleet that stays free of runs of a class, so that more urgent
 // jobs start at once when the less urgent ones press.
 constexpr std::array<double, 3> FreeShare = {0.0, 0.03, 0.06};
@@ -137,10 +139,11 @@
       scaled(J.Estimate_, S.Route_.Stretch_) + S.Route_.Target_;
   J.Received_ = Now;
   J.Deadline_ = Now + std::max(Duration(0), S.Patience_ - AnswerMargin);
-  J.WaitUntil_ = std::min(J.Deadline_, Now + scaled(Objective, WaitShare));
+  const Duration Slack = std::max(Duration(0), Objective - J.Estimate_);
+  J.WaitUntil_ = std::min(J.Deadline_, Now + scaled(Slack, WaitShare));
   J.Tasks_.resize(S.Tasks_);
   J.Waiting_ = S.Tasks_;
-  const RunAgents::Totals T = Agents_.totals(S.Route_.Service_);
+  const RunAgents::Totals T = Agents_.totals(S.Route_.Service_, S.Need_);
   log(events::JobAccepted, {{"job", S.Key_.str()},
                             {"route", S.Route_.Name_},
                             {"class", std::to_string(S.Route_.Class_.value())},
@@ -150,6 +153,7 @@
                             {"patience_ms", text(S.Patience_)},
                             {"endpoints", std::to_string(T.Usable_)},
                             {"free_cpu", std::to_string(T.FreeCpu_)},
+                            {"free_places", std::to_string(T.FreePlaces_)},
                             {"waiting_jobs", std::to_string(Queue_.size())}});
   if (Jobs_.size() > Limits_.MaxJobs_) {
     refuse(J, "too_many_jobs", Now);
@@ -176,9 +180,9 @@
 bool Dispatcher::mayTake(const Job &J, const RunAgents::Totals &T) const {
   const auto Class = std::min<std::size_t>(J.Spec_.Route_.Class_.value(),
                                            FreeShare.size() - 1);
-  return static_cast<double>(T.FreeCpu_) -
-             static_cast<double>(J.Spec_.Need_.Cpu_) >=
-         FreeShare[Class] * static_cast<double>(T.CapacityCpu_);
+  return T.FreePlaces_ > 0 &&
+         static_cast<double>(T.FreePlaces_ - 1) >=
+             FreeShare[Class] * static_cast<double>(T.Places_);
 }
 
 // The first job that cannot have all the room it asks for keeps the later ones
@@ -203,7 +207,9 @@
 
 // Starts the waiting tasks for which there is room. True if none is left.
 bool Dispatcher::placeJob(Job &J, Time Now) {
-  RunAgents::Totals T = Agents_.totals(J.Spec_.Route_.Service_);
+  RunAgents::Totals T = Agents_.totals(J.Spec_.Route_.Service_, J.Spec_.Need_);
+  const bool Tight = static_cast<double>(T.FreePlaces_) <
+                     TightShare * static_cast<double>(T.Places_);
   std::map<PeerId, StartRuns> Orders;
   for (std::size_t I = 0; I < J.Tasks_.size() && J.Waiting_ > 0; ++I) {
     Task &Waiting = J.Tasks_[I];
@@ -212,7 +218,7 @@
     if (!mayTake(J, T))
       break;
     RunAgent *A = Agents_.choose({J.Spec_.Route_.Service_, J.Spec_.Need_,
-                                  J.Spec_.Rack_, Waiting.Avoid_});
+                                  J.Spec_.Rack_, Waiting.Avoid_, Tight});
     if (!A)
       continue;
     const auto [It, New] = Orders.try_emplace(A->Peer_);
@@ -229,7 +235,7 @@
     }
     RunAgents::reserve(*A, Order.Sequence_, J.Spec_.Need_);
     ++A->Running_;
-    T.FreeCpu_ -= std::min<std::uint64_t>(T.FreeCpu_, J.Spec_.Need_.Cpu_);
+    --T.FreePlaces_;
     Waiting.State_ = State::Ordered;
     Waiting.Agent_ = A->Peer_;
     ++Waiting.Attempt_;
@@ -483,8 +489,9 @@
   if (S.Remaining_ < scaled(Elsewhere, MoveGain) ||
       Now + Elsewhere > J->Deadline_)
     return;
-  const RunAgents::Totals Totals = Agents_.totals(J->Spec_.Route_.Service_);
-  if (Totals.FreeCpu_ < J->Spec_.Need_.Cpu_ || Totals.Usable_ < 2)
+  const RunAgents::Totals Totals =
+      Agents_.totals(J->Spec_.Route_.Service_, J->Spec_.Need_);
+  if (Totals.FreePlaces_ == 0 || Totals.Usable_ < 2)
     return;
   log(events::TaskMoved, {{"job", J->Spec_.Key_.str()},
                           {"task", std::to_string(S.Run_.Index_.value())},
--- a/src/run_agents.cpp
+++ b/src/run_agents.cpp
@@ -25,6 +25,9 @@
 // take half as long again or more, so only a nearly full rack is passed over.
 constexpr double DataRackBonus = 0.8;
 
+// Places of an endpoint for runs that state no processor need.
+constexpr std::uint32_t MaxPlaces = 1000;
+
 std::uint32_t median(std::vector<std::uint32_t> Values) {
   if (Values.empty())
     return 0;
@@ -34,6 +37,14 @@
   return *Middle;
 }
 
+// Runs of this size that fit into Room.
+std::uint32_t places(const Resources &Room, const Resources &Need) {
+  std::uint32_t Count = Need.Cpu_ > 0 ? Room.Cpu_ / Need.Cpu_ : MaxPlaces;
+  if (Need.MemoryMb_ > 0)
+    Count = std::min(Count, Room.MemoryMb_ / Need.MemoryMb_);
+  return Count;
+}
+
 } // namespace
 
 RunAgents::RunAgents(ZoneName Zone, std::uint64_t Seed)
@@ -74,14 +85,15 @@
   return Free;
 }
 
-double RunAgents::score(const RunAgent &A, const RackName &Rack) const {
+double RunAgents::score(const RunAgent &A, const Wish &W) const {
   const Resources Free = freeRoom(A);
-  const double Share = static_cast<double>(Free.Cpu_) /
-                       std::max<double>(1, A.Report_.Capacity_.Cpu_);
+  const double Left = static_cast<double>(Free.Cpu_ - W.Need_.Cpu_) /
+                      std::max<double>(1, A.Report_.Capacity_.Cpu_);
+  const double Share = W.Tight_ ? -Left : Left;
   const double Slow = A.Report_.SlownessPermille_ / MedianSlowness_ - 1;
   const double Zone = A.Report_.Zone_ == Zone_ ? OwnZoneBonus : 0;
   const double Near =
-      !Rack.empty() && A.Report_.Rack_ == Rack ? DataRackBonus : 0;
+      !W.Rack_.empty() && A.Report_.Rack_ == W.Rack_ ? DataRackBonus : 0;
   return Share + Zone + Near - SlownessWeight * Slow;
 }
 
@@ -117,7 +129,7 @@
     if (A.SetAside_ && A.Running_ > 0)
       continue;
     ++Fitting;
-    const double Score = score(A, W.Rack_);
+    const double Score = score(A, W);
     if (!Best || Score > BestScore) {
       Best = &A;
       BestScore = Score;
@@ -126,7 +138,8 @@
   return Best || HasOther ? Best : Last;
 }
 
-RunAgents::Totals RunAgents::totals(const ServiceName &Service) const {
+RunAgents::Totals RunAgents::totals(const ServiceName &Service,
+                                    const Resources &Need) const {
   Totals T;
   for (const auto &[Peer, A] : Agents_) {
     if (A.Report_.Service_ != Service)
@@ -137,8 +150,10 @@
     if (!A.Report_.Usable_ || A.Suspected_ || A.SetAside_)
       continue;
     ++T.Usable_;
-    T.CapacityCpu_ += A.Report_.Capacity_.Cpu_;
-    T.FreeCpu_ += freeRoom(A).Cpu_;
+    const Resources Free = freeRoom(A);
+    T.FreeCpu_ += Free.Cpu_;
+    T.Places_ += places(A.Report_.Capacity_, Need);
+    T.FreePlaces_ += places(Free, Need);
   }
   return T;
 }
--- a/src/run_agents.h
+++ b/src/run_agents.h
@@ -55,6 +55,9 @@
     RackName Rack_;
     /// Name of an agent that is taken only if there is no other.
     std::optional<std::string> Avoid_;
+    /// Prefers the endpoint that is left with the least room, so that little is
+    /// lost in pieces too small for a run.
+    bool Tight_ = false;
   };
   /// The agent at which a run is best started now; null if none has room.
   RunAgent *choose(const Wish &W);
@@ -62,22 +65,25 @@
   static void reserve(RunAgent &A, std::uint64_t Sequence, Resources Need);
   static Resources freeRoom(const RunAgent &A);
 
+  /// Room of the usable endpoints of a service. A place is room for one run of
+  /// the size asked for.
   struct Totals {
-    std::uint64_t CapacityCpu_ = 0;
+    std::uint64_t Places_ = 0;
+    std::uint64_t FreePlaces_ = 0;
     std::uint64_t FreeCpu_ = 0;
     std::uint32_t Usable_ = 0;
     /// Largest processor need that any endpoint could ever take.
     std::uint32_t LargestCpu_ = 0;
     std::uint32_t LargestMemoryMb_ = 0;
   };
-  Totals totals(const ServiceName &Service) const;
+  Totals totals(const ServiceName &Service, const Resources &Need) const;
 
   /// Compares the agents with each other and sets the conspicuous ones aside.
   /// Returns those whose state changed.
   std::vector<const RunAgent *> compare();
 
 private:
-  double score(const RunAgent &A, const RackName &Rack) const;
+  double score(const RunAgent &A, const Wish &W) const;
 
   ZoneName Zone_;
   std::mt19937_64 Random_;
