--- a/src/cli_process.h
+++ b/src/cli_process.h
@@ -11,6 +11,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -85,7 +86,11 @@
   }
   Io.run();
   Services.stop();
-  return ExitOk;
+  // Nothing is left to do. The destructors would wait for the threads of the
+  // log library, and a process that ends late is restarted late.
+  std::cout.flush();
+  std::fflush(nullptr);
+  std::_Exit(ExitOk);
 }
 
 /// A whole command: options, settings, --check-settings, the run, and reading
--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_agent.h"
 
 #include "clock.h"
+#include "endpoint_memory.h"
 #include "entry_presence.h"
 #include "http_server.h"
 #include "lease_plan.h"
@@ -70,8 +71,8 @@
   StatusServer MetricsServer_;
   PeerHub Hub_;
   EntryPresence Presence_;
+  EndpointMemory Memory_;
   asio::steady_timer Timer_;
-  SocketAddress Endpoint_;
   std::size_t Entries_ = 0;
   Time LastLookUp_;
   std::optional<Time> DrainEnd_;
@@ -96,7 +97,7 @@
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
       Presence_(Io, *Ports_.Store_, Log,
                 [this](const SocketAddress &Entry) { Hub_.addSeed(Entry); }),
-      Timer_(Io) {}
+      Memory_(Io, *Ports_.Store_, Log, Self_.Name_), Timer_(Io) {}
 
 PeerHandler DispatchAgent::Impl::makeHandler() {
   return {[this](const PeerUp &Up) {
@@ -127,8 +128,8 @@
   if (const auto *Life = std::get_if<EndpointLife>(&A)) {
     Reply->send({200, "application/json", {}, "{}"});
     apply(Gate_.onAnnounced(*Life, steadyNow()));
-    if (Gate_.life() && Gate_.life()->Id_ == Life->Id_)
-      Endpoint_ = Gate_.life()->Address_;
+    if (Gate_.life())
+      Memory_.keep(*Gate_.life());
   } else if (const auto *Gone = std::get_if<EndpointWithdrawn>(&A)) {
     Reply->send({200, "application/json", {}, "{}"});
     apply(Gate_.onWithdrawn(Gone->Id_, steadyNow()));
@@ -159,7 +160,7 @@
 void DispatchAgent::Impl::perform(MakeStart Make) {
   const Time Sent = steadyNow();
   Ports_.Endpoint_->start(
-      Endpoint_, Make.Call_, CallTimeout,
+      Settings_.Endpoint_, Make.Call_, CallTimeout,
       [Self = shared_from_this(), Id = Make.Id_,
        Sent](const StartStopAnswer &A) {
         if (Self->Stopped_)
@@ -175,7 +176,7 @@
 
 void DispatchAgent::Impl::perform(const MakeStop &Make) {
   Ports_.Endpoint_->stop(
-      Endpoint_, Make.Call_, CallTimeout,
+      Settings_.Endpoint_, Make.Call_, CallTimeout,
       [Self = shared_from_this(), Id = Make.Id_](const StartStopAnswer &A) {
         if (!Self->Stopped_)
           Self->apply(Self->Gate_.onStopAnswer(Id, A, steadyNow()));
@@ -184,7 +185,7 @@
 
 void DispatchAgent::Impl::perform(const MakeHold &Make) {
   Ports_.Endpoint_->hold(
-      Endpoint_, Make.Call_, Make.Call_.Wait_ + CallTimeout,
+      Settings_.Endpoint_, Make.Call_, Make.Call_.Wait_ + CallTimeout,
       [Self = shared_from_this(), Id = Make.Id_](const Result<HoldAnswer> &A) {
         if (!Self->Stopped_)
           Self->apply(Self->Gate_.onHoldAnswer(Id, A, steadyNow()));
@@ -255,6 +256,9 @@
                                         {"agent", I.Self_.str()},
                                         {"listen", value(Local).str()}});
   I.tick();
+  I.Memory_.recall([&I](const EndpointLife &Life) {
+    I.apply(I.Gate_.onRecalled(Life, steadyNow()));
+  });
   return I.Hub_.start();
 }
 
@@ -283,6 +287,7 @@
   Impl_->Stopped_ = true;
   Impl_->Timer_.cancel();
   Impl_->Presence_.stop();
+  Impl_->Memory_.stop();
   Impl_->Http_.close();
   Impl_->MetricsServer_.close();
   Impl_->Hub_.stop();
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "config_feed.h"
+#include "drain_plan.h"
 #include "entry_presence.h"
 #include "http_server.h"
 #include "lease_plan.h"
@@ -32,18 +33,6 @@
 constexpr std::uint32_t MaxConnections = 3000;
 constexpr Duration ReadTimeout = std::chrono::seconds(3);
 constexpr Duration IdleTimeout = std::chrono::seconds(60);
-// The balancer stops sending connections two missed checks, at one a second,
-// after the process reports itself not ready.
-constexpr Duration BalancerDelay = std::chrono::milliseconds(2600);
-// Parts of the time until the kill: from the first on new requests are refused,
-// at the second everything still open is answered.
-constexpr double RefuseShare = 0.6;
-constexpr double EndShare = 0.92;
-
-Duration share(Duration Whole, double Part) {
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(Whole.count()) * Part));
-}
 
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
@@ -97,8 +86,7 @@
   std::map<JobNumber, std::vector<Waiting>> Waiting_;
   std::vector<PeerId> Entries_;
   std::size_t Agents_ = 0;
-  std::optional<Time> DrainStart_;
-  bool Refusing_ = false;
+  std::optional<DrainPlan> Drain_;
   std::optional<bool> WasReady_;
   bool Stopped_ = false;
 };
@@ -242,7 +230,7 @@
 // refused before anything of it runs.
 void DispatchEntry::Impl::onSubmit(SubmitRequest Request,
                                    const HttpReplyPtr &Reply, Time Now) {
-  if (Refusing_) {
+  if (Drain_ && !Drain_->mayTake(Request.Job_.Estimate_, Now)) {
     Log_.write(events::JobRefused,
                {{"job", Request.Job_.Key_.str()}, {"code", "draining"}});
     Reply->send(
@@ -316,7 +304,7 @@
 
 // Ready with a configuration and an endpoint to send work to.
 bool DispatchEntry::Impl::ready() {
-  return Config_ && !DrainStart_ && Dispatcher_.anyUsable();
+  return Config_ && !Drain_ && Dispatcher_.anyUsable();
 }
 
 void DispatchEntry::Impl::checkReady() {
@@ -329,7 +317,7 @@
       {{"ready", Ready ? "true" : "false"},
        {"version", std::to_string(Config_ ? Config_->version().value() : 0)},
        {"agents", std::to_string(Agents_)},
-       {"draining", DrainStart_ ? "true" : "false"}});
+       {"draining", Drain_ ? "true" : "false"}});
 }
 
 HttpResponse DispatchEntry::Impl::metrics() {
@@ -372,9 +360,9 @@
 }
 
 void DispatchEntry::Impl::drain() {
-  if (DrainStart_)
+  if (Drain_)
     return;
-  DrainStart_ = steadyNow();
+  Drain_.emplace(steadyNow(), Settings_.Grace_);
   Http_.closeAfterReplies();
   Log_.write(events::DrainStarted,
              {{"entry", Self_.str()},
@@ -384,17 +372,11 @@
 }
 
 // Callers go on using their open connections, and new ones come until the
-// balancer has noticed; each response closes its connection. The process ends
-// when nobody is left, or shortly before it would be killed.
+// balancer has noticed; each response closes its connection.
 void DispatchEntry::Impl::advanceDrain(Time Now) {
-  if (!DrainStart_)
-    return;
-  const Duration Since = Now - *DrainStart_;
-  if (Since < BalancerDelay)
+  if (!Drain_)
     return;
-  Refusing_ = Since >= share(Settings_.Grace_, RefuseShare);
-  const bool Last = Since >= share(Settings_.Grace_, EndShare);
-  if (Last) {
+  if (Drain_->mustEnd(Now)) {
     std::vector<JobNumber> Left;
     for (const auto &[Number, List] : Waiting_)
       Left.push_back(Number);
@@ -402,7 +384,7 @@
       Dispatcher_.giveUp(Number, "draining", Now);
     apply();
   }
-  if (Last || (Dispatcher_.jobs() == 0 && Refusing_)) {
+  if (Drain_->mayEnd(Dispatcher_.jobs(), Http_.connections(), Now)) {
     Http_.drain();
     Io_.stop();
   }
--- a/src/dispatch_ports.h
+++ b/src/dispatch_ports.h
@@ -75,7 +75,9 @@
   /// The operators' records; this product only reads them.
   Operators,
   /// Addresses of entries by name.
-  Entries
+  Entries,
+  /// The endpoint's present life by the name of its agent.
+  Endpoints
 };
 
 struct StoreRecord {
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "dispatcher.h"
 
 #include <algorithm>
-#include <array>
 
 namespace chivelanding {
 namespace {
@@ -14,14 +13,11 @@
 constexpr Duration ReportLife = std::chrono::milliseconds(400);
 // Part of a job's slack, which is its time objective less its expected length,
 // that it may wait for its first run: later it would end too late.
-constexpr double WaitShare = 0.8;
+constexpr double WaitShare = 0.6;
 // The answer leaves this much before the caller's patience ends.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(30);
 // Below this share of free places, runs are packed rather than spread.
 constexpr double TightShare = 0.15;
-// Share of the fleet that stays free of runs of a class, so that more urgent
-// jobs start at once when the less urgent ones press.
-constexpr std::array<double, 3> FreeShare = {0.0, 0.03, 0.06};
 // Bounds of the moves of one task off slow endpoints, and the factor by which
 // staying must be worse than moving.
 constexpr std::uint32_t MaxMoves = 2;
@@ -177,14 +173,6 @@
   Queue_.insert({J.Spec_.Route_.Class_, J.Number_});
 }
 
-bool Dispatcher::mayTake(const Job &J, const RunAgents::Totals &T) const {
-  const auto Class = std::min<std::size_t>(J.Spec_.Route_.Class_.value(),
-                                           FreeShare.size() - 1);
-  return T.FreePlaces_ > 0 &&
-         static_cast<double>(T.FreePlaces_ - 1) >=
-             FreeShare[Class] * static_cast<double>(T.Places_);
-}
-
 // The first job that cannot have all the room it asks for keeps the later ones
 // of its service waiting: wide jobs would otherwise never start beside narrow
 // ones. It takes what room there is, task by task.
@@ -215,7 +203,7 @@
     Task &Waiting = J.Tasks_[I];
     if (Waiting.State_ != State::Waiting)
       continue;
-    if (!mayTake(J, T))
+    if (T.FreePlaces_ == 0)
       break;
     RunAgent *A = Agents_.choose({J.Spec_.Route_.Service_, J.Spec_.Need_,
                                   J.Spec_.Rack_, Waiting.Avoid_, Tight});
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -143,7 +143,6 @@
   void enqueue(const Job &J);
   void placeWaiting(Time Now);
   bool placeJob(Job &J, Time Now);
-  bool mayTake(const Job &J, const RunAgents::Totals &T) const;
   Duration expectedWait(const Job &J) const;
   void refuse(Job &J, const char *Code, Time Now);
   void answer(Job &J, JobEnding Ending, const char *Code,
--- /dev/null
+++ b/src/drain_plan.h
@@ -0,0 +1,31 @@
+#ifndef CHIVELANDING_DRAIN_PLAN_H
+#define CHIVELANDING_DRAIN_PLAN_H
+
+#include "types.h"
+
+#include <cstddef>
+
+namespace chivelanding {
+
+/// What an entry still does between the request to end and its end. Decides
+/// without I/O.
+class DrainPlan {
+public:
+  /// Grace is the time from Start until the process is killed.
+  DrainPlan(Time Start, Duration Grace);
+
+  /// True if a job whose tasks take this long can still be answered.
+  bool mayTake(Duration Estimate, Time Now) const;
+  /// True if the process may end.
+  bool mayEnd(std::size_t Jobs, std::size_t Connections, Time Now) const;
+  /// True if every job that is left has to be answered now.
+  bool mustEnd(Time Now) const { return Now >= End_; }
+
+private:
+  Time Start_;
+  Time End_;
+};
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/endpoint_memory.cpp
@@ -0,0 +1,149 @@
+#include "endpoint_memory.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace chivelanding {
+namespace {
+
+using Json = nlohmann::json;
+
+// Time for an answer of the store. A restarted agent gets the announcement of
+// its endpoint a second or two after its start anyway.
+constexpr Duration AnswerTime = std::chrono::seconds(1);
+// Pause after a record was not stored.
+constexpr auto RetryPause = std::chrono::seconds(2);
+
+std::uint32_t amount(const Json &Value) { return Value.get<std::uint32_t>(); }
+
+} // namespace
+
+std::string encodeLife(const EndpointLife &Life) {
+  return Json({{"id", Life.Id_},
+               {"born", Life.Born_},
+               {"service", Life.Service_.str()},
+               {"zone", Life.Zone_.str()},
+               {"rack", Life.Rack_.str()},
+               {"cpu", Life.Capacity_.Cpu_},
+               {"memory_mb", Life.Capacity_.MemoryMb_},
+               {"accelerators", Life.Capacity_.Accelerators_},
+               {"leaving", Life.Leaving_}})
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<EndpointLife> parseLife(const std::string &Text) {
+  try {
+    const Json J = Json::parse(Text);
+    EndpointLife L;
+    L.Id_ = J.at("id").get<std::string>();
+    L.Born_ = J.at("born").get<std::uint64_t>();
+    L.Service_ = ServiceName(J.at("service").get<std::string>());
+    L.Zone_ = ZoneName(J.at("zone").get<std::string>());
+    L.Rack_ = RackName(J.at("rack").get<std::string>());
+    L.Capacity_ = {amount(J.at("cpu")), amount(J.at("memory_mb")),
+                   amount(J.at("accelerators"))};
+    L.Leaving_ = J.at("leaving").get<bool>();
+    return L;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+struct EndpointMemory::Impl
+    : std::enable_shared_from_this<EndpointMemory::Impl> {
+  Impl(boost::asio::io_context &Io, RecordStore &Store, EventLog &Log,
+       std::string Name)
+      : Store_(Store), Log_(Log), Timer_(Io) {
+    Record_.Key_ = std::move(Name);
+  }
+
+  void put();
+  void onPut(const Result<Done> &R);
+  void failed(const char *Use, const Error &E);
+
+  RecordStore &Store_;
+  EventLog &Log_;
+  boost::asio::steady_timer Timer_;
+  StoreRecord Record_;
+  std::string Stored_;
+  bool Putting_ = false;
+  bool Stopped_ = false;
+};
+
+void EndpointMemory::Impl::failed(const char *Use, const Error &E) {
+  Log_.write(events::StoreUnavailable, {{"use", Use}, {"error", E.str()}});
+}
+
+// One call at a time: a later value must not be overtaken by an earlier one.
+void EndpointMemory::Impl::put() {
+  if (Putting_ || Stopped_ || Record_.Value_ == Stored_)
+    return;
+  Putting_ = true;
+  Store_.put(StoreStream::Endpoints, Record_, AnswerTime,
+             [Self = shared_from_this(),
+              Sent = Record_.Value_](const Result<Done> &R) {
+               Self->Putting_ = false;
+               if (ok(R))
+                 Self->Stored_ = Sent;
+               Self->onPut(R);
+             });
+}
+
+void EndpointMemory::Impl::onPut(const Result<Done> &R) {
+  if (Stopped_)
+    return;
+  if (ok(R)) {
+    put();
+    return;
+  }
+  failed("endpoint", error(R));
+  Timer_.expires_after(RetryPause);
+  Timer_.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Ec) {
+        if (!Ec)
+          Self->put();
+      });
+}
+
+EndpointMemory::EndpointMemory(boost::asio::io_context &Io, RecordStore &Store,
+                               EventLog &Log, std::string AgentName)
+    : Impl_(std::make_shared<Impl>(Io, Store, Log, std::move(AgentName))) {}
+
+EndpointMemory::~EndpointMemory() { stop(); }
+
+void EndpointMemory::recall(std::function<void(const EndpointLife &)> OnLife) {
+  Impl_->Store_.newest(StoreStream::Endpoints, AnswerTime,
+                       [Self = Impl_, OnLife = std::move(OnLife)](
+                           const Result<StoreRecords> &R) {
+                         if (Self->Stopped_)
+                           return;
+                         if (!ok(R)) {
+                           Self->failed("endpoint", error(R));
+                           return;
+                         }
+                         for (const StoreRecord &Record : value(R).Records_) {
+                           const auto Life = Record.Key_ == Self->Record_.Key_
+                                                 ? parseLife(Record.Value_)
+                                                 : std::nullopt;
+                           if (!Life)
+                             continue;
+                           if (Self->Record_.Value_.empty())
+                             Self->Stored_ = Record.Value_;
+                           OnLife(*Life);
+                         }
+                       });
+}
+
+void EndpointMemory::keep(const EndpointLife &Life) {
+  Impl_->Record_.Value_ = encodeLife(Life);
+  Impl_->put();
+}
+
+void EndpointMemory::stop() {
+  Impl_->Stopped_ = true;
+  Impl_->Timer_.cancel();
+}
+
+} // namespace chivelanding
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -21,7 +21,7 @@
 // Bounds of the pause before an address is dialled again. It doubles with each
 // failure, and a random part keeps the processes of a zone apart when they
 // return together.
-constexpr std::int64_t FirstDialPauseUs = 200'000;
+constexpr std::int64_t FirstDialPauseUs = 50'000;
 constexpr std::int64_t LastDialPauseUs = 2'000'000;
 
 EntryDirectory directoryOf(const PeerId &Self, const RegionName &Region) {
--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -131,6 +131,7 @@
   if (Same && Life.Leaving_ && !Life_->Leaving_)
     log(events::EndpointLeaving,
         {{"endpoint", Life.Id_}, {"runs", std::to_string(Runs_.size())}});
+  Recalled_ = false;
   Life_ = Life;
   syncClock(Life.ClockMs_, Now);
   if (Changed)
@@ -138,6 +139,17 @@
   return take(Now);
 }
 
+RunGateOutputs RunGate::onRecalled(const EndpointLife &Life, Time Now) {
+  if (!Life_) {
+    EndpointLife Recalled = Life;
+    Recalled.Sequence_ = 0;
+    Recalled.ClockMs_ = 0;
+    beginLife(Recalled, Now);
+    Recalled_ = true;
+  }
+  return take(Now);
+}
+
 // A new life has nothing of the former one. Only orders that were never
 // answered can still reach it, if it has the same id; they stay until a stop of
 // them is confirmed by the new life.
@@ -454,6 +466,11 @@
   Calls_.erase(Found);
   Holds_.erase(Id);
   if (!ok(A)) {
+    if (Recalled_ && error(A).Code_ == "other_life") {
+      Recalled_ = false;
+      Life_.reset();
+      return take(Now);
+    }
     if (C.LeaseEndMs_ && error(A).Code_ != "connect_failed")
       LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
     if (error(A).Code_ == "stale_token")
@@ -470,6 +487,8 @@
       Next.Sequence_ = 0;
       Next.ClockMs_ = H.ClockMs_;
       Next.Leaving_ = false;
+      // It may be of another kind, which only its announcement tells.
+      Next.Capacity_ = {};
       beginLife(Next, Now);
     }
     return take(Now);
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -74,6 +74,9 @@
   RunGate(RunGateLimits Limits, std::uint64_t Token);
 
   RunGateOutputs onAnnounced(const EndpointLife &Life, Time Now);
+  /// The endpoint's life as kept from before this process, unless it has
+  /// announced itself already. It is used only if the endpoint confirms it.
+  RunGateOutputs onRecalled(const EndpointLife &Life, Time Now);
   /// The endpoint's life of this id has ended in an orderly way.
   RunGateOutputs onWithdrawn(const std::string &Id, Time Now);
   RunGateOutputs onEntryUp(const EntryId &Entry, Time Now);
@@ -175,6 +178,8 @@
   /// The endpoint lists no run that this process does not know.
   bool Clean_ = false;
   bool Draining_ = false;
+  /// Life_ is from a former process, and the endpoint has not announced it yet.
+  bool Recalled_ = false;
   Time NextHold_;
   /// Runs of former processes or of late orders, by the time of the last stop.
   std::map<TaskKey, Time> Foreign_;
