Test the parts of the dispatch processes

Drain, leases, health, kept lives, the configuration feed, presence and the log, each against the failure that its comment names. No functional change.

--- /dev/null
+++ b/tests/dispatch_parts_test.cpp
@@ -0,0 +1,366 @@
+#include "config_feed.h"
+#include "drain_plan.h"
+#include "endpoint_memory.h"
+#include "entry_presence.h"
+#include "lease_plan.h"
+#include "log_output.h"
+#include "run_gate.h"
+#include "run_health.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <deque>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace chivelanding;
+using std::chrono::milliseconds;
+
+namespace {
+
+Time at(std::int64_t Ms) { return Time(milliseconds(Ms)); }
+
+// A store in memory that fails as many calls as it is told to.
+class MemoryStore : public RecordStore {
+public:
+  explicit MemoryStore(boost::asio::io_context &Io) : Io_(Io) {}
+
+  void newest(StoreStream Stream, Duration, RecordsCallback Done) override {
+    ++Newest_;
+    answer(Done, [this, Stream] {
+      StoreRecords R;
+      for (const auto &[Key, Value] : Newest[Stream])
+        R.Records_.push_back({Key, Value});
+      R.Next_ = Log[Stream].size();
+      return R;
+    });
+  }
+
+  void follow(StoreStream Stream, std::uint64_t Offset, Duration, Duration,
+              RecordsCallback Done) override {
+    if (Offset >= Log[Stream].size() && Failures_ == 0) {
+      Followers_.emplace_back(Stream, Offset, std::move(Done));
+      return;
+    }
+    answer(Done, [this, Stream, Offset] {
+      StoreRecords R;
+      for (std::size_t I = Offset; I < Log[Stream].size(); ++I)
+        R.Records_.push_back(Log[Stream][I]);
+      R.Next_ = Log[Stream].size();
+      return R;
+    });
+  }
+
+  void put(StoreStream Stream, const StoreRecord &Record, Duration,
+           std::function<void(const Result<chivelanding::Done> &)> Callback)
+      override {
+    ++Puts_;
+    if (Failures_ > 0) {
+      --Failures_;
+      boost::asio::post(Io_, [Callback] {
+        Callback(Error{"refused", "call the store", "store", "status 503"});
+      });
+      return;
+    }
+    write(Stream, Record);
+    boost::asio::post(Io_, [Callback] { Callback(chivelanding::Done()); });
+  }
+
+  const std::string &configKey() const override { return Key_; }
+
+  void write(StoreStream Stream, const StoreRecord &Record) {
+    Newest[Stream][Record.Key_] = Record.Value_;
+    Log[Stream].push_back(Record);
+    auto Waiting = std::move(Followers_);
+    Followers_.clear();
+    for (auto &[S, Offset, Done] : Waiting)
+      follow(S, Offset, Duration(0), Duration(0), std::move(Done));
+  }
+
+  // Ends the waiting calls as if their connections were lost.
+  void breakFollowers() {
+    auto Waiting = std::move(Followers_);
+    Followers_.clear();
+    for (auto &[S, Offset, Done] : Waiting)
+      Done(Error{"timeout", "call the store", "store", ""});
+  }
+
+  int Failures_ = 0;
+  int Puts_ = 0;
+  int Newest_ = 0;
+  std::map<StoreStream, std::map<std::string, std::string>> Newest;
+  std::map<StoreStream, std::vector<StoreRecord>> Log;
+
+private:
+  template <typename Make>
+  void answer(const RecordsCallback &Done, const Make &MakeRecords) {
+    if (Failures_ > 0) {
+      --Failures_;
+      boost::asio::post(Io_, [Done] {
+        Done(Error{"refused", "call the store", "store", "status 503"});
+      });
+      return;
+    }
+    boost::asio::post(
+        Io_, [Done, R = MakeRecords()] { Done(Result<StoreRecords>(R)); });
+  }
+
+  boost::asio::io_context &Io_;
+  std::string Key_ = "config";
+  std::vector<std::tuple<StoreStream, std::uint64_t, RecordsCallback>>
+      Followers_;
+};
+
+// The log library supports only one start in a process.
+EventLog &testLog() {
+  static EventLog Log("error");
+  return Log;
+}
+
+EndpointLife life() {
+  EndpointLife L;
+  L.Id_ = "w";
+  L.Born_ = 5;
+  L.Service_ = ServiceName("s");
+  L.Zone_ = ZoneName("z");
+  L.Rack_ = RackName("r");
+  L.Capacity_ = {4000, 100, 1};
+  L.Sequence_ = 9;
+  return L;
+}
+
+template <typename T> const T *firstOf(const RunGateOutputs &Out) {
+  for (const RunGateOutput &O : Out)
+    if (const auto *Match = std::get_if<T>(&O))
+      return Match;
+  return nullptr;
+}
+
+} // namespace
+
+// Guards against a draining entry that refuses what it could finish, takes what
+// it could not, or stays until it is killed.
+TEST_CASE("A draining entry takes jobs that end in time", "[drain]") {
+  const DrainPlan Plan(at(0), milliseconds(6000));
+  CHECK(Plan.mayTake(milliseconds(900), at(3000)));
+  CHECK(!Plan.mayTake(milliseconds(900), at(4000)));
+  CHECK(Plan.mayTake(milliseconds(60), at(4500)));
+  CHECK(!Plan.mayTake(milliseconds(60), at(5300)));
+  // The balancer may still send callers.
+  CHECK(!Plan.mayEnd(0, 0, at(1000)));
+  CHECK(Plan.mayEnd(0, 0, at(2700)));
+  CHECK(!Plan.mayEnd(0, 3, at(2700)));
+  CHECK(!Plan.mayEnd(1, 3, at(5300)));
+  CHECK(Plan.mayEnd(0, 3, at(5300)));
+  CHECK(Plan.mayEnd(5, 3, at(5400)));
+}
+
+// Guards against leases that let runs of a lost entry live until its callers
+// have submitted the job elsewhere.
+TEST_CASE("Owner lease and stop fit into the callers' pause", "[leases]") {
+  for (const int RetryMs : {600, 1300, 5000}) {
+    LeaseSettings S;
+    S.CallerRetry_ = milliseconds(RetryMs);
+    const RunGateLimits L = planGateLimits(S);
+    CHECK(L.OwnerLease_ + 2 * L.StopTime_ < S.CallerRetry_);
+    CHECK(L.EndpointLease_ < S.MaxEndpointLease_);
+    const DispatchLimits D = planDispatchLimits(S);
+    CHECK(D.OwnerLease_ == L.OwnerLease_);
+    CHECK(D.EndpointLease_ == L.EndpointLease_);
+  }
+}
+
+// Guards against one odd run that condemns an endpoint, and against figures
+// that never recover.
+TEST_CASE("Health needs several runs and forgets", "[run_health]") {
+  RunHealth H;
+  H.onLength(milliseconds(2000), milliseconds(100), at(0));
+  CHECK(H.slownessPermille(at(0)) < 1800);
+  for (int I = 0; I < 10; ++I)
+    H.onLength(milliseconds(500), milliseconds(100), at(I));
+  CHECK(H.slownessPermille(at(10)) > 2500);
+  CHECK(H.slownessPermille(at(30000)) < 1100);
+  H.onFailure(at(30000));
+  CHECK(H.failedPermille(at(30000)) < 450);
+  for (int I = 0; I < 4; ++I)
+    H.onFailure(at(30001));
+  CHECK(H.failedPermille(at(30001)) > 450);
+  CHECK(H.failedPermille(at(40000)) < 50);
+}
+
+// Guards against a kept life that is read back with other values, and against
+// foreign text that ends the process.
+TEST_CASE("A kept life survives the store", "[endpoint_memory]") {
+  const auto Read = parseLife(encodeLife(life()));
+  REQUIRE(Read);
+  CHECK(Read->Id_ == "w");
+  CHECK(Read->Born_ == 5);
+  CHECK(Read->Rack_ == RackName("r"));
+  CHECK(Read->Capacity_ == life().Capacity_);
+  CHECK(!parseLife(""));
+  CHECK(!parseLife("{}"));
+  CHECK(!parseLife(R"({"id":7})"));
+}
+
+// Guards against a life that is not stored after an outage of the store.
+TEST_CASE("A life is stored once the store accepts it", "[endpoint_memory]") {
+  boost::asio::io_context Io;
+  EventLog &Log = testLog();
+  MemoryStore Store(Io);
+  EndpointMemory Memory(Io, Store, Log, "agent-1");
+  Store.Failures_ = 1;
+  Memory.keep(life());
+  Io.run();
+  CHECK(Store.Puts_ == 2);
+  CHECK(Store.Newest[StoreStream::Endpoints].count("agent-1") == 1);
+  Memory.keep(life());
+  CHECK(Store.Puts_ == 2);
+}
+
+// Guards against starts at an endpoint that is not the one that was kept.
+TEST_CASE("A recalled life is used only if confirmed", "[endpoint_memory]") {
+  RunGate Gate(RunGateLimits(), 1);
+  Gate.onRecalled(life(), at(0));
+  auto Out = Gate.onTimer(at(0));
+  const auto *Hold = firstOf<MakeHold>(Out);
+  REQUIRE(Hold);
+  CHECK(Hold->Call_.Endpoint_ == "w");
+  SECTION("The same life") {
+    HoldAnswer A;
+    A.ClockMs_ = 70;
+    A.Born_ = 5;
+    Gate.onHoldAnswer(Hold->Id_, A, at(1));
+    CHECK(Gate.usable());
+  }
+  SECTION("Another life with the same id may be of another kind") {
+    HoldAnswer A;
+    A.ClockMs_ = 70;
+    A.Born_ = 6;
+    Gate.onHoldAnswer(Hold->Id_, A, at(1));
+    CHECK(!Gate.usable());
+    CHECK(Gate.life()->Capacity_.Cpu_ == 0);
+  }
+  SECTION("Another id") {
+    Gate.onHoldAnswer(Hold->Id_, Error{"other_life", "", "", ""}, at(1));
+    CHECK(!Gate.life());
+  }
+  SECTION("An announcement goes first") {
+    EndpointLife Announced = life();
+    Announced.Id_ = "w2";
+    Announced.Born_ = 8;
+    Gate.onAnnounced(Announced, at(1));
+    Gate.onRecalled(life(), at(2));
+    CHECK(Gate.life()->Id_ == "w2");
+  }
+}
+
+// Guards against a change that is missed after an error or a lost connection,
+// and against one that is applied twice.
+TEST_CASE("The feed gets each configuration", "[config_feed]") {
+  boost::asio::io_context Io;
+  EventLog &Log = testLog();
+  MemoryStore Store(Io);
+  std::vector<std::string> Seen;
+  ConfigFeed Feed(Io, Store, Log,
+                  [&](const std::string &Text) { Seen.push_back(Text); });
+  Store.write(StoreStream::Operators, {"config", "one"});
+  Store.Failures_ = 2;
+  Feed.start();
+  Io.run();
+  CHECK(Seen == std::vector<std::string>{"one"});
+  CHECK(Feed.available());
+  Io.restart();
+  Store.write(StoreStream::Operators, {"wave/1", "other"});
+  Store.write(StoreStream::Operators, {"config", "two"});
+  Io.run();
+  CHECK(Seen == std::vector<std::string>{"one", "two"});
+  Io.restart();
+  Store.breakFollowers();
+  Store.write(StoreStream::Operators, {"config", "three"});
+  Io.run();
+  CHECK(Seen.back() == "three");
+  Feed.stop();
+}
+
+// Guards against addresses of entries that are lost or made up.
+TEST_CASE("Entries find each other in the store", "[presence]") {
+  boost::asio::io_context Io;
+  EventLog &Log = testLog();
+  MemoryStore Store(Io);
+  Store.write(StoreStream::Entries, {"e2", "10.0.0.2:7000"});
+  Store.write(StoreStream::Entries, {"e3", "no address"});
+  Store.write(StoreStream::Entries, {"e4", "10.0.0.4:0"});
+  std::vector<std::string> Found;
+  EntryPresence Presence(Io, Store, Log, [&](const SocketAddress &A) {
+    Found.push_back(A.str());
+  });
+  Presence.announce("e1", {"10.0.0.1", 7000});
+  Io.run();
+  CHECK(Found == std::vector<std::string>{"10.0.0.2:7000"});
+  CHECK(Store.Newest[StoreStream::Entries]["e1"] == "10.0.0.1:7000");
+}
+
+// Guards against a process that waits for the reader of its log.
+TEST_CASE("A log without a reader holds nothing up", "[log]") {
+  std::array<int, 2> Pipe{};
+  REQUIRE(::pipe(Pipe.data()) == 0);
+  LogOutput Output(Pipe[1], 16u << 10);
+  const std::string Line(100, 'x');
+  int Dropped = 0;
+  for (int I = 0; I < 5000; ++I)
+    Dropped += Output.add(Line) ? 0 : 1;
+  CHECK(Dropped > 0);
+  CHECK(Output.buffered() <= 16u << 10);
+  // Once somebody reads, whole lines arrive again.
+  std::string Read;
+  std::array<char, 4096> Part{};
+  ::fcntl(Pipe[0], F_SETFL, O_NONBLOCK);
+  for (int I = 0; I < 200; ++I) {
+    Output.flush();
+    const auto Bytes = ::read(Pipe[0], Part.data(), Part.size());
+    if (Bytes > 0)
+      Read.append(Part.data(), static_cast<std::size_t>(Bytes));
+  }
+  CHECK(Output.buffered() == 0);
+  CHECK(Read.size() % 101 == 0);
+  CHECK(Read.size() / 101 == static_cast<std::size_t>(5000 - Dropped));
+  ::close(Pipe[0]);
+  ::close(Pipe[1]);
+}
+
+// Guards against one event that takes the whole volume of the log.
+TEST_CASE("Lines of one event are bounded a second", "[log]") {
+  LogRate Rate(3);
+  int Admitted = 0;
+  for (int I = 0; I < 10; ++I)
+    Admitted += Rate.admit(300, 7) ? 1 : 0;
+  CHECK(Admitted == 3);
+  CHECK(Rate.admit(301, 7));
+  CHECK(Rate.admit(300, 8));
+}
+
+// Guards against lines that a collector cannot parse.
+TEST_CASE("A JSON line is valid whatever its values", "[log]") {
+  const Event E{&events::JobRefused,
+                {{"job", "0123456789012345"},
+                 {"detail", "a \"quoted\"\n\\ \xff value"},
+                 {"age_ms", "12"},
+                 {"zero", "0"},
+                 {"code", "007"},
+                 {"none", ""}}};
+  const auto Line = nlohmann::json::parse(E.json(1700000000123));
+  CHECK(Line["event"] == "job_refused");
+  CHECK(Line["time_ms"] == 1700000000123);
+  CHECK(Line["job"] == "0123456789012345");
+  CHECK(Line["age_ms"] == 12);
+  CHECK(Line["zero"] == 0);
+  CHECK(Line["code"] == "007");
+  CHECK(Line["none"] == "");
+}
