--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -403,6 +403,10 @@
   const auto Peers = I.Hub_.listen(I.Settings_.PeerListen_);
   if (!ok(Peers))
     return error(Peers);
+  const SocketAddress &Reached = I.Settings_.PeerAdvertise_.Port_ != 0
+                                     ? I.Settings_.PeerAdvertise_
+                                     : I.Settings_.PeerListen_;
+  I.Hub_.advertise(Reached);
   const auto Ready = I.Ready_.listen(I.Settings_.ReadyListen_);
   if (!ok(Ready))
     return error(Ready);
@@ -423,13 +427,15 @@
                 {"zone", I.Settings_.Process_.Zone_.str()}});
   I.tick();
   I.Feed_.start();
-  I.Presence_.announce(I.Self_.Name_, I.Settings_.PeerListen_);
+  I.Presence_.announce(I.Self_.Name_, Reached);
   return I.Hub_.start();
 }
 
 void DispatchEntry::addSeeds(const std::vector<SocketAddress> &Seeds) {
+  const DispatchEntrySettings &S = Impl_->Settings_;
   for (const SocketAddress &Seed : Seeds)
-    if (Seed.Host_ != Impl_->Settings_.PeerListen_.Host_)
+    if (Seed.Host_ != S.PeerListen_.Host_ &&
+        Seed.Host_ != S.PeerAdvertise_.Host_)
       Impl_->Hub_.addSeed({Seed.Host_, Impl_->Settings_.PeerListen_.Port_});
 }
 
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -340,6 +340,10 @@
   return Bound;
 }
 
+void PeerHub::advertise(const SocketAddress &Address) {
+  Impl_->Listen_ = Address;
+}
+
 void PeerHub::addSeed(const SocketAddress &Address) {
   Impl_->targetFor(Address).IsSeed_ = true;
 }
--- a/src/peer_hub.h
+++ b/src/peer_hub.h
@@ -42,6 +42,8 @@
 
   /// Returns the bound address. Error code: listen_failed.
   Result<SocketAddress> listen(const SocketAddress &Address);
+  /// Has peers dial this address instead of the one that is listened on.
+  void advertise(const SocketAddress &Address);
   /// Dials this address whenever no entry that listens there is connected.
   void addSeed(const SocketAddress &Address);
   /// Queues a message; messages of one event loop round travel together. An
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -137,6 +137,8 @@
        "listener for metrics; off if not set"},
       {"peer_listen", &S::PeerListen_, 0, 0, true,
        "listener for agents and other entries"},
+      {"peer_advertise", &S::PeerAdvertise_, 0, 0, false,
+       "address at which peers reach `peer_listen`, if it is another one"},
       {"seeds", &S::Seeds_, 0, 64, false,
        "addresses on the VMs of other entries; the port is that of "
        "`peer_listen`"},
--- a/src/settings.h
+++ b/src/settings.h
@@ -95,6 +95,8 @@
   /// Metrics; port 0 if switched off.
   SocketAddress MetricsListen_;
   SocketAddress PeerListen_;
+  /// Address at which peers reach PeerListen_, if it is another one.
+  SocketAddress PeerAdvertise_;
   /// Other entries; their peer listeners have the port of PeerListen_.
   std::vector<SocketAddress> Seeds_;
   /// Time from SIGTERM until the process is killed.
