Report room on large changes only and group the runs of a job

Cause: every agent reported to every entry up to 50 times a second, and each entry renewed each agent's lease 8 times a second; with 77 agents that is thousands of frames a second at an entry of 0.12 core. Runs of one job went to as many agents as it has tasks, each with a copy of its payload.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -10,7 +10,7 @@
 constexpr double SlowestClock = 0.98;
 constexpr Duration LapseSlack = std::chrono::milliseconds(30);
 // A report older than this says nothing any more: two periods were missed.
-constexpr Duration ReportLife = std::chrono::milliseconds(400);
+constexpr Duration ReportLife = std::chrono::milliseconds(600);
 // Part of a job's slack, which is its time objective less its expected length,
 // that it may wait for its first run: later it would end too late.
 constexpr double WaitShare = 0.6;
@@ -28,6 +28,9 @@
 constexpr std::uint32_t MaxAttempts = 24;
 // A job is given up when less than this share of a task's length is left.
 constexpr double HopelessShare = 0.5;
+// Runs of one job that are ordered from one agent while there is plenty of
+// room: they share a message and a copy of the payload.
+constexpr std::uint32_t GroupedRuns = 4;
 // Period of the comparison of the agents.
 constexpr Duration ComparePeriod = std::chrono::milliseconds(100);
 // Weight of one run in the learned length factor of a route.
@@ -199,16 +202,26 @@
   const bool Tight = static_cast<double>(T.FreePlaces_) <
                      TightShare * static_cast<double>(T.Places_);
   std::map<PeerId, StartRuns> Orders;
+  RunAgent *Group = nullptr;
+  std::uint32_t GroupSize = 0;
   for (std::size_t I = 0; I < J.Tasks_.size() && J.Waiting_ > 0; ++I) {
     Task &Waiting = J.Tasks_[I];
     if (Waiting.State_ != State::Waiting)
       continue;
     if (T.FreePlaces_ == 0)
       break;
-    RunAgent *A = Agents_.choose({J.Spec_.Route_.Service_, J.Spec_.Need_,
-                                  J.Spec_.Rack_, Waiting.Avoid_, Tight});
+    const bool Grouped =
+        Group && !Tight && GroupSize < GroupedRuns &&
+        (!Waiting.Avoid_ || *Waiting.Avoid_ != Group->Peer_.Name_) &&
+        fits(J.Spec_.Need_, RunAgents::freeRoom(*Group)) && !Group->SetAside_;
+    RunAgent *A = Grouped
+                      ? Group
+                      : Agents_.choose({J.Spec_.Route_.Service_, J.Spec_.Need_,
+                                        J.Spec_.Rack_, Waiting.Avoid_, Tight});
     if (!A)
       continue;
+    GroupSize = A == Group ? GroupSize + 1 : 1;
+    Group = A;
     const auto [It, New] = Orders.try_emplace(A->Peer_);
     StartRuns &Order = It->second;
     if (New) {
@@ -493,11 +506,9 @@
 }
 
 void Dispatcher::renewHolds(Time Now) {
-  if (LastHold_ + Limits_.HoldPeriod_ > Now)
-    return;
-  LastHold_ = Now;
   for (auto &[Peer, A] : Agents_.all()) {
-    if (A.Running_ == 0 || A.Report_.AgentClock_ <= A.HeldClock_)
+    if (A.Running_ == 0 || A.Report_.AgentClock_ <= A.HeldClock_ ||
+        A.HeldFrom_ + Limits_.HoldAge_ > Now)
       continue;
     A.HeldClock_ = A.Report_.AgentClock_;
     A.HeldFrom_ = A.ReportedAt_;
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -72,8 +72,9 @@
   Duration EndpointLease_ = std::chrono::milliseconds(800);
   Duration OwnerLease_ = std::chrono::milliseconds(600);
   Duration StopTime_ = std::chrono::milliseconds(50);
-  /// Period of HoldRuns to agents with runs.
-  Duration HoldPeriod_ = std::chrono::milliseconds(120);
+  /// Age of an owner lease at which it is renewed, if the agent has reported
+  /// since: a third of the lease.
+  Duration HoldAge_ = std::chrono::milliseconds(200);
   std::uint32_t MaxJobs_ = 4096;
 };
 
@@ -177,7 +178,6 @@
   /// of a core.
   std::uint64_t OrderedCpu_ = 0;
   Time LastCompare_;
-  Time LastHold_;
   DispatchOutputs Out_;
 };
 
--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -23,6 +23,9 @@
 constexpr Duration FirstPrediction = std::chrono::milliseconds(40);
 // Pause between two predictions about one run that are told to its owner.
 constexpr Duration SlowPause = std::chrono::milliseconds(200);
+// A change of the room by more than one part in this many is told before the
+// next period. Smaller ones matter little to a choice among several endpoints.
+constexpr std::uint32_t LargeChange = 4;
 // Pause between two stops of the same foreign run.
 constexpr Duration ForeignPause = std::chrono::milliseconds(150);
 
@@ -71,6 +74,16 @@
     O.ReportDue_ = true;
 }
 
+void RunGate::roomChanged() {
+  if (!Life_)
+    return;
+  const std::uint32_t Free = freeRoom().Cpu_;
+  const std::uint32_t Large = Life_->Capacity_.Cpu_ / LargeChange;
+  for (auto &[Id, O] : Owners_)
+    if (Free > O.ToldCpu_ + Large || Free + Large < O.ToldCpu_)
+      O.ReportDue_ = true;
+}
+
 // The clock value was read before the answer travelled, so the true value is
 // not lower. Answers may overtake each other; an older value is not taken.
 void RunGate::syncClock(std::uint64_t ClockMs, Time Now) {
@@ -229,7 +242,6 @@
     O.SeenSequence_ = std::max(O.SeenSequence_, Start->Sequence_);
     for (const RunStart &R : Start->Runs_)
       startOne(From, *Start, R, Now);
-    O.ReportDue_ = true;
   } else if (const auto *Stop = std::get_if<StopRuns>(&M)) {
     for (const RunRef &Ref : Stop->Runs_) {
       const auto It = Runs_.find({Ref.Job_, Ref.Index_});
@@ -254,7 +266,6 @@
   if (It == Owners_.end())
     return;
   It->second.Ended_.push_back({std::move(Ref), Why, Duration(0)});
-  It->second.ReportDue_ = true;
 }
 
 void RunGate::startOne(const EntryId &From, const StartRuns &M,
@@ -296,7 +307,7 @@
   R.Ordered_ = Now;
   Held_ += R.Need_;
   makeStart(Key, Runs_.emplace(Key, std::move(R)).first->second, Now);
-  changed();
+  roomChanged();
 }
 
 void RunGate::makeStart(const TaskKey &Key, Run &R, Time Now) {
@@ -353,7 +364,7 @@
   if (O != Owners_.end())
     O->second.Ended_.push_back(
         {{It->first.Job_, It->first.Index_, R.Attempt_}, Ending, Length});
-  changed();
+  roomChanged();
   return Runs_.erase(It);
 }
 
@@ -654,7 +665,9 @@
     const Duration Since = Now - O.LastReport_;
     if (Urgent || Since >= Limits_.ReportPeriod_ ||
         (O.ReportDue_ && Since >= Limits_.ReportPause_)) {
-      Out_.push_back(MessageToEntry{Id, report(O, Now)});
+      EndpointReport Report = report(O, Now);
+      O.ToldCpu_ = Report.Free_.Cpu_;
+      Out_.push_back(MessageToEntry{Id, std::move(Report)});
       O.LastReport_ = Now;
       O.ReportDue_ = false;
     }
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -56,10 +56,11 @@
   Duration StopRetry_ = std::chrono::milliseconds(120);
   /// Pause between list calls that fail.
   Duration HoldRetry_ = std::chrono::milliseconds(40);
-  /// Period of reports without a change.
-  Duration ReportPeriod_ = std::chrono::milliseconds(150);
-  /// Shortest time between two reports.
-  Duration ReportPause_ = std::chrono::milliseconds(20);
+  /// Period of reports without a large change; well below the owner lease,
+  /// which they renew. Every entry gets them from every agent.
+  Duration ReportPeriod_ = std::chrono::milliseconds(240);
+  /// Shortest time between two reports that no end goes with.
+  Duration ReportPause_ = std::chrono::milliseconds(40);
 };
 
 /// The agent's decisions for tasks that run under leases and may be started
@@ -129,6 +130,8 @@
     std::uint64_t SeenSequence_ = 0;
     Time LastReport_;
     bool ReportDue_ = true;
+    /// Free processor in the last report.
+    std::uint32_t ToldCpu_ = 0;
     std::vector<EndedRun> Ended_;
     std::vector<SlowRun> Slow_;
   };
@@ -151,7 +154,10 @@
   Time lapsedBy() const;
   void setHeard(bool Heard, const char *Reason, Time Now);
   void stopSilentOwners(Time Now);
+  /// Has every entry told soon.
   void changed();
+  /// Has those entries told soon that were told of much more or less room.
+  void roomChanged();
   Resources freeRoom() const;
   EndpointReport report(const Owner &O, Time Now) const;
   void log(const EventType &Type, std::vector<EventField> Fields);
