Admit by the rate of room given back, tell the first free place

Cause: the expected wait counted the lengths of the waiting jobs, not the rate at which running ones end; and an endpoint with a first free place was known to other entries only with the next report, up to 240 ms later, while jobs waited there.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chivelanding {
 namespace {
@@ -31,6 +32,15 @@
 // Runs of one job that are ordered from one agent while there is plenty of
 // room: they share a message and a copy of the payload.
 constexpr std::uint32_t GroupedRuns = 4;
+// Time constant of the rate at which room is given back: a few runs of the
+// usual length of a quarter of a second.
+constexpr double RateSeconds = 0.4;
+// Time without an end after which that rate says nothing.
+constexpr Duration RateLife = std::chrono::seconds(1);
+// A job is refused at once if its last task is expected to wait this many times
+// the job's slack: it would end late and take room from jobs that need not. The
+// expectation is rough, so that some doubt speaks for the job.
+constexpr double AdmitShare = 1.4;
 // Period of the comparison of the agents.
 constexpr Duration ComparePeriod = std::chrono::milliseconds(100);
 // Weight of one run in the learned length factor of a route.
@@ -42,6 +52,8 @@
 
 std::string text(Duration D) { return std::to_string(D.count() / 1000); }
 
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
+
 Duration scaled(Duration D, double Factor) {
   return Duration(
       static_cast<std::int64_t>(static_cast<double>(D.count()) * Factor));
@@ -94,24 +106,50 @@
   return true;
 }
 
-// The wait until a job of this class and age would get its first room: the work
-// before it over the rate at which runs of this entry end.
-Duration Dispatcher::expectedWait(const Job &J) const {
-  if (OrderedCpu_ == 0)
+// The time until the last waiting task of a job would start: the room that it
+// and the jobs before it ask for, less what is free, over the rate at which the
+// runs of this entry give room back. Other entries that wait take of that room
+// what they give back themselves.
+Duration Dispatcher::expectedWait(const Job &J, Time Now) const {
+  const double Rate = freedPerSecond(J, Now);
+  if (Rate <= 0)
     return Duration(0);
-  double Ahead = 0;
+  double Asked = 0;
   for (const auto &[Class, Number] : Queue_) {
     if (J.Spec_.Route_.Class_ < Class)
       break;
-    if (Number == J.Number_)
-      continue;
     const Job &Other = Jobs_.at(Number);
-    Ahead += static_cast<double>(Other.Waiting_) *
-             static_cast<double>(Other.Spec_.Need_.Cpu_) *
-             static_cast<double>(Other.Estimate_.count());
+    if (Other.Spec_.Route_.Class_ < J.Spec_.Route_.Class_ ||
+        Number <= J.Number_)
+      Asked += static_cast<double>(Other.Waiting_) *
+               static_cast<double>(Other.Spec_.Need_.Cpu_);
   }
+  const RunAgents::Totals T =
+      Agents_.totals(J.Spec_.Route_.Service_, J.Spec_.Need_);
+  const double Free = static_cast<double>(T.FreePlaces_) *
+                      static_cast<double>(J.Spec_.Need_.Cpu_);
   return Duration(
-      static_cast<std::int64_t>(Ahead / static_cast<double>(OrderedCpu_)));
+      static_cast<std::int64_t>(std::max(0.0, Asked - Free) / Rate * 1e6));
+}
+
+// Without an end for a while, the estimate of this job stands in for the length
+// of the runs at work.
+double Dispatcher::freedPerSecond(const Job &J, Time Now) const {
+  if (FreedAt_ + RateLife > Now)
+    return FreedCpu_ * std::exp(-seconds(Now - FreedAt_) / RateSeconds) /
+           RateSeconds;
+  double Running = 0;
+  for (const auto &[Peer, A] : Agents_.all())
+    Running += A.Running_;
+  const double Length = std::max(0.01, seconds(J.Estimate_));
+  return Running * static_cast<double>(J.Spec_.Need_.Cpu_) / Length;
+}
+
+// A sum of the room given back that decays with the time constant RateSeconds.
+void Dispatcher::countFreed(std::uint32_t Cpu, Time Now) {
+  FreedCpu_ = FreedCpu_ * std::exp(-seconds(Now - FreedAt_) / RateSeconds) +
+              static_cast<double>(Cpu);
+  FreedAt_ = Now;
 }
 
 Duration Dispatcher::retryAfter() {
@@ -167,7 +205,7 @@
   placeWaiting(Now);
   const auto Left = Jobs_.find(Number);
   if (Left != Jobs_.end() && J.Outstanding_ == 0 &&
-      Now + expectedWait(J) > J.WaitUntil_)
+      expectedWait(J, Now) > scaled(Slack, AdmitShare))
     refuse(J, "overloaded", Now);
   return Number;
 }
@@ -244,7 +282,6 @@
         {TaskIndex(static_cast<std::uint32_t>(I)), Waiting.Attempt_});
     --J.Waiting_;
     ++J.Outstanding_;
-    OrderedCpu_ += J.Spec_.Need_.Cpu_;
   }
   std::string Agents;
   for (auto &[Peer, Order] : Orders) {
@@ -263,7 +300,7 @@
 }
 
 void Dispatcher::refuse(Job &J, const char *Code, Time Now) {
-  answer(J, JobEnding::Refused, Code, retryAfter() + expectedWait(J), Now);
+  answer(J, JobEnding::Refused, Code, retryAfter() + expectedWait(J, Now), Now);
 }
 
 // Takes back the runs that are still ordered. Their agents report the ends,
@@ -287,7 +324,6 @@
   if (RunAgent *A = Agents_.find(Agent))
     A->Running_ -= std::min(A->Running_, 1u);
   --J.Outstanding_;
-  OrderedCpu_ -= std::min<std::uint64_t>(OrderedCpu_, J.Spec_.Need_.Cpu_);
 }
 
 void Dispatcher::answer(Job &J, JobEnding Ending, const char *Code,
@@ -431,6 +467,8 @@
 
 void Dispatcher::taskEnded(Job &J, Task &T, const EndedRun &E, Time Now) {
   release(T.Agent_, J);
+  if (E.Ending_ != RunEnding::Lost && !neverStarted(E.Ending_))
+    countFreed(J.Spec_.Need_.Cpu_, Now);
   T.LapsedBy_.reset();
   J.MayHaveRun_ = J.MayHaveRun_ || !neverStarted(E.Ending_);
   if (E.Ending_ == RunEnding::Done) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -144,7 +144,9 @@
   void enqueue(const Job &J);
   void placeWaiting(Time Now);
   bool placeJob(Job &J, Time Now);
-  Duration expectedWait(const Job &J) const;
+  Duration expectedWait(const Job &J, Time Now) const;
+  double freedPerSecond(const Job &J, Time Now) const;
+  void countFreed(std::uint32_t Cpu, Time Now);
   void refuse(Job &J, const char *Code, Time Now);
   void answer(Job &J, JobEnding Ending, const char *Code,
               std::optional<Duration> RetryAfter, Time Now);
@@ -174,9 +176,9 @@
   std::set<QueueKey> Queue_;
   /// Length over estimate per route, learned from runs that ended well.
   std::map<std::string, double> LengthFactor_;
-  /// Processor time of runs that were ordered and have not ended, in thousandth
-  /// of a core.
-  std::uint64_t OrderedCpu_ = 0;
+  /// Room given back by runs of this entry, with older parts decayed.
+  double FreedCpu_ = 0;
+  Time FreedAt_ = Time(std::chrono::hours(-1));
   Time LastCompare_;
   DispatchOutputs Out_;
 };
--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -23,8 +23,10 @@
 constexpr Duration FirstPrediction = std::chrono::milliseconds(40);
 // Pause between two predictions about one run that are told to its owner.
 constexpr Duration SlowPause = std::chrono::milliseconds(200);
-// A change of the room by more than one part in this many is told before the
-// next period. Smaller ones matter little to a choice among several endpoints.
+// The first place of an endpoint that had none is told before the next period,
+// since jobs may wait for it. So is a change of the room by more than one part
+// in this many is told before the next period. Smaller ones matter little to a
+// choice among several endpoints.
 constexpr std::uint32_t LargeChange = 4;
 // Pause between two stops of the same foreign run.
 constexpr Duration ForeignPause = std::chrono::milliseconds(150);
@@ -80,7 +82,8 @@
   const std::uint32_t Free = freeRoom().Cpu_;
   const std::uint32_t Large = Life_->Capacity_.Cpu_ / LargeChange;
   for (auto &[Id, O] : Owners_)
-    if (Free > O.ToldCpu_ + Large || Free + Large < O.ToldCpu_)
+    if (Free > O.ToldCpu_ + Large || Free + Large < O.ToldCpu_ ||
+        (O.ToldCpu_ < PlaceCpu_ && PlaceCpu_ <= Free))
       O.ReportDue_ = true;
 }
 
@@ -297,6 +300,7 @@
     refuse(From, Ref, RunEnding::NoRoom);
     return;
   }
+  PlaceCpu_ = M.Need_.Cpu_;
   Run R;
   R.Owner_ = From;
   R.Attempt_ = Start.Attempt_;
@@ -660,11 +664,13 @@
 // Ends leave at once; a report goes with them, so that the owner knows the room
 // before it places a task again. Reports alone are spaced.
 RunGateOutputs RunGate::take(Time Now) {
+  const Duration Pause =
+      Limits_.ReportPause_ * static_cast<std::int64_t>(1 + Owners_.size());
   for (auto &[Id, O] : Owners_) {
     const bool Urgent = !O.Ended_.empty();
     const Duration Since = Now - O.LastReport_;
     if (Urgent || Since >= Limits_.ReportPeriod_ ||
-        (O.ReportDue_ && Since >= Limits_.ReportPause_)) {
+        (O.ReportDue_ && Since >= Pause)) {
       EndpointReport Report = report(O, Now);
       O.ToldCpu_ = Report.Free_.Cpu_;
       Out_.push_back(MessageToEntry{Id, std::move(Report)});
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -59,8 +59,9 @@
   /// Period of reports without a large change; well below the owner lease,
   /// which they renew. Every entry gets them from every agent.
   Duration ReportPeriod_ = std::chrono::milliseconds(240);
-  /// Shortest time between two reports that no end goes with.
-  Duration ReportPause_ = std::chrono::milliseconds(40);
+  /// Shortest time between two reports that no end goes with: this and as much
+  /// again for each entry, which gets such reports from every agent.
+  Duration ReportPause_ = std::chrono::milliseconds(6);
 };
 
 /// The agent's decisions for tasks that run under leases and may be started
@@ -169,6 +170,8 @@
   std::optional<EndpointLife> Life_;
   Runs Runs_;
   Resources Held_;
+  /// Need of the last order: what a place is worth to the entries.
+  std::uint32_t PlaceCpu_ = 0;
   std::map<EntryId, Owner> Owners_;
   std::map<GateCall, Call> Calls_;
   std::set<GateCall> Holds_;
