Add explain, refuse at once without any endpoint

A job of a service that has had no usable endpoint for 300 ms is refused at once instead of at the end of its wait: after a power loss of everything the entries are back a second before the first endpoint. explain prints the log lines of one job by time.

--- a/src/cli.h
+++ b/src/cli.h
@@ -44,6 +44,8 @@
 
 /// Prints the version of the program and of its protocol.
 int runVersion(const Arguments &Args);
+/// Prints the log lines that touch one job.
+int runExplain(const Arguments &Args);
 /// Runs a built-in benchmark.
 int runBench(const Arguments &Args);
 /// Prints the page of all settings.
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -41,6 +41,10 @@
 // the job's slack: it would end late and take room from jobs that need not. The
 // expectation is rough, so that some doubt speaks for the job.
 constexpr double AdmitShare = 1.4;
+// A service without an endpoint for longer than this will hardly get one back
+// while a job can wait: processes and endpoints take a second or more to
+// return. Shorter gaps come from a single lost answer of an endpoint.
+constexpr Duration ShortGap = std::chrono::milliseconds(300);
 // Period of the comparison of the agents.
 constexpr Duration ComparePeriod = std::chrono::milliseconds(100);
 // Weight of one run in the learned length factor of a route.
@@ -201,6 +205,14 @@
     refuse(J, "too_large", Now);
     return Number;
   }
+  const auto LastUsable = LastUsable_.find(S.Route_.Service_);
+  if (T.Usable_ > 0) {
+    LastUsable_[S.Route_.Service_] = Now;
+  } else if (LastUsable == LastUsable_.end() ||
+             LastUsable->second + ShortGap < Now) {
+    refuse(J, "no_endpoint", Now);
+    return Number;
+  }
   enqueue(J);
   placeWaiting(Now);
   const auto Left = Jobs_.find(Number);
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -179,6 +179,8 @@
   /// Room given back by runs of this entry, with older parts decayed.
   double FreedCpu_ = 0;
   Time FreedAt_ = Time(std::chrono::hours(-1));
+  /// When each service was last seen with a usable endpoint.
+  std::map<ServiceName, Time> LastUsable_;
   Time LastCompare_;
   DispatchOutputs Out_;
 };
--- /dev/null
+++ b/src/log_story.cpp
@@ -0,0 +1,67 @@
+#include "log_story.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace chivelanding {
+namespace {
+
+using Json = nlohmann::json;
+
+// Fields that stand at the start of a line of the story or say nothing in it.
+constexpr const char *OwnFields[] = {"time_ms", "event", "number", "level",
+                                     "job"};
+
+std::string textOf(const Json &Value) {
+  return Value.is_string() ? Value.get<std::string>() : Value.dump();
+}
+
+std::string lineOf(const Json &Event, const std::string &Before) {
+  std::string Line = textOf(Event.value("event", Json("?")));
+  for (const auto &[Key, Value] : Event.items()) {
+    const std::string &Name = Key;
+    if (std::any_of(std::begin(OwnFields), std::end(OwnFields),
+                    [&](const char *Own) { return Name == Own; }))
+      continue;
+    Line += " " + Name + "=" + textOf(Value);
+  }
+  return Before.empty() ? Line : Before + " " + Line;
+}
+
+std::string trimmed(const std::string &Text) {
+  const auto First = Text.find_first_not_of(' ');
+  if (First == std::string::npos)
+    return "";
+  return Text.substr(First, Text.find_last_not_of(' ') - First + 1);
+}
+
+} // namespace
+
+std::vector<std::string> storyOf(const std::string &Job, std::istream &Log) {
+  std::vector<std::pair<std::int64_t, std::string>> Found;
+  std::string Text;
+  while (std::getline(Log, Text)) {
+    // Most lines belong to other jobs; parsing them all would take minutes.
+    const auto Start = Text.find('{');
+    if (Start == std::string::npos || Text.find(Job) == std::string::npos)
+      continue;
+    const Json Event = Json::parse(Text.substr(Start), nullptr, false);
+    if (!Event.is_object() || Event.value("job", "") != Job)
+      continue;
+    Found.emplace_back(Event.value("time_ms", std::int64_t(0)),
+                       lineOf(Event, trimmed(Text.substr(0, Start))));
+  }
+  std::stable_sort(
+      Found.begin(), Found.end(),
+      [](const auto &A, const auto &B) { return A.first < B.first; });
+  std::vector<std::string> Story;
+  for (const auto &[TimeMs, Line] : Found)
+    Story.push_back("+" + std::to_string(TimeMs - Found.front().first) +
+                    " ms " + Line);
+  return Story;
+}
+
+} // namespace chivelanding
--- /dev/null
+++ b/src/log_story.h
@@ -0,0 +1,17 @@
+#ifndef CHIVELANDING_LOG_STORY_H
+#define CHIVELANDING_LOG_STORY_H
+
+#include <istream>
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// The lines of a log, or of several processes' logs one after the other, that
+/// touch one job, by time. Text before the JSON object of a line, such as the
+/// name of the process, is kept; lines without an object are passed over.
+std::vector<std::string> storyOf(const std::string &Job, std::istream &Log);
+
+} // namespace chivelanding
+
+#endif
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,6 +26,7 @@
     {"submit", "submit a job and print its answer", runSubmit},
     {"status", "print the state of a process", runStatus},
     {"drain", "make a process finish and exit", runDrain},
+    {"explain", "print the log lines of one job", runExplain},
     {"version", "print the version", runVersion},
 };
 
--- a/tests/dispatch_parts_test.cpp
+++ b/tests/dispatch_parts_test.cpp
@@ -4,6 +4,7 @@
 #include "entry_presence.h"
 #include "lease_plan.h"
 #include "log_output.h"
+#include "log_story.h"
 #include "run_gate.h"
 #include "run_health.h"
 
@@ -364,3 +365,18 @@
   CHECK(Line["code"] == "007");
   CHECK(Line["none"] == "");
 }
+
+// Guards against lines of other jobs or out of order in the story of a job.
+TEST_CASE("The story of a job is told by time", "[log]") {
+  std::istringstream Log(
+      "agent-1 {\"time_ms\":30,\"event\":\"run_ended\",\"job\":\"a\","
+      "\"ending\":\"done\"}\n"
+      "no object, but a\n"
+      "{\"broken\n"
+      "entry-1 {\"time_ms\":10,\"event\":\"job_accepted\",\"job\":\"a\"}\n"
+      "entry-1 {\"time_ms\":20,\"event\":\"job_accepted\",\"job\":\"ab\"}\n");
+  const auto Story = storyOf("a", Log);
+  REQUIRE(Story.size() == 2);
+  CHECK(Story[0] == "+0 ms entry-1 job_accepted");
+  CHECK(Story[1] == "+20 ms agent-1 run_ended ending=done");
+}
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -148,6 +148,31 @@
   CHECK(B.Stops_.size() == 2);
 }
 
+// Guards against callers that wait while there is nothing to wait for.
+TEST_CASE("A job of a service without endpoints is refused at once",
+          "[dispatcher]") {
+  Bench B;
+  B.Dispatcher_.submit(B.job("j", 1), at(1));
+  B.take();
+  REQUIRE(B.Answers_.size() == 1);
+  CHECK(B.Answers_[0].Code_ == "no_endpoint");
+}
+
+// Guards against refusals because of one endpoint that misses an answer.
+TEST_CASE("A job waits for an endpoint that was there a moment ago",
+          "[dispatcher]") {
+  Bench B;
+  B.addAgent("a", 2, at(0));
+  B.Dispatcher_.submit(B.job("first", 1), at(1));
+  B.Dispatcher_.onAgentSuspected(agentId("a"), true, at(10));
+  B.Dispatcher_.submit(B.job("second", 1), at(20));
+  B.take();
+  CHECK(B.Answers_.empty());
+  B.report("a", 2, 1, at(60));
+  B.take();
+  CHECK(B.Starts_.size() == 2);
+}
+
 // Guards against a wait that is already known to be in vain.
 TEST_CASE("A job behind a long queue is refused at once", "[dispatcher]") {
   Bench B;
