--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -53,7 +53,7 @@
   PeerHandler makeHandler();
   void onRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
   void apply(RunGateOutputs Outputs);
-  void perform(MakeStart Make);
+  void perform(const MakeStart &Make);
   void perform(const MakeStop &Make);
   void perform(const MakeHold &Make);
   HttpResponse metrics();
@@ -144,8 +144,8 @@
   for (RunGateOutput &O : Outputs) {
     if (auto *Send = std::get_if<MessageToEntry>(&O)) {
       Hub_.send(PeerId::of(Send->To_), std::move(Send->Message_));
-    } else if (auto *Start = std::get_if<MakeStart>(&O)) {
-      perform(std::move(*Start));
+    } else if (const auto *Start = std::get_if<MakeStart>(&O)) {
+      perform(*Start);
     } else if (const auto *Stop = std::get_if<MakeStop>(&O)) {
       perform(*Stop);
     } else if (const auto *Hold = std::get_if<MakeHold>(&O)) {
@@ -157,7 +157,7 @@
   }
 }
 
-void DispatchAgent::Impl::perform(MakeStart Make) {
+void DispatchAgent::Impl::perform(const MakeStart &Make) {
   const Time Sent = steadyNow();
   Ports_.Endpoint_->start(
       Settings_.Endpoint_, Make.Call_, CallTimeout,
--- a/src/log_story.cpp
+++ b/src/log_story.cpp
@@ -58,6 +58,7 @@
       Found.begin(), Found.end(),
       [](const auto &A, const auto &B) { return A.first < B.first; });
   std::vector<std::string> Story;
+  Story.reserve(Found.size());
   for (const auto &[TimeMs, Line] : Found)
     Story.push_back("+" + std::to_string(TimeMs - Found.front().first) +
                     " ms " + Line);
--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -111,8 +111,8 @@
     if (C.LeaseEndMs_)
       End = std::max(End, *C.LeaseEndMs_);
   const std::uint64_t LeftMs = End > ClockMs_ ? End - ClockMs_ : 0;
-  const auto Left =
-      Duration(static_cast<std::int64_t>(LeftMs * 1000 / SlowestClock));
+  const auto Left = Duration(static_cast<std::int64_t>(
+      static_cast<double>(LeftMs) * 1000 / SlowestClock));
   return ClockAt_ + Left + Limits_.StopTime_ + ClockSlack;
 }
 
--- a/tests/dispatch_parts_test.cpp
+++ b/tests/dispatch_parts_test.cpp
@@ -37,24 +37,24 @@
     ++Newest_;
     answer(Done, [this, Stream] {
       StoreRecords R;
-      for (const auto &[Key, Value] : Newest[Stream])
+      for (const auto &[Key, Value] : Records_[Stream])
         R.Records_.push_back({Key, Value});
-      R.Next_ = Log[Stream].size();
+      R.Next_ = Lines_[Stream].size();
       return R;
     });
   }
 
   void follow(StoreStream Stream, std::uint64_t Offset, Duration, Duration,
               RecordsCallback Done) override {
-    if (Offset >= Log[Stream].size() && Failures_ == 0) {
+    if (Offset >= Lines_[Stream].size() && Failures_ == 0) {
       Followers_.emplace_back(Stream, Offset, std::move(Done));
       return;
     }
     answer(Done, [this, Stream, Offset] {
       StoreRecords R;
-      for (std::size_t I = Offset; I < Log[Stream].size(); ++I)
-        R.Records_.push_back(Log[Stream][I]);
-      R.Next_ = Log[Stream].size();
+      for (std::size_t I = Offset; I < Lines_[Stream].size(); ++I)
+        R.Records_.push_back(Lines_[Stream][I]);
+      R.Next_ = Lines_[Stream].size();
       return R;
     });
   }
@@ -77,8 +77,8 @@
   const std::string &configKey() const override { return Key_; }
 
   void write(StoreStream Stream, const StoreRecord &Record) {
-    Newest[Stream][Record.Key_] = Record.Value_;
-    Log[Stream].push_back(Record);
+    Records_[Stream][Record.Key_] = Record.Value_;
+    Lines_[Stream].push_back(Record);
     auto Waiting = std::move(Followers_);
     Followers_.clear();
     for (auto &[S, Offset, Done] : Waiting)
@@ -96,8 +96,8 @@
   int Failures_ = 0;
   int Puts_ = 0;
   int Newest_ = 0;
-  std::map<StoreStream, std::map<std::string, std::string>> Newest;
-  std::map<StoreStream, std::vector<StoreRecord>> Log;
+  std::map<StoreStream, std::map<std::string, std::string>> Records_;
+  std::map<StoreStream, std::vector<StoreRecord>> Lines_;
 
 private:
   template <typename Make>
@@ -220,7 +220,7 @@
   Memory.keep(life());
   Io.run();
   CHECK(Store.Puts_ == 2);
-  CHECK(Store.Newest[StoreStream::Endpoints].count("agent-1") == 1);
+  CHECK(Store.Records_[StoreStream::Endpoints].count("agent-1") == 1);
   Memory.keep(life());
   CHECK(Store.Puts_ == 2);
 }
@@ -305,7 +305,7 @@
   Presence.announce("e1", {"10.0.0.1", 7000});
   Io.run();
   CHECK(Found == std::vector<std::string>{"10.0.0.2:7000"});
-  CHECK(Store.Newest[StoreStream::Entries]["e1"] == "10.0.0.1:7000");
+  CHECK(Store.Records_[StoreStream::Entries]["e1"] == "10.0.0.1:7000");
 }
 
 // Guards against a process that waits for the reader of its log.
@@ -363,7 +363,7 @@
   CHECK(Line["age_ms"] == 12);
   CHECK(Line["zero"] == 0);
   CHECK(Line["code"] == "007");
-  CHECK(Line["none"] == "");
+  CHECK(Line["none"].get<std::string>().empty());
 }
 
 // Guards against lines of other jobs or out of order in the story of a job.
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -9,8 +9,8 @@
 
 Time at(std::int64_t Ms) { return Time(milliseconds(Ms)); }
 
-PeerId agentId(const std::string &Name, std::uint64_t Incarnation_ = 1) {
-  return {Role::Agent, Name, Incarnation(Incarnation_)};
+PeerId agentId(const std::string &Name, std::uint64_t Number = 1) {
+  return {Role::Agent, Name, Incarnation(Number)};
 }
 
 // A dispatcher with agents whose endpoints have Places places of 1,000 each.
@@ -18,14 +18,14 @@
   Bench() : Dispatcher_(ZoneName("z1"), DispatchLimits(), 1) {}
 
   void addAgent(const std::string &Name, std::uint32_t Places, Time Now,
-                std::uint64_t Incarnation_ = 1) {
-    const PeerId Id = agentId(Name, Incarnation_);
+                std::uint64_t Number = 1) {
+    const PeerId Id = agentId(Name, Number);
     Dispatcher_.onAgentUp(Id, Now);
-    report(Name, Places, Places, Now, Incarnation_);
+    report(Name, Places, Places, Now, Number);
   }
 
   void report(const std::string &Name, std::uint32_t Places, std::uint32_t Free,
-              Time Now, std::uint64_t Incarnation_ = 1) {
+              Time Now, std::uint64_t Number = 1) {
     EndpointReport R;
     R.Endpoint_ = "w-" + Name;
     R.Service_ = ServiceName("tasks");
@@ -35,7 +35,7 @@
     R.AgentClock_ = static_cast<std::uint64_t>(Now.time_since_epoch().count());
     R.SeenSequence_ = Seen_[Name];
     R.Usable_ = true;
-    Dispatcher_.onMessage(agentId(Name, Incarnation_), R, Now);
+    Dispatcher_.onMessage(agentId(Name, Number), R, Now);
   }
 
   RunJob job(const std::string &Key, std::uint32_t Tasks,
