Repeat an unanswered start before it is stopped

Cause: an endpoint that resets connections or leaves orders without an answer cost 150 ms, a stop, its proof and a start elsewhere; the 60 ms jobs were then late. The endpoint takes a run number once, so the same order can be sent again at once. Ruled out as cause: refusals (few in these windows) and processor time.

--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -29,6 +29,8 @@
 // takes a millisecond. An order without an answer has to be stopped before its
 // task can run elsewhere, so waiting long makes its job late.
 constexpr Duration CallTimeout = std::chrono::milliseconds(150);
+// The same for a start, which is repeated first.
+constexpr Duration StartTimeout = std::chrono::milliseconds(80);
 // Largest announcement.
 constexpr std::uint64_t MaxAnnouncementBytes = 256u << 10;
 constexpr std::uint32_t MaxLocalConnections = 64;
@@ -160,7 +162,7 @@
 void DispatchAgent::Impl::perform(const MakeStart &Make) {
   const Time Sent = steadyNow();
   Ports_.Endpoint_->start(
-      Settings_.Endpoint_, Make.Call_, CallTimeout,
+      Settings_.Endpoint_, Make.Call_, StartTimeout,
       [Self = shared_from_this(), Id = Make.Id_,
        Sent](const StartStopAnswer &A) {
         if (Self->Stopped_)
--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -13,6 +13,10 @@
 // the bound of such repetitions. The step exceeds the attempts of any entry.
 constexpr std::uint32_t RunNumberStep = 16;
 constexpr std::uint32_t MaxRenumbered = 4;
+// Repetitions of a start without an answer. The endpoint takes the same run
+// only once, whenever the orders are carried out, so a repetition is safe and
+// sooner than a stop and a start elsewhere.
+constexpr std::uint32_t MaxResent = 2;
 // Step of the fencing token when the endpoint has seen a higher one, in
 // milliseconds of time of day: more than any step of a clock that was observed.
 constexpr std::uint64_t TokenStep = 60'000;
@@ -187,7 +191,8 @@
   ClockAt_ = Now;
   for (auto It = Runs_.begin(); It != Runs_.end();) {
     Run &R = It->second;
-    const bool Unanswered = R.State_ == State::Starting || R.Doubtful_;
+    const bool Unanswered =
+        R.State_ == State::Starting || R.Doubtful_ || R.Resent_ > 0;
     if (!SameId || !Unanswered) {
       It = finish(It, RunEnding::Lost, Now);
       continue;
@@ -412,8 +417,13 @@
                             {"after_ms", text(Now - C.Sent_)}});
   if (A.Answer_ == CallAnswer::Unanswered) {
     R.Doubtful_ = true;
-    if (!Stopping)
+    Health_.onFailure(Now);
+    if (!Stopping && usable() && R.Resent_ < MaxResent) {
+      ++R.Resent_;
+      makeStart(C.Task_, R, Now);
+    } else if (!Stopping) {
       stop(C.Task_, R, "start_unanswered", Now);
+    }
     return take(Now);
   }
   // The endpoint says that it did nothing.
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -113,6 +113,8 @@
     Time Answered_;
     std::uint32_t Percent_ = 0;
     std::uint32_t Renumbered_ = 0;
+    /// Starts sent again after one without an answer.
+    std::uint32_t Resent_ = 0;
     /// True while a start may still be carried out that was never answered.
     bool Doubtful_ = false;
     Time StopSent_;
