--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_agent.h"
 
 #include "clock.h"
+#include "durations.h"
 #include "endpoint_memory.h"
 #include "entry_presence.h"
 #include "http_server.h"
@@ -274,9 +275,7 @@
   if (I.DrainEnd_)
     return;
   const Time Now = steadyNow();
-  I.DrainEnd_ =
-      Now + Duration(static_cast<std::int64_t>(
-                static_cast<double>(I.Settings_.Grace_.count()) * DrainShare));
+  I.DrainEnd_ = Now + scaled(I.Settings_.Grace_, DrainShare);
   I.Log_.write(
       events::DrainStarted,
       {{"agent", I.Self_.str()}, {"runs", std::to_string(I.Gate_.runs())}});
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "config_feed.h"
 #include "drain_plan.h"
+#include "durations.h"
 #include "entry_presence.h"
 #include "http_server.h"
 #include "lease_plan.h"
@@ -34,8 +35,6 @@
 constexpr Duration ReadTimeout = std::chrono::seconds(3);
 constexpr Duration IdleTimeout = std::chrono::seconds(60);
 
-double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
-
 } // namespace
 
 struct DispatchEntry::Impl : std::enable_shared_from_this<DispatchEntry::Impl> {
--- /dev/null
+++ b/src/dispatcher_agents.cpp
@@ -0,0 +1,279 @@
+#include "dispatcher.h"
+
+#include "durations.h"
+
+#include <algorithm>
+
+// What agents tell a dispatcher, and what time tells it of them.
+namespace chivelanding {
+namespace {
+
+// Slowest rate of an endpoint's clock, as in run_gate.cpp, and slack for the
+// granularity of timers at both ends.
+constexpr double SlowestClock = 0.98;
+constexpr Duration LapseSlack = std::chrono::milliseconds(30);
+// A report older than this says nothing any more: two periods were missed.
+constexpr Duration ReportLife = std::chrono::milliseconds(600);
+// Bounds of the moves of one task off slow endpoints, and the factor by which
+// staying must be worse than moving.
+constexpr std::uint32_t MaxMoves = 2;
+constexpr double MoveGain = 1.3;
+// Fixed cost of a move besides the stop: two messages and a start.
+constexpr Duration MoveCost = std::chrono::milliseconds(20);
+// Runs of one task that may end without success or fault of the task.
+constexpr std::uint32_t MaxAttempts = 24;
+// A job is given up when less than this share of a task's length is left.
+constexpr double HopelessShare = 0.5;
+// Period of the comparison of the agents.
+constexpr Duration ComparePeriod = std::chrono::milliseconds(100);
+// Weight of one run in the learned length factor of a route.
+constexpr double LengthWeight = 0.02;
+
+} // namespace
+
+void Dispatcher::onAgentUp(const PeerId &Agent, Time Now) {
+  Agents_.onUp(Agent, Now);
+}
+
+void Dispatcher::onAgentSuspected(const PeerId &Agent, bool Suspected, Time) {
+  RunAgent *A = Agents_.find(Agent);
+  if (A && Suspected)
+    A->Suspected_ = true;
+}
+
+// The time by which no run that this entry ordered is left at the agent: its
+// owner lease is over, and then the endpoint's lease, should the agent be
+// unable to stop the runs itself.
+Time Dispatcher::lapsedBy(const RunAgent &A) const {
+  return A.HeldFrom_ +
+         scaled(Limits_.OwnerLease_ + Limits_.EndpointLease_,
+                1 / SlowestClock) +
+         Limits_.StopTime_ + LapseSlack;
+}
+
+void Dispatcher::onAgentLost(const PeerId &Agent, Time Now) {
+  const RunAgent *A = Agents_.find(Agent);
+  if (!A)
+    return;
+  const Time LapsedBy = lapsedBy(*A);
+  std::size_t Count = 0;
+  for (auto &[Number, J] : Jobs_)
+    for (Task &T : J.Tasks_)
+      if ((T.State_ == State::Ordered || T.State_ == State::Stopping) &&
+          T.Agent_ == Agent) {
+        T.LapsedBy_ = LapsedBy;
+        ++Count;
+      }
+  log(events::AgentRunsInDoubt,
+      {{"agent", Agent.str()},
+       {"runs", std::to_string(Count)},
+       {"lapsed_in_ms",
+        millisecondsText(std::max(Duration(0), LapsedBy - Now))}});
+  Agents_.remove(Agent);
+}
+
+void Dispatcher::onMessage(const PeerId &From, const Message &M, Time Now) {
+  if (const auto *Report = std::get_if<EndpointReport>(&M))
+    onReport(From, *Report, Now);
+  else if (const auto *Ended = std::get_if<RunsEnded>(&M))
+    for (const EndedRun &E : Ended->Runs_)
+      onEnded(From, E, Now);
+  else if (const auto *Slow = std::get_if<SlowRuns>(&M))
+    for (const SlowRun &S : Slow->Runs_)
+      onSlow(From, S, Now);
+  placeWaiting(Now);
+}
+
+// A usable report of a later process of the same agent proves that no run of
+// the former one is left.
+void Dispatcher::onReport(const PeerId &From, const EndpointReport &R,
+                          Time Now) {
+  RunAgent *A = Agents_.find(From);
+  if (!A)
+    return;
+  const bool BecameUsable = R.Usable_ && !A->Report_.Usable_;
+  Agents_.onReport(*A, R, Now);
+  A->Suspected_ = false;
+  if (!BecameUsable)
+    return;
+  for (auto &[Number, J] : Jobs_)
+    for (Task &T : J.Tasks_)
+      if (T.LapsedBy_ && T.Agent_.Name_ == From.Name_ && !(T.Agent_ == From))
+        T.LapsedBy_ = Now;
+}
+
+Dispatcher::Job *Dispatcher::findRun(const PeerId &From, const RunRef &Ref,
+                                     Task *&T) {
+  const auto Known = ByKey_.find(Ref.Job_);
+  if (Known == ByKey_.end())
+    return nullptr;
+  Job &J = Jobs_.at(Known->second);
+  if (Ref.Index_.value() >= J.Tasks_.size())
+    return nullptr;
+  T = &J.Tasks_[Ref.Index_.value()];
+  const bool Active =
+      T->State_ == State::Ordered || T->State_ == State::Stopping;
+  return Active && T->Attempt_ == Ref.Attempt_ && T->Agent_ == From ? &J
+                                                                    : nullptr;
+}
+
+void Dispatcher::onEnded(const PeerId &From, const EndedRun &E, Time Now) {
+  Task *T = nullptr;
+  if (Job *J = findRun(From, E.Run_, T))
+    taskEnded(*J, *T, E, Now);
+}
+
+void Dispatcher::taskEnded(Job &J, Task &T, const EndedRun &E, Time Now) {
+  release(T.Agent_, J);
+  if (E.Ending_ != RunEnding::Lost && !neverStarted(E.Ending_))
+    countFreed(J.Spec_.Need_.Cpu_, Now);
+  T.LapsedBy_.reset();
+  J.MayHaveRun_ = J.MayHaveRun_ || !neverStarted(E.Ending_);
+  if (E.Ending_ == RunEnding::Done) {
+    T.State_ = State::Done;
+    if (J.Spec_.Estimate_ > Duration(0)) {
+      double &Factor =
+          LengthFactor_.try_emplace(J.Spec_.Route_.Name_, 1.0).first->second;
+      const double Seen = static_cast<double>(E.Length_.count()) /
+                          static_cast<double>(J.Spec_.Estimate_.count());
+      Factor += LengthWeight * (std::min(Seen, 4.0) - Factor);
+    }
+    if (++J.Done_ == J.Tasks_.size())
+      answer(J, JobEnding::Completed, "completed", {}, Now);
+    return;
+  }
+  T.State_ = State::Waiting;
+  ++J.Waiting_;
+  T.Failures_ += E.Ending_ == RunEnding::Failed ? 1 : 0;
+  if (E.Ending_ != RunEnding::NoRoom)
+    T.Avoid_ = T.Agent_.Name_;
+  log(events::TaskRerun, {{"job", J.Spec_.Key_.str()},
+                          {"task", std::to_string(E.Run_.Index_.value())},
+                          {"attempt", std::to_string(T.Attempt_)},
+                          {"agent", T.Agent_.str()},
+                          {"ending", runEndingName(E.Ending_)},
+                          {"failures", std::to_string(T.Failures_)},
+                          {"age_ms", millisecondsText(Now - J.Received_)}});
+  if (T.Failures_ >= J.Spec_.Route_.Attempts_) {
+    answer(J, JobEnding::Failed, "attempts_used", {}, Now);
+    return;
+  }
+  enqueue(J);
+  if (T.Attempt_ >= MaxAttempts) {
+    answer(J, JobEnding::Unknown, "too_many_runs", {}, Now);
+    return;
+  }
+  giveUpIfHopeless(J, Now);
+}
+
+// A task that has to run once more and cannot end before the caller leaves
+// makes the rest of the job worthless.
+void Dispatcher::giveUpIfHopeless(Job &J, Time Now) {
+  if (J.Waiting_ == 0 ||
+      Now + scaled(J.Estimate_, HopelessShare) <= J.Deadline_)
+    return;
+  giveUp(J.Number_, "deadline_unreachable", Now);
+}
+
+// A move costs the stop and a whole run elsewhere, so it must beat what the run
+// still takes by a margin, and end before the caller leaves.
+void Dispatcher::onSlow(const PeerId &From, const SlowRun &S, Time Now) {
+  Task *T = nullptr;
+  Job *J = findRun(From, S.Run_, T);
+  if (!J || T->State_ != State::Ordered || T->Moves_ >= MaxMoves)
+    return;
+  const Duration Elsewhere = J->Estimate_ + Limits_.StopTime_ + MoveCost;
+  if (S.Remaining_ < scaled(Elsewhere, MoveGain) ||
+      Now + Elsewhere > J->Deadline_)
+    return;
+  const RunAgents::Totals Totals =
+      Agents_.totals(J->Spec_.Route_.Service_, J->Spec_.Need_);
+  if (Totals.FreePlaces_ == 0 || Totals.Usable_ < 2)
+    return;
+  log(events::TaskMoved, {{"job", J->Spec_.Key_.str()},
+                          {"task", std::to_string(S.Run_.Index_.value())},
+                          {"agent", From.str()},
+                          {"remaining_ms", millisecondsText(S.Remaining_)},
+                          {"elsewhere_ms", millisecondsText(Elsewhere)}});
+  T->State_ = State::Stopping;
+  T->Avoid_ = From.Name_;
+  ++T->Moves_;
+  Out_.push_back(MessageToAgent{From, StopRuns{{S.Run_}}});
+}
+
+void Dispatcher::renewHolds(Time Now) {
+  for (auto &[Peer, A] : Agents_.all()) {
+    if (A.Running_ == 0 || A.Report_.AgentClock_ <= A.HeldClock_ ||
+        A.HeldFrom_ + Limits_.HoldAge_ > Now)
+      continue;
+    A.HeldClock_ = A.Report_.AgentClock_;
+    A.HeldFrom_ = A.ReportedAt_;
+    Out_.push_back(MessageToAgent{Peer, HoldRuns{A.HeldClock_}});
+  }
+}
+
+// Reruns the tasks of which no run can be left: their agent is gone or has not
+// taken note of this entry for the length of both leases.
+void Dispatcher::rerunLapsed(JobNumber Number, Time Now) {
+  Job &J = Jobs_.at(Number);
+  for (std::size_t I = 0; I < J.Tasks_.size(); ++I) {
+    Task &T = J.Tasks_[I];
+    if (T.State_ != State::Ordered && T.State_ != State::Stopping)
+      continue;
+    const RunAgent *A = Agents_.find(T.Agent_);
+    if (!T.LapsedBy_ && !A)
+      continue;
+    if ((T.LapsedBy_ ? *T.LapsedBy_ : lapsedBy(*A)) > Now)
+      continue;
+    const RunRef Ref{J.Spec_.Key_, TaskIndex(static_cast<std::uint32_t>(I)),
+                     T.Attempt_};
+    taskEnded(J, T, {Ref, RunEnding::Lost, Duration(0)}, Now);
+    if (Jobs_.count(Number) == 0)
+      return;
+  }
+}
+
+void Dispatcher::checkAgents(Time Now) {
+  for (auto &[Peer, A] : Agents_.all())
+    if (A.ReportedAt_ + ReportLife < Now)
+      A.Suspected_ = true;
+  for (const RunAgent *A : Agents_.compare())
+    log(A->SetAside_ ? events::EndpointSetAside : events::EndpointReinstated,
+        {{"agent", A->Peer_.str()},
+         {"slowness_permille", std::to_string(A->Report_.SlownessPermille_)},
+         {"failed_permille", std::to_string(A->Report_.FailedPermille_)},
+         {"report_age_ms", millisecondsText(Now - A->ReportedAt_)}});
+}
+
+void Dispatcher::checkTimes(JobNumber Number, Time Now) {
+  Job &J = Jobs_.at(Number);
+  const bool NeverRan = !J.MayHaveRun_ && J.Outstanding_ == 0;
+  if (J.Deadline_ <= Now)
+    giveUp(Number, "deadline", Now);
+  else if (J.WaitUntil_ <= Now && NeverRan)
+    refuse(J, "no_room_in_time", Now);
+  else
+    giveUpIfHopeless(J, Now);
+}
+
+void Dispatcher::onTimer(Time Now) {
+  renewHolds(Now);
+  const bool Compare = LastCompare_ + ComparePeriod <= Now;
+  if (Compare) {
+    LastCompare_ = Now;
+    checkAgents(Now);
+  }
+  std::vector<JobNumber> Numbers;
+  Numbers.reserve(Jobs_.size());
+  for (const auto &[Number, J] : Jobs_)
+    Numbers.push_back(Number);
+  for (const JobNumber Number : Numbers) {
+    if (Compare)
+      rerunLapsed(Number, Now);
+    if (Jobs_.count(Number) > 0)
+      checkTimes(Number, Now);
+  }
+  placeWaiting(Now);
+}
+
+} // namespace chivelanding
--- a/src/drain_plan.cpp
+++ b/src/drain_plan.cpp
@@ -1,5 +1,7 @@
 #include "drain_plan.h"
 
+#include "durations.h"
+
 namespace chivelanding {
 namespace {
 
@@ -16,11 +18,6 @@
 // Last part of the used time, in which no job is taken, however short.
 constexpr Duration LastPart = std::chrono::milliseconds(250);
 
-Duration scaled(Duration D, double Factor) {
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(D.count()) * Factor));
-}
-
 } // namespace
 
 DrainPlan::DrainPlan(Time Start, Duration Grace)
--- a/src/lease_plan.cpp
+++ b/src/lease_plan.cpp
@@ -1,6 +1,6 @@
 #include "lease_plan.h"
 
-#include <algorithm>
+#include "durations.h"
 
 namespace chivelanding {
 namespace {
@@ -12,17 +12,12 @@
 // silent; the rest is for the stop itself and for a late timer.
 constexpr double OwnerShare = 0.46;
 
-Duration share(Duration Whole, double Part) {
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(Whole.count()) * Part));
-}
-
 } // namespace
 
 RunGateLimits planGateLimits(const LeaseSettings &S) {
   RunGateLimits L;
-  L.EndpointLease_ = share(S.MaxEndpointLease_, LeaseShare);
-  L.OwnerLease_ = share(S.CallerRetry_, OwnerShare);
+  L.EndpointLease_ = scaled(S.MaxEndpointLease_, LeaseShare);
+  L.OwnerLease_ = scaled(S.CallerRetry_, OwnerShare);
   L.StopTime_ = S.StopTime_;
   return L;
 }
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -98,6 +98,11 @@
   Resources held() const { return Held_; }
 
 private:
+  /// Step of the fencing token when the endpoint has seen a higher one, in
+  /// milliseconds of time of day: more than any step of a clock that was
+  /// observed.
+  static constexpr std::uint64_t TokenStep = 60'000;
+
   enum class State : std::uint8_t { Starting, Running, Stopping };
   struct Run {
     EntryId Owner_;
--- /dev/null
+++ b/src/run_gate_lists.cpp
@@ -0,0 +1,219 @@
+#include "run_gate.h"
+
+#include "durations.h"
+
+#include <algorithm>
+
+// The endpoint's lists of runs, its clock and its lease.
+namespace chivelanding {
+namespace {
+
+// Slowest rate of an endpoint's clock against ours: it may be 2 % slow.
+constexpr double SlowestClock = 0.98;
+// Added to the end of a lease for the granularity of both clocks.
+constexpr Duration ClockSlack = std::chrono::milliseconds(20);
+// A run is slow when it is predicted to take this many times its estimate.
+// Estimates are off by up to a half, slow endpoints by a factor of 4 or more.
+constexpr double SlowFactor = 2.5;
+// No prediction before this time: the percentage is too coarse.
+constexpr Duration FirstPrediction = std::chrono::milliseconds(40);
+// Pause between two predictions about one run that are told to its owner.
+constexpr Duration SlowPause = std::chrono::milliseconds(200);
+// Pause between two stops of the same foreign run.
+constexpr Duration ForeignPause = std::chrono::milliseconds(150);
+
+std::string taskText(const TaskKey &K) {
+  return K.Job_.str() + "/" + std::to_string(K.Index_.value());
+}
+
+} // namespace
+
+// The clock value was read before the answer travelled, so the true value is
+// not lower. Answers may overtake each other; an older value is not taken.
+void RunGate::syncClock(std::uint64_t ClockMs, Time Now) {
+  if (ClockMs <= ClockMs_)
+    return;
+  ClockMs_ = ClockMs;
+  ClockAt_ = Now;
+}
+
+std::uint64_t RunGate::leaseEnd(Time Now) const {
+  const Duration Since = Now - ClockAt_;
+  return ClockMs_ + static_cast<std::uint64_t>(
+                        (Since + Limits_.EndpointLease_).count() / 1000);
+}
+
+// The time by which the endpoint has ended every run, if no renewal is sent
+// from now on: its clock may be slow, and a call that is still outstanding may
+// have renewed the lease.
+Time RunGate::lapsedBy() const {
+  std::uint64_t End = LastLeaseEndMs_;
+  for (const auto &[Id, C] : Calls_)
+    if (C.LeaseEndMs_)
+      End = std::max(End, *C.LeaseEndMs_);
+  const std::uint64_t LeftMs = End > ClockMs_ ? End - ClockMs_ : 0;
+  const auto Left = Duration(static_cast<std::int64_t>(
+      static_cast<double>(LeftMs) * 1000 / SlowestClock));
+  return ClockAt_ + Left + Limits_.StopTime_ + ClockSlack;
+}
+
+void RunGate::setHeard(bool Heard, const char *Reason, Time Now) {
+  if (Heard_ == Heard)
+    return;
+  Heard_ = Heard;
+  if (Heard)
+    log(events::EndpointHeard, {{"endpoint", Life_ ? Life_->Id_ : ""},
+                                {"runs", std::to_string(Runs_.size())}});
+  else
+    log(events::EndpointUnheard,
+        {{"endpoint", Life_ ? Life_->Id_ : ""},
+         {"reason", Reason},
+         {"runs", std::to_string(Runs_.size())},
+         {"lapsed_in_ms", millisecondsText(lapsedBy() - Now)}});
+  changed();
+}
+
+void RunGate::makeHold(Duration Wait, Time Now) {
+  std::optional<std::uint64_t> End;
+  // A renewal to an endpoint that does not answer would only delay the proof
+  // that its runs have ended.
+  if (Heard_ && Clean_)
+    End = leaseEnd(Now);
+  const GateCall Id = record({{}, 0, Now, End});
+  Holds_.insert(Id);
+  Out_.push_back(MakeHold{Id, {Life_->Id_, End, Token_, Acknowledged_, Wait}});
+}
+
+RunGateOutputs RunGate::onHoldAnswer(GateCall Id, const Result<HoldAnswer> &A,
+                                     Time Now) {
+  const auto Found = Calls_.find(Id);
+  if (Found == Calls_.end())
+    return take(Now);
+  const Call C = Found->second;
+  Calls_.erase(Found);
+  Holds_.erase(Id);
+  if (!ok(A)) {
+    if (Recalled_ && error(A).Code_ == "other_life") {
+      Recalled_ = false;
+      Life_.reset();
+      return take(Now);
+    }
+    if (C.LeaseEndMs_ && error(A).Code_ != "connect_failed")
+      LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
+    if (error(A).Code_ == "stale_token")
+      Token_ += TokenStep;
+    setHeard(false, error(A).Code_.c_str(), Now);
+    NextHold_ = Now + Limits_.HoldRetry_;
+    return take(Now);
+  }
+  const HoldAnswer &H = value(A);
+  if (Life_ && H.Born_ != 0 && H.Born_ != Life_->Born_) {
+    if (H.Born_ > Life_->Born_) {
+      EndpointLife Next = *Life_;
+      Next.Born_ = H.Born_;
+      Next.Sequence_ = 0;
+      Next.ClockMs_ = H.ClockMs_;
+      Next.Leaving_ = false;
+      // It may be of another kind, which only its announcement tells.
+      Next.Capacity_ = {};
+      beginLife(Next, Now);
+    }
+    return take(Now);
+  }
+  if (C.LeaseEndMs_)
+    LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
+  syncClock(H.ClockMs_, Now);
+  setHeard(true, "", Now);
+  takeEnds(H, Now);
+  takeRunning(H, C.Sent_, Now);
+  NextHold_ = Now;
+  return take(Now);
+}
+
+void RunGate::takeEnds(const HoldAnswer &A, Time Now) {
+  for (const ListedEnd &E : A.Ended_) {
+    if (E.Number_ <= Acknowledged_)
+      continue;
+    Acknowledged_ = E.Number_;
+    const auto It = Runs_.find(E.Task_);
+    if (It != Runs_.end() && It->second.Number_ == E.Run_)
+      finish(It, E.Ending_, Now);
+  }
+}
+
+// A list answers for the time after its call was sent: a run that was started
+// or whose stop was confirmed before, and that is in neither list, is over.
+void RunGate::takeRunning(const HoldAnswer &A, Time Sent, Time Now) {
+  std::set<TaskKey> Listed;
+  bool Foreign = false;
+  for (const RunningRun &Row : A.Running_) {
+    const auto It = Runs_.find(Row.Task_);
+    if (It != Runs_.end() && It->second.Number_ == Row.Run_) {
+      Listed.insert(Row.Task_);
+      Run &R = It->second;
+      R.Percent_ = Row.Percent_;
+      if (R.State_ == State::Running)
+        checkPace(Row.Task_, R, Now);
+      continue;
+    }
+    Foreign = true;
+    Time &LastStop = Foreign_[Row.Task_];
+    if (LastStop != Time() && LastStop + ForeignPause > Now)
+      continue;
+    LastStop = Now;
+    log(events::ForeignRunStopped, {{"task", taskText(Row.Task_)},
+                                    {"run", std::to_string(Row.Run_)},
+                                    {"endpoint", Life_->Id_}});
+    makeStop(Row.Task_, Row.Run_, Now);
+  }
+  if (!Foreign) {
+    Foreign_.clear();
+    if (!Clean_)
+      changed();
+    Clean_ = true;
+  }
+  for (auto It = Runs_.begin(); It != Runs_.end();) {
+    const Run &R = It->second;
+    const bool Known = Listed.count(It->first) > 0;
+    const bool Gone = R.State_ == State::Running && R.Answered_ < Sent;
+    const bool Stopped = R.State_ == State::Stopping && R.StopAccepted_ &&
+                         *R.StopAccepted_ < Sent;
+    if (!Known && (Gone || Stopped))
+      It = finish(It, Stopped ? RunEnding::Stopped : RunEnding::Lost, Now);
+    else
+      ++It;
+  }
+}
+
+// A run without any progress after its whole estimate stands still; the time
+// that it still takes is not known, and ten estimates say "too long".
+void RunGate::checkPace(const TaskKey &Key, Run &R, Time Now) {
+  const Duration Age = Now - R.Ordered_;
+  if (R.Estimate_ <= Duration(0) || Age < FirstPrediction)
+    return;
+  Duration Total = 10 * R.Estimate_;
+  if (R.Percent_ > 0)
+    Total = Age * 100 / R.Percent_;
+  else if (Age < R.Estimate_ + FirstPrediction)
+    return;
+  if (static_cast<double>(Total.count()) <
+      SlowFactor * static_cast<double>(R.Estimate_.count()))
+    return;
+  if (R.SlowTold_ != Time() && R.SlowTold_ + SlowPause > Now)
+    return;
+  R.SlowTold_ = Now;
+  Health_.onLength(Total, R.Estimate_, Now);
+  const Duration Remaining = std::max(Duration(0), Total - Age);
+  log(events::RunSlow, {{"job", Key.Job_.str()},
+                        {"task", std::to_string(Key.Index_.value())},
+                        {"attempt", std::to_string(R.Attempt_)},
+                        {"percent", std::to_string(R.Percent_)},
+                        {"age_ms", millisecondsText(Age)},
+                        {"estimate_ms", millisecondsText(R.Estimate_)},
+                        {"remaining_ms", millisecondsText(Remaining)}});
+  const auto O = Owners_.find(R.Owner_);
+  if (O != Owners_.end())
+    O->second.Slow_.push_back({{Key.Job_, Key.Index_, R.Attempt_}, Remaining});
+}
+
+} // namespace chivelanding
