--- a/src/log.cpp
+++ b/src/log.cpp
@@ -110,8 +110,8 @@
   OutputAppender *Appender_ = nullptr;
   std::uint64_t Sampled_ = 0;
   /// Lines left out when that was last logged.
-  std::uint64_t Told_ = 0;
-  std::int64_t ToldSecond_ = 0;
+  std::uint64_t DroppedLogged_ = 0;
+  std::int64_t DroppedLoggedSecond_ = 0;
 };
 
 void EventLog::Impl::configureText() {
@@ -177,11 +177,12 @@
     return;
   }
   const auto Ms = duration_cast<milliseconds>(Now).count();
-  if (dropped() > Impl_->Told_ && Second != Impl_->ToldSecond_) {
-    Impl_->ToldSecond_ = Second;
-    Impl_->Told_ = dropped();
+  if (dropped() > Impl_->DroppedLogged_ &&
+      Second != Impl_->DroppedLoggedSecond_) {
+    Impl_->DroppedLoggedSecond_ = Second;
+    Impl_->DroppedLogged_ = dropped();
     const Event Dropped{&events::LogLinesDropped,
-                        {{"total", std::to_string(Impl_->Told_)}}};
+                        {{"total", std::to_string(Impl_->DroppedLogged_)}}};
     Impl_->Logger_.forcedLog(Level, Dropped.json(Ms));
   }
   Impl_->Logger_.forcedLog(Level, E.json(Ms));
--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -66,8 +66,8 @@
   const std::uint32_t Free = freeRoom().Cpu_;
   const std::uint32_t Large = Life_->Capacity_.Cpu_ / LargeChange;
   for (auto &[Id, O] : Owners_)
-    if (Free > O.ToldCpu_ + Large || Free + Large < O.ToldCpu_ ||
-        (O.ToldCpu_ < PlaceCpu_ && PlaceCpu_ <= Free))
+    if (Free > O.ReportedCpu_ + Large || Free + Large < O.ReportedCpu_ ||
+        (O.ReportedCpu_ < PlaceCpu_ && PlaceCpu_ <= Free))
       O.ReportDue_ = true;
 }
 
@@ -475,7 +475,7 @@
     if (Urgent || Since >= Limits_.ReportPeriod_ ||
         (O.ReportDue_ && Since >= Pause)) {
       EndpointReport Report = report(O, Now);
-      O.ToldCpu_ = Report.Free_.Cpu_;
+      O.ReportedCpu_ = Report.Free_.Cpu_;
       Out_.push_back(MessageToEntry{Id, std::move(Report)});
       O.LastReport_ = Now;
       O.ReportDue_ = false;
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -124,7 +124,7 @@
     bool Doubtful_ = false;
     Time StopSent_;
     std::optional<Time> StopAccepted_;
-    Time SlowTold_;
+    Time SlowReported_;
   };
   using Runs = std::map<TaskKey, Run>;
   struct Call {
@@ -139,7 +139,7 @@
     Time LastReport_;
     bool ReportDue_ = true;
     /// Free processor in the last report.
-    std::uint32_t ToldCpu_ = 0;
+    std::uint32_t ReportedCpu_ = 0;
     std::vector<EndedRun> Ended_;
     std::vector<SlowRun> Slow_;
   };
@@ -162,9 +162,9 @@
   Time lapsedBy() const;
   void setHeard(bool Heard, const char *Reason, Time Now);
   void stopSilentOwners(Time Now);
-  /// Has every entry told soon.
+  /// Reports to every entry soon.
   void changed();
-  /// Has those entries told soon that were told of much more or less room.
+  /// Reports soon to the entries whose last report differs much in room.
   void roomChanged();
   Resources freeRoom() const;
   EndpointReport report(const Owner &O, Time Now) const;
--- a/src/run_gate_lists.cpp
+++ b/src/run_gate_lists.cpp
@@ -199,9 +199,9 @@
   if (static_cast<double>(Total.count()) <
       SlowFactor * static_cast<double>(R.Estimate_.count()))
     return;
-  if (R.SlowTold_ != Time() && R.SlowTold_ + SlowPause > Now)
+  if (R.SlowReported_ != Time() && R.SlowReported_ + SlowPause > Now)
     return;
-  R.SlowTold_ = Now;
+  R.SlowReported_ = Now;
   Health_.onLength(Total, R.Estimate_, Now);
   const Duration Remaining = std::max(Duration(0), Total - Age);
   log(events::RunSlow, {{"job", Key.Job_.str()},
