--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 
@@ -25,6 +26,22 @@
 RETRY_S = 1.3
 
 
+def claim_net(seed):
+    """A part of the loopback range that no other soak on this machine uses.
+
+    The socket that is returned holds it until this process ends.
+    """
+    for step in range(250):
+        net = 1 + (seed + step) % 250
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{net}.9.1", 16999))
+            return net, claim
+        except OSError:
+            claim.close()
+    raise RuntimeError("every part of the loopback range is in use")
+
+
 class Process:
     """One program, which the soak stops and starts again."""
 
@@ -61,8 +78,7 @@
         self.rng = random.Random(args.seed)
         self.oracle = Oracle()
         self.counts = {}
-        # Soaks with different seeds run beside each other.
-        self.net = 1 + args.seed % 250
+        self.net, self.claim = claim_net(args.seed)
         self.stopping = False
 
     def entry_settings(self, i):
