--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -493,7 +493,9 @@
   if (!Heard_ && !Runs_.empty() && lapsedBy() <= Now)
     endLapsed(Now);
   if (Life_ && Holds_.empty() && NextHold_ <= Now)
-    makeHold(Heard_ && Clean_ ? Limits_.HoldWait_ : Duration(0), Now);
+    makeHold(Heard_ && Clean_ && HoldsFailed_ == 0 ? Limits_.HoldWait_
+                                                   : Duration(0),
+             Now);
   else if (Life_ && LookDue && Holds_.size() == 1)
     makeHold(Duration(0), Now);
   return take(Now);
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -202,6 +202,8 @@
   std::uint64_t LastLeaseEndMs_ = 0;
   /// The last list call was answered.
   bool Heard_ = false;
+  /// List calls without an answer since the last one that had one.
+  std::uint32_t HoldsFailed_ = 0;
   /// The endpoint lists no run that this process does not know.
   bool Clean_ = false;
   bool Draining_ = false;
--- a/src/run_gate_lists.cpp
+++ b/src/run_gate_lists.cpp
@@ -19,6 +19,8 @@
 constexpr Duration FirstPrediction = std::chrono::milliseconds(40);
 // Pause between two predictions about one run that are told to its owner.
 constexpr Duration SlowPause = std::chrono::milliseconds(200);
+// List calls in a row without an answer after which an endpoint is not heard.
+constexpr std::uint32_t HoldsUntilUnheard = 2;
 // Pause between two stops of the same foreign run.
 constexpr Duration ForeignPause = std::chrono::milliseconds(150);
 
@@ -77,7 +79,7 @@
   std::optional<std::uint64_t> End;
   // A renewal to an endpoint that does not answer would only delay the proof
   // that its runs have ended.
-  if (Heard_ && Clean_)
+  if (Heard_ && Clean_ && HoldsFailed_ == 0)
     End = leaseEnd(Now);
   const GateCall Id = record({{}, 0, Now, End});
   Holds_.insert(Id);
@@ -102,8 +104,16 @@
       LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
     if (error(A).Code_ == "stale_token")
       Token_ += TokenStep;
-    setHeard(false, error(A).Code_.c_str(), Now);
-    NextHold_ = Now + Limits_.HoldRetry_;
+    // One lost answer says little: the next call, which does not wait for an
+    // end, tells within milliseconds. A refused connection says that nobody is
+    // there.
+    ++HoldsFailed_;
+    if (HoldsFailed_ >= HoldsUntilUnheard || error(A).Code_ != "timeout") {
+      setHeard(false, error(A).Code_.c_str(), Now);
+      NextHold_ = Now + Limits_.HoldRetry_;
+    } else {
+      NextHold_ = Now;
+    }
     return take(Now);
   }
   const HoldAnswer &H = value(A);
@@ -123,6 +133,7 @@
   if (C.LeaseEndMs_)
     LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
   syncClock(H.ClockMs_, Now);
+  HoldsFailed_ = 0;
   setHeard(true, "", Now);
   takeEnds(H, Now);
   takeRunning(H, C.Sent_, Now);
