--- a/src/run_agents.cpp
+++ b/src/run_agents.cpp
@@ -176,7 +176,7 @@
   std::vector<std::uint32_t> Failed;
   std::vector<RunAgent *> Usable;
   for (auto &[Peer, A] : Agents_) {
-    if (!A.Report_.Usable_ || A.Standby_)
+    if (!A.Report_.Usable_)
       continue;
     Slowness.push_back(A.Report_.SlownessPermille_);
     Failed.push_back(A.Report_.FailedPermille_);
--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -110,13 +110,13 @@
 
 // Answers may be handled long after they came, when this process stood still.
 // By then the owner may have had the task run elsewhere.
-bool RunGate::mayStart(const Run &R, Time Now) const {
+bool RunGate::mayRepeatStart(const Run &R, Time Now) const {
   const auto O = Owners_.find(R.Owner_);
   return usable() && O != Owners_.end() && O->second.HeldUntil_ >= Now;
 }
 
 // A start without an answer may be carried out at any later time.
-bool RunGate::mayStillStart(const Run &R) {
+bool RunGate::startInDoubt(const Run &R) {
   return R.State_ == State::Starting || R.Doubtful_ || R.Resent_ > 0;
 }
 
@@ -149,13 +149,13 @@
   ClockAt_ = Now;
   for (auto It = Runs_.begin(); It != Runs_.end();) {
     Run &R = It->second;
-    if (!SameId || (R.Listed_ && !mayStillStart(R))) {
+    if (!SameId || (R.Listed_ && !startInDoubt(R))) {
       It = finish(It, RunEnding::Lost, Now);
       continue;
     }
     // A start that was accepted and never listed may be one of the new life;
     // the first list tells.
-    const bool Tells = !mayStillStart(R);
+    const bool Tells = !startInDoubt(R);
     R.Listed_ = false;
     if (Tells) {
       ++It;
@@ -357,7 +357,7 @@
 void RunGate::endLapsed(Time Now) {
   std::vector<TaskKey> Over;
   for (auto &[Key, R] : Runs_)
-    if (mayStillStart(R))
+    if (startInDoubt(R))
       stop(Key, R, "lease_over", Now);
     else
       Over.push_back(Key);
@@ -405,7 +405,7 @@
   if (A.Answer_ == CallAnswer::Unanswered) {
     R.Doubtful_ = true;
     Health_.onFailure(Now);
-    if (!Stopping && mayStart(R, Now) && R.Resent_ < MaxResent) {
+    if (!Stopping && mayRepeatStart(R, Now) && R.Resent_ < MaxResent) {
       ++R.Resent_;
       makeStart(C.Task_, R, Now);
     } else if (!Stopping) {
@@ -425,7 +425,7 @@
     }
     return take(Now);
   }
-  if (!Stopping && mayStart(R, Now) && R.Renumbered_ < MaxRenumbered &&
+  if (!Stopping && mayRepeatStart(R, Now) && R.Renumbered_ < MaxRenumbered &&
       (A.Answer_ == CallAnswer::StaleRun ||
        A.Answer_ == CallAnswer::StaleToken)) {
     ++R.Renumbered_;
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -175,8 +175,8 @@
   void changed();
   /// Reports soon to the entries whose last report differs much in room.
   void roomChanged();
-  bool mayStart(const Run &R, Time Now) const;
-  static bool mayStillStart(const Run &R);
+  bool mayRepeatStart(const Run &R, Time Now) const;
+  static bool startInDoubt(const Run &R);
   Resources freeRoom() const;
   EndpointReport report(const Owner &O, Time Now) const;
   void log(const EventType &Type, std::vector<EventField> Fields);
--- a/tests/agent_subset_test.cpp
+++ b/tests/agent_subset_test.cpp
@@ -198,3 +198,28 @@
   D.onMessage(*Standby, R, at(215));
   CHECK(StartedAt() == std::vector<PeerId>{*Standby});
 }
+
+// Guards against an agent that is set aside, goes on standby and is never used
+// again, although it has recovered.
+TEST_CASE("An agent on standby is reinstated by its reports",
+          "[agent-subset]") {
+  RunAgents Agents(ZoneName("z"), 1);
+  EndpointReport R;
+  R.Endpoint_ = "endpoint";
+  R.Service_ = ServiceName("tasks");
+  R.Usable_ = true;
+  R.Capacity_ = R.Free_ = {8000, 8000, 0};
+  for (const char *Name : {"a", "b", "c", "d", "e"})
+    Agents.onReport(Agents.onUp({Role::Agent, Name, Incarnation(1)}, at(0)), R,
+                    at(0));
+  RunAgent &Bad = *Agents.find({Role::Agent, "c", Incarnation(1)});
+  R.FailedPermille_ = 900;
+  Agents.onReport(Bad, R, at(100));
+  CHECK(Agents.compare().size() == 1);
+  REQUIRE(Bad.SetAside_);
+  RunAgents::setStandby(Bad, true, at(200));
+  R.FailedPermille_ = 0;
+  Agents.onReport(Bad, R, at(5000));
+  CHECK(Agents.compare().size() == 1);
+  CHECK_FALSE(Bad.SetAside_);
+}
