--- a/src/link.cpp
+++ b/src/link.cpp
@@ -198,6 +198,21 @@
   Out.push_back(PeerHeard{P.Id_});
 }
 
+// Two ends that dial at the same time must keep the same connection. If each
+// kept the newest one it sees, each could close the one that the other keeps.
+// The one dialled by the agent, or by the entry of lesser name, stays. An older
+// connection proves nothing: the peer may have lost it without a notice.
+bool Links::crossesBetter(const PeerState &P, ConnectionId C, Time Now) const {
+  if (!P.Active_ || *P.Active_ == C || P.Suspected_)
+    return false;
+  const Connection &Used = Connections_.at(*P.Active_);
+  const bool SelfFirst = Self_.Role_ != P.Id_.Role_ ? Self_.Role_ == Role::Agent
+                                                    : Self_.Name_ < P.Id_.Name_;
+  return Used.Dialled_ != Connections_.at(C).Dialled_ &&
+         Used.Dialled_ == SelfFirst &&
+         Now - Used.Opened_ < Limits_.SuspectAfter_;
+}
+
 // The dialled side takes the connection into use only when the dialling side
 // has confirmed, that is, when both directions of it have carried a frame.
 void Links::onHello(ConnectionId C, const Hello &H, Time Now,
@@ -229,6 +244,10 @@
     close(C, "bad_acknowledgement", "Hello acknowledges unsent messages", Out);
     return;
   }
+  if (crossesBetter(P, C, Now)) {
+    close(C, "duplicate", "the connection dialled by the other is in use", Out);
+    return;
+  }
   Conn.Peer_ = PeerKey(Id.Role_, Id.Name_);
   P.Dialler_ = Conn.Dialled_;
   heard(P, Now, Out);
--- a/src/link.h
+++ b/src/link.h
@@ -192,6 +192,9 @@
   void answerHello(ConnectionId C, const Hello &H, LinkOutputs &Out);
   PeerState &statePeer(const PeerId &Id, LinkOutputs &Out);
   void alignSession(PeerState &P, const Hello &H, Time Now, LinkOutputs &Out);
+  /// True if this connection was dialled at the same time as the one in use,
+  /// which both ends prefer.
+  bool crossesBetter(const PeerState &P, ConnectionId C, Time Now) const;
   void activate(PeerState &P, ConnectionId C, Time Now, LinkOutputs &Out);
   void heard(PeerState &P, Time Now, LinkOutputs &Out);
   void close(ConnectionId C, const char *Code, std::string Detail,
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -221,7 +221,8 @@
 
 void PeerHub::Impl::onRefused(const CloseConnection &Close) {
   const Error &E = Close.Reason_;
-  const bool Ordinary = E.Code_ == "replaced" || E.Code_ == "session_ended";
+  const bool Ordinary = E.Code_ == "replaced" || E.Code_ == "duplicate" ||
+                        E.Code_ == "session_ended";
   Log_.write(Ordinary ? events::LinkDown : events::FrameRefused,
              {{"code", E.Code_}, {"peer", E.Peer_}, {"detail", E.Detail_}});
   Transport_.close(Close.Connection_, E.Code_);
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -3,6 +3,11 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
 
 using namespace chivelanding;
 
@@ -247,3 +252,88 @@
   P.run(1100);
   CHECK_FALSE(P.Entry_.isHeard(AgentPeer));
 }
+
+namespace {
+
+// Two entries that dial each other at the same time. Frames wait in their
+// connection until the test delivers them, in order, and so does its end.
+struct CrossedPair {
+  struct Wire {
+    std::deque<std::optional<Frame>> Frames_;
+  };
+  explicit CrossedPair(std::uint64_t Seed) : Random_(Seed) {}
+
+  Links Ends_[2] = {{PeerId{Role::Entry, "a", Incarnation(1)},
+                     ZoneName("z"),
+                     RegionName("r"),
+                     {}},
+                    {PeerId{Role::Entry, "b", Incarnation(2)},
+                     ZoneName("z"),
+                     RegionName("r"),
+                     {}}};
+  std::mt19937_64 Random_;
+  Time Now_ = at(0);
+  /// By connection and the end that receives.
+  std::map<std::pair<ConnectionId, int>, Wire> Wires_;
+  int Suspicions_ = 0;
+
+  void apply(int End, const LinkOutputs &Out) {
+    for (const LinkOutput &O : Out) {
+      if (const auto *Send = std::get_if<SendFrame>(&O))
+        Wires_[{Send->Connection_, 1 - End}].Frames_.emplace_back(Send->Frame_);
+      else if (const auto *Close = std::get_if<CloseConnection>(&O))
+        Wires_[{Close->Connection_, 1 - End}].Frames_.emplace_back();
+      else if (const auto *Dial = std::get_if<DialPeer>(&O))
+        dial(End);
+      else if (std::holds_alternative<PeerSuspected>(O))
+        ++Suspicions_;
+    }
+  }
+  void dial(int End) {
+    const ConnectionId C(++Connections_);
+    Ends_[1 - End].onAccepted(C, Now_);
+    apply(End, Ends_[End].onDialled(C, Now_));
+  }
+  // Delivers what waits, from a random connection each time.
+  void deliverAll() {
+    for (int Guard = 0; Guard < 1000; ++Guard) {
+      std::vector<std::pair<ConnectionId, int>> Ready;
+      for (const auto &[Key, W] : Wires_)
+        if (!W.Frames_.empty())
+          Ready.push_back(Key);
+      if (Ready.empty())
+        return;
+      const auto Key = Ready[Random_() % Ready.size()];
+      auto &Frames = Wires_[Key].Frames_;
+      const auto F = std::move(Frames.front());
+      Frames.pop_front();
+      apply(Key.second, F ? Ends_[Key.second].onFrame(Key.first, *F, Now_)
+                          : Ends_[Key.second].onClosed(Key.first, Now_));
+    }
+    FAIL("the ends go on dialling each other");
+  }
+  std::uint64_t Connections_ = 0;
+};
+
+} // namespace
+
+// Guards against two entries that each keep the connection which the other has
+// closed. Neither end then hears the other, and both give up an entry that
+// lives: seen once in process-kill_entry.
+TEST_CASE("Entries that dial each other at once agree on a connection",
+          "[link]") {
+  for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    INFO("seed " << Seed);
+    CrossedPair P(Seed);
+    P.dial(0);
+    P.dial(1);
+    P.deliverAll();
+    for (int I = 0; I < 20; ++I) {
+      P.Now_ += std::chrono::milliseconds(100);
+      for (int End = 0; End < 2; ++End)
+        P.apply(End, P.Ends_[End].onTimer(P.Now_));
+      P.deliverAll();
+    }
+    CHECK(P.Suspicions_ == 0);
+  }
+}
