--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -8,10 +8,10 @@
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_hub.h"
+#include "periodic_timer.h"
 #include "random_number.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -24,7 +24,7 @@
 namespace asio = boost::asio;
 
 // Period of the decision modules' timers.
-constexpr auto TickPeriod = std::chrono::milliseconds(10);
+constexpr Duration TickPeriod = std::chrono::milliseconds(10);
 // Longest run of one task before it counts as failed.
 constexpr Duration RunTimeout = std::chrono::minutes(10);
 // Largest response body of an endpoint.
@@ -55,7 +55,7 @@
   void run(RunTask Task);
   void onRunEnded(RunId Run, Time Started, const Result<HttpResponse> &R);
   PeerHandler makeHandler();
-  void tick();
+  void onTick(Time Now);
   void drain();
   void endIfDrained(Time Now);
 
@@ -71,7 +71,7 @@
   ConfigService Config_;
   /// Entries in session, by the names that the configuration uses.
   std::map<std::string, PeerId> Peers_;
-  asio::steady_timer Timer_;
+  PeriodicTimer Timer_;
   EndpointInfo Endpoint_;
   SocketAddress EndpointAddress_;
   /// Body of the announcement in force; a repetition changes nothing.
@@ -280,18 +280,10 @@
   apply(Gate_.onRunFinished(Run, Outcome, std::move(Text), Now - Started, Now));
 }
 
-void AgentService::Impl::tick() {
-  Timer_.expires_after(TickPeriod);
-  Timer_.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Ec) {
-        if (Ec || Self->Stopped_)
-          return;
-        const Time Now = steadyNow();
-        Self->apply(Self->Gate_.onTimer(Now));
-        Self->Log_.flush();
-        Self->endIfDrained(Now);
-        Self->tick();
-      });
+void AgentService::Impl::onTick(Time Now) {
+  apply(Gate_.onTimer(Now));
+  Log_.flush();
+  endIfDrained(Now);
 }
 
 void AgentService::Impl::drain() {
@@ -329,7 +321,7 @@
   I.Log_.write(events::ProcessStarted, {{"role", "agent"},
                                         {"agent", I.Self_.str()},
                                         {"listen", value(Local).str()}});
-  I.tick();
+  I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   const auto Config = I.Config_.start();
   return ok(Config) ? I.Hub_.start() : Config;
 }
@@ -340,7 +332,7 @@
   if (Impl_->Stopped_)
     return;
   Impl_->Stopped_ = true;
-  Impl_->Timer_.cancel();
+  Impl_->Timer_.stop();
   Impl_->Http_.close();
   Impl_->Config_.stop();
   Impl_->Hub_.stop();
--- a/src/agent_subset.cpp
+++ b/src/agent_subset.cpp
@@ -12,14 +12,9 @@
 // The set may shrink when more than this share is free; even a set of half the
 // size would then not be short.
 constexpr double PlentyShare = 0.6;
-// Time for the first report of an agent that is taken into use, which answers a
-// message; longer than the pause that suspends a silent agent.
-constexpr Duration FirstReport = std::chrono::milliseconds(700);
-
 // True if the agent can be counted on, or will tell in a moment if it can.
-bool countsAsUsable(const RunAgent &A, Time Now) {
-  const bool Awaited = !A.Standby_ && A.InUseSince_ + FirstReport > Now;
-  return A.Report_.Usable_ && !A.SetAside_ && (!A.Suspected_ || Awaited);
+bool countsAsUsable(const RunAgent &A) {
+  return A.Report_.Usable_ && !A.SetAside_ && !A.Suspected_;
 }
 
 } // namespace
@@ -43,7 +38,7 @@
   double Free = 0;
   double Capacity = 0;
   for (const RunAgent *A : Agents) {
-    if (A->Standby_ || !A->Report_.Usable_ || A->Suspected_)
+    if (!A->ready())
       continue;
     ++InUse;
     Free += RunAgents::freeRoom(*A).Cpu_;
@@ -88,7 +83,7 @@
     std::sort(Ranked.begin(), Ranked.end());
     std::size_t Wanted = S.Agents_;
     for (const auto &[Rank, A] : Ranked) {
-      const bool Use = Wanted > 0 && countsAsUsable(*A, Now);
+      const bool Use = Wanted > 0 && countsAsUsable(*A);
       Wanted -= Use ? 1 : 0;
       if (Use == A->Standby_ && (Use || A->Running_ == 0))
         Changes.push_back({A->Peer_, !Use});
--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -9,12 +9,12 @@
 #include "lease_plan.h"
 #include "metrics.h"
 #include "peer_hub.h"
+#include "periodic_timer.h"
 #include "random_number.h"
 #include "run_gate.h"
 #include "status_server.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <optional>
@@ -26,7 +26,7 @@
 namespace asio = boost::asio;
 
 // Period of the gate's timer: the granularity of stops and list calls.
-constexpr auto TickPeriod = std::chrono::milliseconds(20);
+constexpr Duration TickPeriod = std::chrono::milliseconds(20);
 // Time for the answer to a call of the endpoint on the same VM, which usually
 // takes a millisecond. An order without an answer has to be stopped before its
 // task can run elsewhere, so waiting long makes its job late.
@@ -61,7 +61,7 @@
   void perform(const MakeStop &Make);
   void perform(const MakeHold &Make);
   HttpResponse metrics();
-  void tick();
+  void onTick(Time Now);
   void endIfDrained(Time Now);
 
   asio::io_context &Io_;
@@ -77,7 +77,7 @@
   PeerHub Hub_;
   EntryPresence Presence_;
   EndpointMemory Memory_;
-  asio::steady_timer Timer_;
+  PeriodicTimer Timer_;
   std::size_t Entries_ = 0;
   Time LastLookUp_;
   std::optional<Time> DrainEnd_;
@@ -89,7 +89,7 @@
     : Io_(Io), Settings_(std::move(Settings)), Ports_(std::move(Ports)),
       Log_(Log), Self_{Settings_.Process_.Name_,
                        Incarnation(drawRandomNumber())},
-      Gate_(planGateLimits(Settings_.Leases_), unixMilliseconds()),
+      Gate_({planLeases(Settings_.Leases_)}, unixMilliseconds()),
       Metrics_({{"role", "agent"}, {"name", Self_.Name_}}),
       Store_(*Ports_.Store_, Metrics_),
       Http_(Io,
@@ -118,8 +118,6 @@
             apply(Gate_.onEntryLost(Peer.entry(), steadyNow()));
           },
           [this](const PeerId &From, const Message &M) {
-            if (const auto *S = std::get_if<SetStandby>(&M))
-              Hub_.setStandby(From, S->Standby_);
             apply(Gate_.onMessage(From.entry(), M, steadyNow()));
           },
           [this] {
@@ -217,23 +215,15 @@
   return Metrics_.render();
 }
 
-void DispatchAgent::Impl::tick() {
-  Timer_.expires_after(TickPeriod);
-  Timer_.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Ec) {
-        if (Ec || Self->Stopped_)
-          return;
-        const Time Now = steadyNow();
-        Self->apply(Self->Gate_.onTimer(Now));
-        // The seeds of a process may all be gone.
-        if (Self->Entries_ == 0 && Self->LastLookUp_ + LookUpPause <= Now) {
-          Self->LastLookUp_ = Now;
-          Self->Presence_.lookUp();
-        }
-        Self->Log_.flush();
-        Self->endIfDrained(Now);
-        Self->tick();
-      });
+void DispatchAgent::Impl::onTick(Time Now) {
+  apply(Gate_.onTimer(Now));
+  // The seeds of a process may all be gone.
+  if (Entries_ == 0 && LastLookUp_ + LookUpPause <= Now) {
+    LastLookUp_ = Now;
+    Presence_.lookUp();
+  }
+  Log_.flush();
+  endIfDrained(Now);
 }
 
 void DispatchAgent::Impl::endIfDrained(Time Now) {
@@ -266,7 +256,7 @@
   I.Log_.write(events::ProcessStarted, {{"role", "dispatch-agent"},
                                         {"agent", I.Self_.str()},
                                         {"listen", value(Local).str()}});
-  I.tick();
+  I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   I.Memory_.recall([&I](const EndpointLife &Life) {
     I.apply(I.Gate_.onRecalled(Life, steadyNow()));
   });
@@ -294,7 +284,7 @@
   if (Impl_->Stopped_)
     return;
   Impl_->Stopped_ = true;
-  Impl_->Timer_.cancel();
+  Impl_->Timer_.stop();
   Impl_->Presence_.stop();
   Impl_->Memory_.stop();
   Impl_->Http_.close();
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "config_feed.h"
 #include "counted_store.h"
+#include "dispatch_figures.h"
 #include "drain_plan.h"
 #include "durations.h"
 #include "entry_presence.h"
@@ -11,11 +12,11 @@
 #include "metrics.h"
 #include "peer_hub.h"
 #include "peer_versions.h"
+#include "periodic_timer.h"
 #include "random_number.h"
 #include "status_server.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <map>
@@ -28,7 +29,7 @@
 
 // Period of the decision modules' timers; a tenth of the shortest wait that a
 // job is given.
-constexpr auto TickPeriod = std::chrono::milliseconds(10);
+constexpr Duration TickPeriod = std::chrono::milliseconds(10);
 // Bounds of a caller's request: a job has up to 4,000 bytes of text, which JSON
 // may escape, and a few hundred bytes of steps.
 constexpr std::uint32_t MaxHeaderBytes = 16u << 10;
@@ -57,7 +58,6 @@
   void onCancel(const CancelRequest &Request, const HttpReplyPtr &Reply);
   void onGone(JobNumber Job, const HttpReply *Reply);
   void onAnswer(const AnswerJob &A);
-  void countAnswer(const Waiting &W, const AnswerJob &A, Time Now);
   void onConfig(const std::string &Text, const char *Source);
   void onPeerMessage(const PeerId &From, const Message &M);
   void tellVersion(const PeerId &To);
@@ -65,7 +65,7 @@
   void apply();
   bool ready();
   HttpResponse metrics();
-  void tick();
+  void onTick(Time Now);
   void checkReady();
   void drain();
   void advanceDrain(Time Now);
@@ -84,7 +84,7 @@
   PeerHub Hub_;
   ConfigFeed Feed_;
   EntryPresence Presence_;
-  asio::steady_timer Timer_;
+  PeriodicTimer Timer_;
   std::optional<DispatchConfig> Config_;
   /// Text of the configuration in force, for other entries.
   std::string ConfigText_;
@@ -92,7 +92,6 @@
   PeerVersions Versions_;
   std::map<JobNumber, std::vector<Waiting>> Waiting_;
   std::vector<PeerId> Entries_;
-  std::size_t Agents_ = 0;
   std::optional<DrainPlan> Drain_;
   std::optional<bool> WasReady_;
   bool Stopped_ = false;
@@ -104,7 +103,7 @@
       Log_(Log), Self_{Settings_.Process_.Name_,
                        Incarnation(drawRandomNumber())},
       Dispatcher_(Self_.Name_, Settings_.Process_.Zone_,
-                  planDispatchLimits(Settings_.Leases_), drawRandomNumber()),
+                  {planLeases(Settings_.Leases_)}, drawRandomNumber()),
       Metrics_({{"role", "entry"}, {"name", Self_.Name_}}),
       Store_(*Ports_.Store_, Metrics_),
       Http_(Io,
@@ -132,7 +131,6 @@
           tellVersion(Up.Peer_);
           return;
         }
-        ++Agents_;
         Dispatcher_.onAgentUp(Up.Peer_, steadyNow());
       },
       [this](const PeerId &Peer) {
@@ -148,7 +146,6 @@
           Versions_.onLost(Peer);
           return;
         }
-        --Agents_;
         Dispatcher_.onAgentLost(Peer, steadyNow());
         apply();
       },
@@ -296,26 +293,6 @@
   Reply->send(Ports_.Callers_->cancelled(WasLive));
 }
 
-// Refusals take no time, so that a flood of them would hide late jobs in the
-// histograms; they are only counted.
-void DispatchEntry::Impl::countAnswer(const Waiting &W, const AnswerJob &A,
-                                      Time Now) {
-  Metrics_.count("chivelanding_jobs_total", "Answers by route and reason.",
-                 {{"route", W.Route_},
-                  {"outcome", jobEndingName(A.Ending_)},
-                  {"reason", A.Code_}});
-  if (A.Ending_ == JobEnding::Refused)
-    return;
-  const double Taken = seconds(Now - W.Received_);
-  Metrics_.observe("chivelanding_job_seconds",
-                   "Time from the request to its answer.", Taken,
-                   {{"route", W.Route_}});
-  if (W.Objective_ > Duration(0))
-    Metrics_.observeRatio("chivelanding_job_over_objective",
-                          "Time to the answer over the route's objective.",
-                          Taken / seconds(W.Objective_), {{"route", W.Route_}});
-}
-
 void DispatchEntry::Impl::onAnswer(const AnswerJob &A) {
   const auto It = Waiting_.find(A.Job_);
   if (It == Waiting_.end())
@@ -325,15 +302,13 @@
   const Time Now = steadyNow();
   for (const Waiting &W : List) {
     W.Reply_->send(Ports_.Callers_->answer(A));
-    countAnswer(W, A, Now);
+    countAnswer(Metrics_, A, {W.Route_, Now - W.Received_, W.Objective_});
   }
 }
 
 void DispatchEntry::Impl::apply() {
   for (DispatchOutput &O : Dispatcher_.take()) {
     if (auto *Send = std::get_if<MessageToAgent>(&O)) {
-      if (const auto *S = std::get_if<SetStandby>(&Send->Message_))
-        Hub_.setStandby(Send->To_, S->Standby_);
       Hub_.send(Send->To_, std::move(Send->Message_));
     } else if (const auto *A = std::get_if<AnswerJob>(&O)) {
       onAnswer(*A);
@@ -358,45 +333,13 @@
       events::ReadinessChanged,
       {{"ready", Ready ? "true" : "false"},
        {"version", std::to_string(Config_ ? Config_->version().value() : 0)},
-       {"agents", std::to_string(Agents_)},
+       {"agents", std::to_string(Dispatcher_.agents().all().size())},
        {"draining", Drain_ ? "true" : "false"}});
 }
 
 HttpResponse DispatchEntry::Impl::metrics() {
   const Time Now = steadyNow();
-  Metrics_.set("chivelanding_jobs", "Jobs that have no answer yet.",
-               static_cast<double>(Dispatcher_.jobs()));
-  Metrics_.set("chivelanding_waiting_jobs", "Jobs with a task that waits.",
-               static_cast<double>(Dispatcher_.waiting()));
-  Metrics_.set("chivelanding_agents", "Agents linked to this entry.",
-               static_cast<double>(Agents_));
-  std::map<std::string, double> ReportAges;
-  double Free = 0;
-  double Known = 0;
-  double Running = 0;
-  std::size_t InUse = 0;
-  for (const auto &[Peer, A] : Dispatcher_.agents().all()) {
-    Running += A.Running_;
-    if (A.Standby_)
-      continue;
-    ++InUse;
-    ReportAges[Peer.Name_] = seconds(Now - A.ReportedAt_);
-    if (A.Report_.Usable_)
-      Known += A.Report_.Capacity_.Cpu_;
-    Free += RunAgents::freeRoom(A).Cpu_;
-  }
-  Metrics_.set("chivelanding_agents_in_use",
-               "Agents that get runs of this entry.",
-               static_cast<double>(InUse));
-  Metrics_.setEach("chivelanding_report_age_seconds",
-                   "Age of the last report of each agent in use.", "agent",
-                   ReportAges);
-  Metrics_.set("chivelanding_known_cpu",
-               "Thousandths of a core of the usable endpoints in use.", Known);
-  Metrics_.set("chivelanding_free_cpu",
-               "The part of it that is free, less orders on their way.", Free);
-  Metrics_.set("chivelanding_runs_ordered",
-               "Runs of this entry that have not ended.", Running);
+  setDispatchFigures(Metrics_, Dispatcher_, Now);
   Metrics_.set("chivelanding_config_version", "Configuration in force.",
                static_cast<double>(Config_ ? Config_->version().value() : 0));
   Metrics_.set("chivelanding_config_age_seconds",
@@ -412,21 +355,13 @@
   return Metrics_.render();
 }
 
-void DispatchEntry::Impl::tick() {
-  Timer_.expires_after(TickPeriod);
-  Timer_.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Ec) {
-        if (Ec || Self->Stopped_)
-          return;
-        const Time Now = steadyNow();
-        Self->Dispatcher_.onTimer(Now);
-        Self->apply();
-        Self->requestConfig(Now);
-        Self->checkReady();
-        Self->Log_.flush();
-        Self->advanceDrain(Now);
-        Self->tick();
-      });
+void DispatchEntry::Impl::onTick(Time Now) {
+  Dispatcher_.onTimer(Now);
+  apply();
+  requestConfig(Now);
+  checkReady();
+  Log_.flush();
+  advanceDrain(Now);
 }
 
 void DispatchEntry::Impl::drain() {
@@ -495,7 +430,7 @@
                 {"listen", value(Callers).str()},
                 {"peers", value(Peers).str()},
                 {"zone", I.Settings_.Process_.Zone_.str()}});
-  I.tick();
+  I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   I.Feed_.start();
   I.Presence_.announce(I.Self_.Name_, Reached);
   return I.Hub_.start();
@@ -515,7 +450,7 @@
   if (Impl_->Stopped_)
     return;
   Impl_->Stopped_ = true;
-  Impl_->Timer_.cancel();
+  Impl_->Timer_.stop();
   Impl_->Feed_.stop();
   Impl_->Presence_.stop();
   Impl_->Http_.close();
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -61,10 +61,7 @@
 
 bool Dispatcher::anyUsable() const {
   return std::any_of(Agents_.all().begin(), Agents_.all().end(),
-                     [](const auto &Item) {
-                       return Item.second.Report_.Usable_ &&
-                              !Item.second.Suspected_ && !Item.second.Standby_;
-                     });
+                     [](const auto &Item) { return Item.second.ready(); });
 }
 
 std::size_t Dispatcher::waiting(const std::string &Route) const {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch_config.h"
 #include "durations.h"
 #include "events.h"
+#include "lease_plan.h"
 #include "run_agents.h"
 
 #include <map>
@@ -76,9 +77,7 @@
 /// Periods and bounds of an entry that dispatches runs. The leases must be
 /// those of the agents (RunGateLimits).
 struct DispatchLimits {
-  Duration EndpointLease_ = std::chrono::milliseconds(590);
-  Duration OwnerLease_ = std::chrono::milliseconds(600);
-  Duration StopTime_ = std::chrono::milliseconds(50);
+  RunLeases Leases_;
   /// Age of an owner lease at which it is renewed, if the agent has reported
   /// since: a third of the lease.
   Duration HoldAge_ = std::chrono::milliseconds(200);
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -8,9 +8,7 @@
 namespace chivelanding {
 namespace {
 
-// Slowest rate of an endpoint's clock, as in run_gate.cpp, and slack for the
-// granularity of timers at both ends.
-constexpr double SlowestClock = 0.98;
+// For the granularity of timers at both ends.
 constexpr Duration LapseSlack = std::chrono::milliseconds(30);
 // A report older than this says nothing any more: two periods were missed.
 constexpr Duration ReportLife = std::chrono::milliseconds(600);
@@ -47,9 +45,9 @@
 // unable to stop the runs itself.
 Time Dispatcher::lapsedBy(const RunAgent &A) const {
   return A.HeldFrom_ +
-         scaled(Limits_.OwnerLease_ + Limits_.EndpointLease_,
-                1 / SlowestClock) +
-         Limits_.StopTime_ + LapseSlack;
+         scaled(Limits_.Leases_.Owner_ + Limits_.Leases_.Endpoint_,
+                1 / SlowestEndpointClock) +
+         Limits_.Leases_.StopTime_ + LapseSlack;
 }
 
 void Dispatcher::onAgentLost(const PeerId &Agent, Time Now) {
@@ -184,7 +182,8 @@
   Job *J = findRun(From, S.Run_, T);
   if (!J || T->State_ != State::Ordered || T->Moves_ >= MaxMoves)
     return;
-  const Duration Elsewhere = J->Estimate_ + Limits_.StopTime_ + MoveCost;
+  const Duration Elsewhere =
+      J->Estimate_ + Limits_.Leases_.StopTime_ + MoveCost;
   if (S.Remaining_ < scaled(Elsewhere, MoveGain) ||
       Now + Elsewhere > J->Deadline_)
     return;
@@ -257,7 +256,8 @@
 
 void Dispatcher::checkAgents(Time Now) {
   for (auto &[Peer, A] : Agents_.all())
-    if (!A.Standby_ && A.ReportedAt_ + ReportLife < Now)
+    if (!A.Standby_ &&
+        std::max(A.ReportedAt_, A.InUseSince_) + ReportLife < Now)
       A.Suspected_ = true;
   chooseSubset(Now);
   for (const RunAgent *A : Agents_.compare())
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -10,12 +10,12 @@
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_hub.h"
+#include "periodic_timer.h"
 #include "random_number.h"
 #include "team_auth.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -25,7 +25,7 @@
 namespace {
 
 // Period of the decision modules' timers.
-constexpr auto TickPeriod = std::chrono::milliseconds(10);
+constexpr Duration TickPeriod = std::chrono::milliseconds(10);
 HttpResponse notFound() {
   return {404, "application/json", {}, R"({"code":"not_found"})"};
 }
@@ -60,7 +60,7 @@
   PolicyConfig basePolicy() const;
   PeerHandler makeHandler();
   void rejoin();
-  void tick();
+  void onTick(Time Now);
   void drain();
   void endIfDrained(Time Now);
 
@@ -82,7 +82,7 @@
   ConfigService Config_;
   /// Peers in session, by the names that the configuration uses.
   std::map<std::string, PeerId> Peers_;
-  boost::asio::steady_timer Timer_;
+  PeriodicTimer Timer_;
   std::unordered_map<std::uint64_t, Waiter> Waiters_;
   std::uint64_t NextReply_ = 1;
   std::optional<Time> DrainEnd_;
@@ -398,18 +398,10 @@
         W.Single_ ? renderSingle(Job, Answer) : renderAnswer(Job, Answer));
 }
 
-void EntryService::Impl::tick() {
-  Timer_.expires_after(TickPeriod);
-  Timer_.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Ec) {
-        if (Ec || Self->Stopped_)
-          return;
-        const Time Now = steadyNow();
-        Self->Core_->onTimer(Now);
-        Self->Log_.flush();
-        Self->endIfDrained(Now);
-        Self->tick();
-      });
+void EntryService::Impl::onTick(Time Now) {
+  Core_->onTimer(Now);
+  Log_.flush();
+  endIfDrained(Now);
 }
 
 // Until operators are configured, only processes of the same VM may administer
@@ -477,7 +469,7 @@
                                         {"listen", value(Callers).str()},
                                         {"peer_listen", value(Peers).str()},
                                         {"admin", value(Admin).str()}});
-  I.tick();
+  I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   const auto Config = I.Config_.start();
   return ok(Config) ? I.Hub_.start() : Config;
 }
@@ -488,7 +480,7 @@
   if (Impl_->Stopped_)
     return;
   Impl_->Stopped_ = true;
-  Impl_->Timer_.cancel();
+  Impl_->Timer_.stop();
   Impl_->Http_.close();
   Impl_->Admin_.close();
   Impl_->Config_.stop();
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -2,11 +2,11 @@
 
 #include "clock.h"
 #include "membership.h"
+#include "periodic_timer.h"
 #include "ws_transport.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <map>
@@ -73,7 +73,7 @@
   void scheduleFlush();
   void sendReport(const PeerId &To);
   void flush();
-  void tick();
+  void onTick(Time Now);
 
   asio::io_context &Io_;
   ProcessSettings Settings_;
@@ -83,7 +83,7 @@
   WsTransport Transport_;
   Links Links_;
   EntryDirectory Directory_;
-  asio::steady_timer Timer_;
+  PeriodicTimer Timer_;
   std::mt19937_64 Random_;
   std::optional<SocketAddress> Listen_;
   std::vector<Target> Targets_;
@@ -216,6 +216,8 @@
     Directory_.learn(*Known, steadyNow());
     return;
   }
+  if (const auto *S = std::get_if<SetStandby>(&M))
+    Links_.setStandby(From, S->Standby_, steadyNow());
   Handler_.Received_(From, M);
 }
 
@@ -348,18 +350,10 @@
   apply(Links_.flush(steadyNow()));
 }
 
-void PeerHub::Impl::tick() {
-  Timer_.expires_after(Settings_.Heartbeat_ / 4);
-  Timer_.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Ec) {
-        if (Ec || Self->Stopped_)
-          return;
-        const Time Now = steadyNow();
-        Self->tellEntries();
-        Self->apply(Self->Links_.onTimer(Now));
-        Self->dialTargets(Now);
-        Self->tick();
-      });
+void PeerHub::Impl::onTick(Time Now) {
+  tellEntries();
+  apply(Links_.onTimer(Now));
+  dialTargets(Now);
 }
 
 PeerHub::PeerHub(asio::io_context &Io, const ProcessSettings &Settings,
@@ -386,15 +380,13 @@
 
 void PeerHub::tellEntriesHeard() { Impl_->TellsHeard_ = true; }
 
-void PeerHub::setStandby(const PeerId &To, bool Standby) {
-  Impl_->Links_.setStandby(To, Standby, steadyNow());
-}
-
 void PeerHub::send(const PeerId &To, Message M) {
   Impl &I = *Impl_;
   if (const auto *Report = std::get_if<AgentReport>(&M)) {
     I.Reports_[To] = *Report;
   } else {
+    if (const auto *S = std::get_if<SetStandby>(&M))
+      I.Links_.setStandby(To, S->Standby_, steadyNow());
     // The owner must know the room before it places rejected tasks again.
     if (std::holds_alternative<TasksRejected>(M))
       I.sendReport(To);
@@ -420,7 +412,8 @@
 
 Result<Done> PeerHub::start() {
   Impl_->dialTargets(steadyNow());
-  Impl_->tick();
+  Impl_->Timer_.start(Impl_->Settings_.Heartbeat_ / 4,
+                      [I = Impl_.get()](Time Now) { I->onTick(Now); });
   return Done();
 }
 
@@ -428,7 +421,7 @@
   if (Impl_->Stopped_)
     return;
   Impl_->Stopped_ = true;
-  Impl_->Timer_.cancel();
+  Impl_->Timer_.stop();
   Impl_->Transport_.stop();
 }
 
--- a/src/peer_hub.h
+++ b/src/peer_hub.h
@@ -49,11 +49,9 @@
   /// over the jobs of lost ones need it.
   void tellEntriesHeard();
   /// Queues a message; messages of one event loop round travel together. An
-  /// AgentReport replaces one that has not left yet.
+  /// AgentReport replaces one that has not left yet. SetStandby also sets the
+  /// pace of the link, at the receiver as well.
   void send(const PeerId &To, Message M);
-  /// Makes the link a standby link, or an ordinary one again; both ends must do
-  /// so. Messages still leave at once.
-  void setStandby(const PeerId &To, bool Standby);
   /// Ends every session and connection, and continues as another incarnation.
   void rejoin(const PeerId &Self);
   /// True if every message has been acknowledged by its receiver; with
--- a/src/run_agents.cpp
+++ b/src/run_agents.cpp
@@ -67,14 +67,10 @@
     A.Unseen_.pop_front();
 }
 
-// The last report of an agent on standby is seconds old: its clock is too old
-// to be returned in an order, and its room has changed.
 void RunAgents::setStandby(RunAgent &A, bool Standby, Time Now) {
   A.Standby_ = Standby;
-  if (Standby)
-    return;
-  A.InUseSince_ = Now;
-  A.Suspected_ = true;
+  if (!Standby)
+    A.InUseSince_ = Now;
 }
 
 void RunAgents::remove(const PeerId &Peer) { Agents_.erase(Peer); }
@@ -89,7 +85,7 @@
 }
 
 Resources RunAgents::freeRoom(const RunAgent &A) {
-  if (!A.Report_.Usable_ || A.Suspected_ || A.Standby_)
+  if (!A.ready())
     return {};
   Resources Free = A.Report_.Free_;
   for (const auto &[Sequence, Need] : A.Unseen_)
@@ -128,8 +124,7 @@
     if (It == Agents_.end())
       It = Agents_.begin();
     RunAgent &A = (It++)->second;
-    if (A.Report_.Service_ != W.Service_ || !A.Report_.Usable_ ||
-        A.Suspected_ || A.Standby_)
+    if (A.Report_.Service_ != W.Service_ || !A.ready())
       continue;
     const bool Avoided = W.Avoid_ && A.Peer_.Name_ == *W.Avoid_;
     HasOther = HasOther || !Avoided;
@@ -160,7 +155,7 @@
     T.LargestCpu_ = std::max(T.LargestCpu_, A.Report_.Capacity_.Cpu_);
     T.LargestMemoryMb_ =
         std::max(T.LargestMemoryMb_, A.Report_.Capacity_.MemoryMb_);
-    if (!A.Report_.Usable_ || A.Suspected_ || A.SetAside_ || A.Standby_)
+    if (!A.ready() || A.SetAside_)
       continue;
     ++T.Usable_;
     const Resources Free = freeRoom(A);
--- a/src/run_agents.h
+++ b/src/run_agents.h
@@ -36,6 +36,14 @@
   /// the agent grants this entry counts from before this time.
   Time HeldFrom_;
   std::uint64_t HeldClock_ = 0;
+
+  /// True if runs may be ordered here, room permitting. An agent that was taken
+  /// into use has to report first: the clock and the room of its last report
+  /// are seconds old.
+  bool ready() const {
+    return Report_.Usable_ && !Suspected_ && !Standby_ &&
+           ReportedAt_ >= InUseSince_;
+  }
 };
 
 /// The agents of an entry, and the choice among them. Decides without I/O.
--- a/src/run_gate.cpp
+++ b/src/run_gate.cpp
@@ -7,14 +7,6 @@
 namespace chivelanding {
 namespace {
 
-// A repetition under a higher number after the endpoint called one stale, and
-// the bound of such repetitions. The step exceeds the attempts of any entry.
-constexpr std::uint32_t RunNumberStep = 16;
-constexpr std::uint32_t MaxRenumbered = 4;
-// Repetitions of a start without an answer. The endpoint takes the same run
-// only once, whenever the orders are carried out, so a repetition is safe and
-// sooner than a stop and a start elsewhere.
-constexpr std::uint32_t MaxResent = 2;
 // The first place of an endpoint that had none is told before the next period,
 // since jobs may wait for it. So is a change of the room by more than one part
 // in this many is told before the next period. Smaller ones matter little to a
@@ -27,13 +19,6 @@
 
 } // namespace
 
-const char *callAnswerName(CallAnswer A) {
-  static constexpr const char *Names[] = {
-      "accepted",  "stale_token", "stale_run", "lease_over", "no_room",
-      "unhealthy", "other_life",  "malformed", "not_sent",   "unanswered"};
-  return Names[static_cast<std::size_t>(A)];
-}
-
 RunGate::RunGate(RunGateLimits Limits, std::uint64_t Token)
     : Limits_(Limits), Token_(Token) {}
 
@@ -49,12 +34,6 @@
   Out_.push_back(LogEvent{{&Type, std::move(Fields)}});
 }
 
-GateCall RunGate::record(Call C) {
-  const GateCall Id(NextCall_++);
-  Calls_.emplace(Id, std::move(C));
-  return Id;
-}
-
 void RunGate::changed() {
   for (auto &[Id, O] : Owners_)
     O.ReportDue_ = true;
@@ -108,18 +87,6 @@
   return take(Now);
 }
 
-// Answers may be handled long after they came, when this process stood still.
-// By then the owner may have had the task run elsewhere.
-bool RunGate::mayRepeatStart(const Run &R, Time Now) const {
-  const auto O = Owners_.find(R.Owner_);
-  return usable() && O != Owners_.end() && O->second.HeldUntil_ >= Now;
-}
-
-// A start without an answer may be carried out at any later time.
-bool RunGate::startInDoubt(const Run &R) {
-  return R.State_ == State::Starting || R.Doubtful_ || R.Resent_ > 0;
-}
-
 // A new life has nothing of the former one. If it has the same id, orders that
 // were never answered can still reach it; they stay until a stop of them is
 // confirmed by the new life.
@@ -138,10 +105,10 @@
   ClockMs_ = 0;
   // A start that the new life has accepted already gave it a lease.
   LastLeaseEndMs_ =
-      SameId
-          ? Life.ClockMs_ +
-                static_cast<std::uint64_t>(Limits_.LongestLease_.count()) / 1000
-          : 0;
+      SameId ? Life.ClockMs_ + static_cast<std::uint64_t>(
+                                   Limits_.Leases_.LongestEndpoint_.count()) /
+                                   1000
+             : 0;
   Acknowledged_ = 0;
   Foreign_.clear();
   Life_ = Life;
@@ -183,7 +150,7 @@
 
 RunGateOutputs RunGate::onEntryUp(const EntryId &Entry, Time Now) {
   Owner &O = Owners_[Entry];
-  O.HeldUntil_ = Now + Limits_.OwnerLease_;
+  O.HeldUntil_ = Now + Limits_.Leases_.Owner_;
   O.ReportDue_ = true;
   return take(Now);
 }
@@ -205,9 +172,9 @@
   Owner &O = Known->second;
   const auto Renew = [&](std::uint64_t AgentClock) {
     const Time Until = Time(Duration(static_cast<std::int64_t>(AgentClock))) +
-                       Limits_.OwnerLease_;
+                       Limits_.Leases_.Owner_;
     // A value from the future can only come from a faulty peer.
-    if (Until <= Now + Limits_.OwnerLease_)
+    if (Until <= Now + Limits_.Leases_.Owner_)
       O.HeldUntil_ = std::max(O.HeldUntil_, Until);
   };
   if (const auto *Start = std::get_if<StartRuns>(&M)) {
@@ -263,7 +230,7 @@
   }
   // The entry may have given up on an order that arrives after its lease, and
   // may have started the task elsewhere.
-  if (Ordered + Limits_.OwnerLease_ < Now) {
+  if (Ordered + Limits_.Leases_.Owner_ < Now) {
     refuse(From, Ref, RunEnding::Expired);
     return;
   }
@@ -290,38 +257,6 @@
   roomChanged();
 }
 
-void RunGate::makeStart(const TaskKey &Key, Run &R, Time Now) {
-  const std::uint64_t End = leaseEnd(Now);
-  const GateCall Id = record({Key, R.Number_, Now, End});
-  Out_.push_back(
-      MakeStart{Id, {Life_->Id_, Key, R.Number_, R.Payload_, End, Token_}});
-}
-
-void RunGate::makeStop(const TaskKey &Key, std::uint32_t Number, Time Now) {
-  if (!Life_)
-    return;
-  const GateCall Id = record({Key, Number, Now, {}});
-  Out_.push_back(MakeStop{Id, {Life_->Id_, Key, Number, Token_}});
-}
-
-void RunGate::stop(const TaskKey &Key, Run &R, const char *Reason, Time Now) {
-  if (R.State_ == State::Stopping && R.StopSent_ + Limits_.StopRetry_ > Now)
-    return;
-  if (R.State_ != State::Stopping) {
-    log(events::RunStopping, {{"job", Key.Job_.str()},
-                              {"task", std::to_string(Key.Index_.value())},
-                              {"attempt", std::to_string(R.Attempt_)},
-                              {"entry", R.Owner_.str()},
-                              {"reason", Reason},
-                              {"age_ms", millisecondsText(Now - R.Ordered_)},
-                              {"percent", std::to_string(R.Percent_)}});
-    R.Doubtful_ = R.Doubtful_ || R.State_ == State::Starting;
-    R.State_ = State::Stopping;
-  }
-  R.StopSent_ = Now;
-  makeStop(Key, R.Number_, Now);
-}
-
 RunGate::Runs::iterator RunGate::finish(Runs::iterator It, RunEnding Ending,
                                         Time Now) {
   Run &R = It->second;
@@ -372,103 +307,6 @@
     finish(Runs_.find(Key), RunEnding::Lost, Now);
 }
 
-RunGateOutputs RunGate::onStartAnswer(GateCall Id, const StartStopAnswer &A,
-                                      Time Now) {
-  const auto Found = Calls_.find(Id);
-  if (Found == Calls_.end())
-    return take(Now);
-  const Call C = Found->second;
-  Calls_.erase(Found);
-  if (C.LeaseEndMs_ && A.Answer_ != CallAnswer::NotSent)
-    LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
-  if (A.ClockMs_)
-    syncClock(*A.ClockMs_, Now);
-  const auto It = Runs_.find(C.Task_);
-  if (It == Runs_.end() || It->second.Number_ != C.Run_)
-    return take(Now);
-  Run &R = It->second;
-  const bool Stopping = R.State_ == State::Stopping;
-  if (A.Answer_ == CallAnswer::Accepted) {
-    R.Answered_ = Now;
-    R.Doubtful_ = false;
-    R.Payload_.clear();
-    if (!Stopping)
-      R.State_ = State::Running;
-    return take(Now);
-  }
-  log(events::RunRejected, {{"job", C.Task_.Job_.str()},
-                            {"task", std::to_string(C.Task_.Index_.value())},
-                            {"run", std::to_string(C.Run_)},
-                            {"endpoint", Life_ ? Life_->Id_ : ""},
-                            {"answer", callAnswerName(A.Answer_)},
-                            {"after_ms", millisecondsText(Now - C.Sent_)}});
-  if (A.Answer_ == CallAnswer::Unanswered) {
-    R.Doubtful_ = true;
-    Health_.onFailure(Now);
-    if (!Stopping && mayRepeatStart(R, Now) && R.Resent_ < MaxResent) {
-      ++R.Resent_;
-      makeStart(C.Task_, R, Now);
-    } else if (!Stopping) {
-      stop(C.Task_, R, "start_unanswered", Now);
-    }
-    return take(Now);
-  }
-  // The endpoint says that it did nothing now, which says nothing about an
-  // earlier start without an answer. One that it calls stale has run, and its
-  // end is in the next list.
-  if (R.Resent_ > 0 || R.Doubtful_) {
-    if (!Stopping && A.Answer_ == CallAnswer::StaleRun) {
-      R.Answered_ = Now;
-      R.State_ = State::Running;
-    } else if (!Stopping) {
-      stop(C.Task_, R, "start_refused", Now);
-    }
-    return take(Now);
-  }
-  if (!Stopping && mayRepeatStart(R, Now) && R.Renumbered_ < MaxRenumbered &&
-      (A.Answer_ == CallAnswer::StaleRun ||
-       A.Answer_ == CallAnswer::StaleToken)) {
-    ++R.Renumbered_;
-    if (A.Answer_ == CallAnswer::StaleRun)
-      R.Number_ += RunNumberStep;
-    else
-      Token_ += TokenStep;
-    makeStart(C.Task_, R, Now);
-    return take(Now);
-  }
-  if (A.Answer_ == CallAnswer::Unhealthy)
-    Health_.onFailure(Now);
-  finish(It,
-         Stopping                          ? RunEnding::Stopped
-         : A.Answer_ == CallAnswer::NoRoom ? RunEnding::NoRoom
-                                           : RunEnding::Unavailable,
-         Now);
-  return take(Now);
-}
-
-RunGateOutputs RunGate::onStopAnswer(GateCall Id, const StartStopAnswer &A,
-                                     Time Now) {
-  const auto Found = Calls_.find(Id);
-  if (Found == Calls_.end())
-    return take(Now);
-  const Call C = Found->second;
-  Calls_.erase(Found);
-  if (A.ClockMs_)
-    syncClock(*A.ClockMs_, Now);
-  const auto It = Runs_.find(C.Task_);
-  if (It == Runs_.end() || It->second.Number_ != C.Run_)
-    return take(Now);
-  Run &R = It->second;
-  if (A.Answer_ == CallAnswer::StaleToken)
-    Token_ += TokenStep;
-  if (A.Answer_ != CallAnswer::Accepted)
-    return take(Now);
-  R.Doubtful_ = false;
-  if (!R.StopAccepted_)
-    R.StopAccepted_ = Now;
-  return take(Now);
-}
-
 void RunGate::stopSilentOwners(Time Now) {
   for (const auto &[Id, O] : Owners_) {
     if (O.HeldUntil_ >= Now)
@@ -487,7 +325,7 @@
       continue;
     if (!R.StopAccepted_)
       stop(Key, R, "repeated", Now);
-    else if (*R.StopAccepted_ + Limits_.StopTime_ <= Now)
+    else if (*R.StopAccepted_ + Limits_.Leases_.StopTime_ <= Now)
       LookDue = true;
   }
   if (!Heard_ && !Runs_.empty() && lapsedBy() <= Now)
--- a/src/run_gate.h
+++ b/src/run_gate.h
@@ -3,6 +3,7 @@
 
 #include "endpoint_port.h"
 #include "events.h"
+#include "lease_plan.h"
 #include "message.h"
 #include "run_health.h"
 
@@ -41,17 +42,9 @@
     std::variant<MakeStart, MakeStop, MakeHold, MessageToEntry, LogEvent>;
 using RunGateOutputs = std::vector<RunGateOutput>;
 
-/// Periods of an agent that runs tasks under leases. docs/platform.md derives
-/// how they guarantee one run at a time.
+/// Leases and periods of an agent that runs tasks under leases.
 struct RunGateLimits {
-  /// Time without a renewal after which the endpoint ends all runs.
-  Duration EndpointLease_ = std::chrono::milliseconds(590);
-  /// The endpoint cuts longer leases to this.
-  Duration LongestLease_ = std::chrono::milliseconds(1000);
-  /// Time without word of an entry after which its runs are stopped.
-  Duration OwnerLease_ = std::chrono::milliseconds(600);
-  /// Longest time that the endpoint takes to stop a run.
-  Duration StopTime_ = std::chrono::milliseconds(50);
+  RunLeases Leases_;
   /// Longest wait of a list call for an end; bounds the age of the progress.
   Duration HoldWait_ = std::chrono::milliseconds(150);
   /// Pause before an unanswered stop call is repeated.
@@ -59,13 +52,13 @@
   /// Pause between list calls that fail.
   Duration HoldRetry_ = std::chrono::milliseconds(40);
   /// Period of reports without a large change; well below the owner lease,
-  /// which they renew. Every entry gets them from every agent.
+  /// which they renew. Each entry that uses this agent gets them.
   Duration ReportPeriod_ = std::chrono::milliseconds(240);
   /// The same for entries that have this agent on standby. They need no more
   /// than to know that the endpoint is usable.
   Duration StandbyReportPeriod_ = std::chrono::seconds(5);
   /// Shortest time between two reports that no end goes with: this and as much
-  /// again for each entry, which gets such reports from every agent.
+  /// again for each entry, which gets such reports from all agents it uses.
   Duration ReportPause_ = std::chrono::milliseconds(6);
 };
 
@@ -182,6 +175,9 @@
   void log(const EventType &Type, std::vector<EventField> Fields);
   RunGateOutputs take(Time Now);
   GateCall record(Call C);
+  /// The call of this number, which has been answered; nothing if it was
+  /// before.
+  std::optional<Call> takeCall(GateCall Id);
 
   RunGateLimits Limits_;
   std::uint64_t Token_;
--- a/src/run_gate_lists.cpp
+++ b/src/run_gate_lists.cpp
@@ -8,8 +8,6 @@
 namespace chivelanding {
 namespace {
 
-// Slowest rate of an endpoint's clock against ours: it may be 2 % slow.
-constexpr double SlowestClock = 0.98;
 // Added to the end of a lease for the granularity of both clocks.
 constexpr Duration ClockSlack = std::chrono::milliseconds(20);
 // A run is slow when it is predicted to take this many times its estimate.
@@ -42,7 +40,7 @@
 std::uint64_t RunGate::leaseEnd(Time Now) const {
   const Duration Since = Now - ClockAt_;
   return ClockMs_ + static_cast<std::uint64_t>(
-                        (Since + Limits_.EndpointLease_).count() / 1000);
+                        (Since + Limits_.Leases_.Endpoint_).count() / 1000);
 }
 
 // The time by which the endpoint has ended every run, if no renewal is sent
@@ -55,8 +53,8 @@
       End = std::max(End, *C.LeaseEndMs_);
   const std::uint64_t LeftMs = End > ClockMs_ ? End - ClockMs_ : 0;
   const auto Left = Duration(static_cast<std::int64_t>(
-      static_cast<double>(LeftMs) * 1000 / SlowestClock));
-  return ClockAt_ + Left + Limits_.StopTime_ + ClockSlack;
+      static_cast<double>(LeftMs) * 1000 / SlowestEndpointClock));
+  return ClockAt_ + Left + Limits_.Leases_.StopTime_ + ClockSlack;
 }
 
 void RunGate::setHeard(bool Heard, const char *Reason, Time Now) {
@@ -88,11 +86,10 @@
 
 RunGateOutputs RunGate::onHoldAnswer(GateCall Id, const Result<HoldAnswer> &A,
                                      Time Now) {
-  const auto Found = Calls_.find(Id);
-  if (Found == Calls_.end())
+  const auto Known = takeCall(Id);
+  if (!Known)
     return take(Now);
-  const Call C = Found->second;
-  Calls_.erase(Found);
+  const Call &C = *Known;
   Holds_.erase(Id);
   if (!ok(A)) {
     if (Recalled_ && error(A).Code_ == "other_life") {
--- a/tests/agent_subset_test.cpp
+++ b/tests/agent_subset_test.cpp
@@ -35,7 +35,7 @@
       Changed += Changes.size();
       for (const auto &C : Changes) {
         RunAgents::setStandby(Agents_.at(C.Agent_), C.Standby_, Now);
-        Agents_.at(C.Agent_).Suspected_ = false;
+        Agents_.at(C.Agent_).ReportedAt_ = Now;
       }
       if (Changes.empty())
         break;
--- a/tests/dispatch_parts_test.cpp
+++ b/tests/dispatch_parts_test.cpp
@@ -171,15 +171,12 @@
   for (const int RetryMs : {600, 1300, 5000}) {
     LeaseSettings S;
     S.CallerRetry_ = milliseconds(RetryMs);
-    const RunGateLimits L = planGateLimits(S);
-    CHECK(L.OwnerLease_ + 2 * L.StopTime_ < S.CallerRetry_);
-    CHECK(L.EndpointLease_ < S.MaxEndpointLease_);
+    const RunLeases L = planLeases(S);
+    CHECK(L.Owner_ + 2 * L.StopTime_ < S.CallerRetry_);
+    CHECK(L.Endpoint_ < S.MaxEndpointLease_);
     // An entry that fails, and its agent just before it would stop the runs.
-    CHECK(L.OwnerLease_ + scaled(L.EndpointLease_, 1 / 0.98) + S.StopTime_ <
+    CHECK(L.Owner_ + scaled(L.Endpoint_, 1 / 0.98) + S.StopTime_ <
           S.CallerRetry_);
-    const DispatchLimits D = planDispatchLimits(S);
-    CHECK(D.OwnerLease_ == L.OwnerLease_);
-    CHECK(D.EndpointLease_ == L.EndpointLease_);
   }
 }
 
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -253,9 +253,9 @@
   B.addAgent("b", 4, at(10));
   B.Dispatcher_.onAgentLost(agentId("a"), at(20));
   const DispatchLimits L;
-  const auto Leases =
-      std::chrono::duration_cast<milliseconds>(L.OwnerLease_ + L.EndpointLease_)
-          .count();
+  const auto Leases = std::chrono::duration_cast<milliseconds>(
+                          L.Leases_.Owner_ + L.Leases_.Endpoint_)
+                          .count();
   for (std::int64_t Ms = 100; Ms <= Leases; Ms += 100) {
     B.report("b", 4, 4, at(Ms));
     B.Dispatcher_.onTimer(at(Ms));
--- /dev/null
+++ b/tests/run_gate_bench.h
@@ -0,0 +1,138 @@
+#ifndef CHIVELANDING_RUN_GATE_BENCH_H
+#define CHIVELANDING_RUN_GATE_BENCH_H
+
+#include "run_gate.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace chivelanding::test {
+
+using std::chrono::milliseconds;
+
+inline const EntryId EntryA{"entry-a", Incarnation(1)};
+inline const EntryId EntryB{"entry-b", Incarnation(2)};
+
+inline Time at(std::int64_t Ms) { return Time(milliseconds(Ms)); }
+inline std::uint64_t clockAt(std::int64_t Ms) {
+  return static_cast<std::uint64_t>(Ms) * 1000;
+}
+
+inline EndpointLife life(std::uint64_t Born, const char *Id = "worker-1") {
+  EndpointLife L;
+  L.Id_ = Id;
+  L.Born_ = Born;
+  L.Service_ = ServiceName("tasks");
+  L.Capacity_ = {4000, 4096, 0};
+  L.Sequence_ = 1;
+  L.ClockMs_ = 100;
+  return L;
+}
+
+// A gate with the endpoint's answers under control of the test.
+struct GateBench {
+  explicit GateBench(RunGateLimits Limits = {}) : Gate_(Limits, 7) {}
+
+  template <typename T> std::vector<T> outputs() const {
+    std::vector<T> Found;
+    for (const RunGateOutput &O : Last_)
+      if (const auto *Match = std::get_if<T>(&O))
+        Found.push_back(*Match);
+    return Found;
+  }
+
+  template <typename T> std::vector<T> messages(const EntryId &To) const {
+    std::vector<T> Found;
+    for (const auto &M : outputs<MessageToEntry>())
+      if (const auto *Match = std::get_if<T>(&M.Message_))
+        if (M.To_ == To)
+          Found.push_back(*Match);
+    return Found;
+  }
+
+  void take(RunGateOutputs O) { Last_ = std::move(O); }
+
+  // Announces the endpoint and answers its first, empty list.
+  void makeUsable(Time Now) {
+    take(Gate_.onAnnounced(life(10), Now));
+    take(Gate_.onTimer(Now));
+    answerHold({}, {}, Now);
+    for (const EntryId &E : {EntryA, EntryB})
+      take(Gate_.onEntryUp(E, Now));
+    REQUIRE(Gate_.usable());
+  }
+
+  void answerHold(std::vector<RunningRun> Running, std::vector<ListedEnd> Ended,
+                  Time Now, std::uint64_t Born = 10) {
+    const auto Holds = outputs<MakeHold>();
+    REQUIRE(!Holds.empty());
+    HoldAnswer A;
+    A.ClockMs_ =
+        static_cast<std::uint64_t>(100 + Now.time_since_epoch().count() / 1000);
+    A.Born_ = Born;
+    A.Running_ = std::move(Running);
+    A.Ended_ = std::move(Ended);
+    take(Gate_.onHoldAnswer(Holds.back().Id_, A, Now));
+  }
+
+  MakeStart order(const EntryId &From, const char *Job, std::uint32_t Attempt,
+                  Time Now, std::uint32_t Cpu = 1000) {
+    take(Gate_.onMessage(From, startOf(Job, Attempt, Now, Cpu), Now));
+    const auto Starts = outputs<MakeStart>();
+    return Starts.empty() ? MakeStart() : Starts.front();
+  }
+
+  static StartRuns startOf(const char *Job, std::uint32_t Attempt, Time Now,
+                           std::uint32_t Cpu) {
+    StartRuns M;
+    M.Job_ = JobKey(Job);
+    M.Payload_ = "payload";
+    M.Need_ = {Cpu, 10, 0};
+    M.Estimate_ = milliseconds(200);
+    M.Sequence_ = ++Sequence;
+    M.AgentClock_ = static_cast<std::uint64_t>(Now.time_since_epoch().count());
+    M.Runs_ = {{TaskIndex(0), Attempt}};
+    return M;
+  }
+
+  // Orders a run at 10 ms, loses the answer at 90 ms and returns the
+  // repetition.
+  MakeStart orderRepeated(const EntryId &From, const char *Job) {
+    const MakeStart First = order(From, Job, 1, at(10));
+    take(Gate_.onStartAnswer(First.Id_, {CallAnswer::Unanswered, {}}, at(90)));
+    const auto Repeated = outputs<MakeStart>();
+    REQUIRE(Repeated.size() == 1);
+    CHECK(Repeated[0].Call_.Run_ == First.Call_.Run_);
+    return Repeated[0];
+  }
+
+  // Orders a run and has the endpoint accept it.
+  void startRun(const EntryId &From, const char *Job, Time Now) {
+    const auto Start = order(From, Job, 1, Now);
+    REQUIRE(Start.Id_.value() != 0);
+    take(Gate_.onStartAnswer(Start.Id_, {CallAnswer::Accepted, {}}, Now));
+  }
+
+  // The ending that this entry is told of its only ended run.
+  std::optional<RunEnding> ending(const EntryId &To) const {
+    const auto Ended = messages<RunsEnded>(To);
+    if (Ended.empty())
+      return std::nullopt;
+    REQUIRE(Ended.front().Runs_.size() == 1);
+    return Ended.front().Runs_.front().Ending_;
+  }
+
+  static inline std::uint64_t Sequence = 0;
+  RunGate Gate_;
+  RunGateOutputs Last_;
+};
+
+inline RunningRun row(const char *Job, std::uint32_t Run,
+                      std::uint32_t Percent = 0) {
+  return {{JobKey(Job), TaskIndex(0)}, Run, Percent};
+}
+
+} // namespace chivelanding::test
+
+#endif
--- a/tests/run_gate_test.cpp
+++ b/tests/run_gate_test.cpp
@@ -1,129 +1,11 @@
-#include "run_gate.h"
-
-#include <catch2/catch.hpp>
-
-#include <algorithm>
+#include "run_gate_bench.h"
 
 using namespace chivelanding;
-using std::chrono::milliseconds;
-
-namespace {
-
-const EntryId EntryA{"entry-a", Incarnation(1)};
-const EntryId EntryB{"entry-b", Incarnation(2)};
-
-Time at(std::int64_t Ms) { return Time(milliseconds(Ms)); }
-std::uint64_t clockAt(std::int64_t Ms) {
-  return static_cast<std::uint64_t>(Ms) * 1000;
-}
-
-EndpointLife life(std::uint64_t Born, const char *Id = "worker-1") {
-  EndpointLife L;
-  L.Id_ = Id;
-  L.Born_ = Born;
-  L.Service_ = ServiceName("tasks");
-  L.Capacity_ = {4000, 4096, 0};
-  L.Sequence_ = 1;
-  L.ClockMs_ = 100;
-  return L;
-}
-
-// A gate with the endpoint's answers under control of the test.
-struct Bench {
-  explicit Bench(RunGateLimits Limits = {}) : Gate_(Limits, 7) {}
-
-  template <typename T> std::vector<T> outputs() const {
-    std::vector<T> Found;
-    for (const RunGateOutput &O : Last_)
-      if (const auto *Match = std::get_if<T>(&O))
-        Found.push_back(*Match);
-    return Found;
-  }
-
-  template <typename T> std::vector<T> messages(const EntryId &To) const {
-    std::vector<T> Found;
-    for (const auto &M : outputs<MessageToEntry>())
-      if (const auto *Match = std::get_if<T>(&M.Message_))
-        if (M.To_ == To)
-          Found.push_back(*Match);
-    return Found;
-  }
-
-  void take(RunGateOutputs O) { Last_ = std::move(O); }
-
-  // Announces the endpoint and answers its first, empty list.
-  void makeUsable(Time Now) {
-    take(Gate_.onAnnounced(life(10), Now));
-    take(Gate_.onTimer(Now));
-    answerHold({}, {}, Now);
-    for (const EntryId &E : {EntryA, EntryB})
-      take(Gate_.onEntryUp(E, Now));
-    REQUIRE(Gate_.usable());
-  }
-
-  void answerHold(std::vector<RunningRun> Running, std::vector<ListedEnd> Ended,
-                  Time Now, std::uint64_t Born = 10) {
-    const auto Holds = outputs<MakeHold>();
-    REQUIRE(!Holds.empty());
-    HoldAnswer A;
-    A.ClockMs_ =
-        static_cast<std::uint64_t>(100 + Now.time_since_epoch().count() / 1000);
-    A.Born_ = Born;
-    A.Running_ = std::move(Running);
-    A.Ended_ = std::move(Ended);
-    take(Gate_.onHoldAnswer(Holds.back().Id_, A, Now));
-  }
-
-  MakeStart order(const EntryId &From, const char *Job, std::uint32_t Attempt,
-                  Time Now, std::uint32_t Cpu = 1000) {
-    take(Gate_.onMessage(From, startOf(Job, Attempt, Now, Cpu), Now));
-    const auto Starts = outputs<MakeStart>();
-    return Starts.empty() ? MakeStart() : Starts.front();
-  }
-
-  static StartRuns startOf(const char *Job, std::uint32_t Attempt, Time Now,
-                           std::uint32_t Cpu) {
-    StartRuns M;
-    M.Job_ = JobKey(Job);
-    M.Payload_ = "payload";
-    M.Need_ = {Cpu, 10, 0};
-    M.Estimate_ = milliseconds(200);
-    M.Sequence_ = ++Sequence;
-    M.AgentClock_ = static_cast<std::uint64_t>(Now.time_since_epoch().count());
-    M.Runs_ = {{TaskIndex(0), Attempt}};
-    return M;
-  }
-
-  // Orders a run and has the endpoint accept it.
-  void startRun(const EntryId &From, const char *Job, Time Now) {
-    const auto Start = order(From, Job, 1, Now);
-    REQUIRE(Start.Id_.value() != 0);
-    take(Gate_.onStartAnswer(Start.Id_, {CallAnswer::Accepted, {}}, Now));
-  }
-
-  // The ending that this entry is told of its only ended run.
-  std::optional<RunEnding> ending(const EntryId &To) const {
-    const auto Ended = messages<RunsEnded>(To);
-    if (Ended.empty())
-      return std::nullopt;
-    REQUIRE(Ended.front().Runs_.size() == 1);
-    return Ended.front().Runs_.front().Ending_;
-  }
-
-  static inline std::uint64_t Sequence = 0;
-  RunGate Gate_;
-  RunGateOutputs Last_;
-};
-
-RunningRun row(const char *Job, std::uint32_t Run, std::uint32_t Percent = 0) {
-  return {{JobKey(Job), TaskIndex(0)}, Run, Percent};
-}
-
-} // namespace
+using namespace chivelanding::test;
 
 // Guards against starts beside the runs of a former process of this agent.
 TEST_CASE("A gate stops foreign runs before it is usable", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.take(B.Gate_.onEntryUp(EntryA, at(0)));
   B.take(B.Gate_.onAnnounced(life(10), at(0)));
   B.take(B.Gate_.onTimer(at(0)));
@@ -142,7 +24,7 @@
 
 // Guards against starts beyond the room, which the endpoint rejects at a price.
 TEST_CASE("A gate refuses a run without room for it", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   for (const char *Job : {"a", "b", "c", "d"})
     B.startRun(EntryA, Job, at(10));
@@ -154,9 +36,9 @@
 // Guards against a task that runs twice because its order was delayed until
 // after its entry had started it elsewhere.
 TEST_CASE("A gate refuses an order older than the owner lease", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
-  const auto Late = Bench::startOf("a", 1, at(100), 1000);
+  const auto Late = GateBench::startOf("a", 1, at(100), 1000);
   B.take(B.Gate_.onMessage(EntryA, Late, at(100 + 601)));
   CHECK(B.outputs<MakeStart>().empty());
   CHECK(B.ending(EntryA) == RunEnding::Expired);
@@ -165,7 +47,7 @@
 // Guards against runs that go on after their entry has died, while the caller
 // submits the job to another one.
 TEST_CASE("Runs of a silent owner are stopped", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.startRun(EntryA, "a", at(10));
   B.startRun(EntryB, "b", at(10));
@@ -178,7 +60,7 @@
 
 // Guards against a lease that a delayed or repeated renewal prolongs.
 TEST_CASE("A late renewal does not lengthen the owner lease", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.startRun(EntryA, "a", at(10));
   B.take(B.Gate_.onMessage(EntryA, HoldRuns{clockAt(20)}, at(600)));
@@ -189,7 +71,7 @@
 // Guards against a report of an end while the endpoint still works: the task
 // would be started elsewhere beside its first run.
 TEST_CASE("A stopped run ends only when the endpoint shows it", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.startRun(EntryA, "a", at(10));
   B.take(B.Gate_.onMessage(EntryA, StopRuns{{{JobKey("a"), TaskIndex(0), 1}}},
@@ -216,7 +98,7 @@
 // run, which forbids that start, is confirmed.
 TEST_CASE("An unanswered start is stopped before it is given back",
           "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   const auto Start = B.order(EntryA, "a", 1, at(10));
   B.take(
@@ -250,17 +132,12 @@
 // Guards against a job that is late because one answer was lost: the same run
 // is ordered again, which the endpoint carries out at most once.
 TEST_CASE("An unanswered start is repeated as the same run", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
-  const auto Start = B.order(EntryA, "a", 1, at(10));
+  const MakeStart Repeated = B.orderRepeated(EntryA, "a");
+  CHECK(Repeated.Call_.Payload_ == "payload");
   B.take(
-      B.Gate_.onStartAnswer(Start.Id_, {CallAnswer::Unanswered, {}}, at(90)));
-  const auto Repeated = B.outputs<MakeStart>();
-  REQUIRE(Repeated.size() == 1);
-  CHECK(Repeated[0].Call_.Run_ == Start.Call_.Run_);
-  CHECK(Repeated[0].Call_.Payload_ == "payload");
-  B.take(B.Gate_.onStartAnswer(Repeated[0].Id_, {CallAnswer::Accepted, {}},
-                               at(91)));
+      B.Gate_.onStartAnswer(Repeated.Id_, {CallAnswer::Accepted, {}}, at(91)));
   CHECK(!B.ending(EntryA));
   CHECK(B.Gate_.runs() == 1);
 }
@@ -268,8 +145,8 @@
 // Guards against a rerun while a silent endpoint still works on its lease.
 TEST_CASE("Runs of a silent endpoint end with its lease", "[run_gate]") {
   RunGateLimits Limits;
-  Limits.EndpointLease_ = milliseconds(800);
-  Bench B(Limits);
+  Limits.Leases_.Endpoint_ = milliseconds(800);
+  GateBench B(Limits);
   B.makeUsable(at(0));
   B.startRun(EntryA, "a", at(10));
   B.take(B.Gate_.onMessage(EntryA, HoldRuns{clockAt(15)}, at(20)));
@@ -304,7 +181,7 @@
 // Guards against a late announcement of a former life, and against runs of that
 // life that are waited for.
 TEST_CASE("A new life ends the runs of the former one", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.startRun(EntryA, "a", at(10));
   B.take(B.Gate_.onAnnounced(life(20, "worker-2"), at(50)));
@@ -320,7 +197,7 @@
 // id, carries out late.
 TEST_CASE("An unanswered order outlives a life with the same id",
           "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.order(EntryA, "a", 1, at(10));
   B.take(B.Gate_.onAnnounced(life(20), at(50)));
@@ -335,7 +212,7 @@
 
 // Guards against an endpoint that leaves and still gets work.
 TEST_CASE("A leaving endpoint gets no run", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   EndpointLife Leaving = life(10);
   Leaving.Sequence_ = 2;
@@ -348,7 +225,7 @@
 // Guards against a task that can never start again where a run of it was
 // stopped under a number that its new owner does not know.
 TEST_CASE("A stale run number is raised", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   const auto Start = B.order(EntryA, "a", 1, at(10));
   B.take(B.Gate_.onStartAnswer(Start.Id_, {CallAnswer::StaleRun, {}}, at(11)));
@@ -361,7 +238,7 @@
 // Guards against a clock that went back before this process started: its token
 // would be below the one of the process before.
 TEST_CASE("A stale token is raised", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   const auto Start = B.order(EntryA, "a", 1, at(10));
   CHECK(Start.Call_.Token_ == 7);
@@ -374,7 +251,7 @@
 // Guards against slow or stalled runs that nobody hears of, and against runs
 // that are called slow because their estimate was somewhat low.
 TEST_CASE("Only a run far behind its estimate is reported", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.startRun(EntryA, "a", at(10));
   B.startRun(EntryA, "b", at(10));
@@ -394,7 +271,7 @@
 // Guards against ends that are counted twice when the endpoint lists them
 // again, and against acknowledgements that run ahead of what was taken.
 TEST_CASE("Ends are taken once and acknowledged", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.startRun(EntryA, "a", at(10));
   B.take(B.Gate_.onTimer(at(20)));
@@ -410,7 +287,7 @@
 
 // Guards against new runs after SIGTERM, and against an end while runs work.
 TEST_CASE("A draining gate finishes its runs only", "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.startRun(EntryA, "a", at(10));
   B.take(B.Gate_.onDrain(at(20)));
@@ -422,7 +299,7 @@
 // grows with the deployment.
 TEST_CASE("An entry that has the agent on standby gets few reports",
           "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.take(B.Gate_.onMessage(EntryB, SetStandby{true}, at(0)));
   std::size_t ToA = 0;
@@ -430,7 +307,8 @@
   for (int Ms = 10; Ms <= 4800; Ms += 10) {
     if (Ms % 100 == 0)
       B.take(B.Gate_.onMessage(
-          EntryA, Bench::startOf(std::to_string(Ms).c_str(), 1, at(Ms), 1000),
+          EntryA,
+          GateBench::startOf(std::to_string(Ms).c_str(), 1, at(Ms), 1000),
           at(Ms)));
     else
       B.take(B.Gate_.onTimer(at(Ms)));
@@ -447,7 +325,7 @@
 // when it wants to take it into use.
 TEST_CASE("Entries are told at once when the endpoint turns unusable",
           "[run_gate]") {
-  Bench B;
+  GateBench B;
   B.makeUsable(at(0));
   B.take(B.Gate_.onMessage(EntryB, SetStandby{true}, at(0)));
   B.take(B.Gate_.onWithdrawn("worker-1", at(500)));
@@ -455,167 +333,3 @@
   REQUIRE(Reports.size() == 1);
   CHECK_FALSE(Reports.front().Usable_);
 }
-
-// Guards against a second run at an endpoint that starts again under its id: an
-// order of before its end is valid on its new clock. Found by "Runs keep their
-// promises under faults", seed 33.
-TEST_CASE("The end of the lease does not end an order without an answer",
-          "[run_gate]") {
-  Bench B;
-  B.makeUsable(at(0));
-  B.startRun(EntryA, "answered", at(10));
-  const MakeStart Start = B.order(EntryA, "unanswered", 1, at(10));
-  B.take(
-      B.Gate_.onStartAnswer(Start.Id_, {CallAnswer::Unanswered, {}}, at(90)));
-  // The endpoint is gone: every call fails, and the lease lapses.
-  std::vector<EndedRun> Ended;
-  for (int Ms = 100; Ms <= 3000; Ms += 20) {
-    B.take(B.Gate_.onTimer(at(Ms)));
-    for (const auto &M : B.messages<RunsEnded>(EntryA))
-      Ended.insert(Ended.end(), M.Runs_.begin(), M.Runs_.end());
-    for (const auto &H : B.outputs<MakeHold>())
-      B.Gate_.onHoldAnswer(H.Id_, Error{"connect_failed", "hold", "", ""},
-                           at(Ms));
-  }
-  REQUIRE(Ended.size() == 1);
-  CHECK(Ended[0].Run_.Job_ == JobKey("answered"));
-  CHECK(B.Gate_.runs() == 1);
-  // The next life under this id confirms the stop.
-  B.take(B.Gate_.onAnnounced(life(20), at(3010)));
-  const auto Stops = B.outputs<MakeStop>();
-  REQUIRE(Stops.size() == 1);
-  CHECK(Stops[0].Call_.Token_ > 7);
-  B.take(
-      B.Gate_.onStopAnswer(Stops[0].Id_, {CallAnswer::Accepted, {}}, at(3012)));
-  B.take(B.Gate_.onTimer(at(3080)));
-  B.answerHold({}, {}, at(3085), 20);
-  CHECK(B.ending(EntryA) == RunEnding::Stopped);
-  CHECK(B.Gate_.runs() == 0);
-}
-
-// Guards against a false "never started", which makes the job's refusal untrue
-// and lets it run twice: the start without an answer may have been carried out.
-// Found by "Runs keep their promises under faults", seed 156.
-TEST_CASE("A refused repetition says nothing about the start before it",
-          "[run_gate]") {
-  for (const CallAnswer Second :
-       {CallAnswer::NotSent, CallAnswer::NoRoom, CallAnswer::Unhealthy}) {
-    Bench B;
-    B.makeUsable(at(0));
-    const MakeStart First = B.order(EntryA, "job", 1, at(10));
-    B.take(
-        B.Gate_.onStartAnswer(First.Id_, {CallAnswer::Unanswered, {}}, at(90)));
-    const auto Repeated = B.outputs<MakeStart>();
-    REQUIRE(Repeated.size() == 1);
-    B.take(B.Gate_.onStartAnswer(Repeated[0].Id_, {Second, {}}, at(92)));
-    CHECK_FALSE(B.ending(EntryA));
-    CHECK(B.Gate_.runs() == 1);
-    const auto Stops = B.outputs<MakeStop>();
-    REQUIRE(Stops.size() == 1);
-    B.take(
-        B.Gate_.onStopAnswer(Stops[0].Id_, {CallAnswer::Accepted, {}}, at(94)));
-    B.take(B.Gate_.onTimer(at(160)));
-    B.answerHold({}, {}, at(162));
-    CHECK(B.ending(EntryA) == RunEnding::Stopped);
-  }
-}
-
-// Guards against a task that runs again after its end, which is listed soon.
-TEST_CASE("A repetition that is called stale has run already", "[run_gate]") {
-  Bench B;
-  B.makeUsable(at(0));
-  const MakeStart First = B.order(EntryA, "job", 1, at(10));
-  B.take(
-      B.Gate_.onStartAnswer(First.Id_, {CallAnswer::Unanswered, {}}, at(90)));
-  const auto Repeated = B.outputs<MakeStart>();
-  REQUIRE(Repeated.size() == 1);
-  B.take(B.Gate_.onStartAnswer(Repeated[0].Id_, {CallAnswer::StaleRun, {}},
-                               at(92)));
-  CHECK(B.outputs<MakeStart>().empty());
-  B.take(B.Gate_.onTimer(at(100)));
-  B.answerHold({}, {{1, {JobKey("job"), TaskIndex(0)}, 1, RunEnding::Done}},
-               at(102));
-  CHECK(B.ending(EntryA) == RunEnding::Done);
-}
-
-// Guards against a second run of a task whose start the next life under the
-// same id has accepted before this process knew of that life. Found by "Runs
-// keep their promises under faults", seed 443.
-TEST_CASE("A run that was never listed may be one of the next life",
-          "[run_gate]") {
-  Bench B;
-  B.makeUsable(at(0));
-  B.startRun(EntryA, "old", at(10));
-  B.take(B.Gate_.onTimer(at(20)));
-  const TaskKey Old{JobKey("old"), TaskIndex(0)};
-  B.answerHold({{Old, 1, 10}}, {}, at(30));
-  B.startRun(EntryA, "young", at(40));
-  const TaskKey Young{JobKey("young"), TaskIndex(0)};
-  B.take(B.Gate_.onAnnounced(life(20), at(60)));
-  const auto Ended = B.messages<RunsEnded>(EntryA);
-  REQUIRE(Ended.size() == 1);
-  REQUIRE(Ended[0].Runs_.size() == 1);
-  CHECK(Ended[0].Runs_[0].Run_.Job_ == JobKey("old"));
-  CHECK(B.Gate_.runs() == 1);
-  // Until a list of the new life tells, the longest lease is the only proof.
-  B.take(B.Gate_.onTimer(at(61)));
-  for (const auto &H : B.outputs<MakeHold>())
-    B.take(B.Gate_.onHoldAnswer(H.Id_, Error{"connect_failed", "hold", "", ""},
-                                at(62)));
-  B.take(B.Gate_.onTimer(at(900)));
-  CHECK(B.Gate_.runs() == 1);
-  B.answerHold({{Young, 1, 50}}, {}, at(910), 20);
-  CHECK(B.Gate_.runs() == 1);
-  B.take(B.Gate_.onTimer(at(930)));
-  B.answerHold({}, {{1, Young, 1, RunEnding::Done}}, at(950), 20);
-  CHECK(B.ending(EntryA) == RunEnding::Done);
-}
-
-// Guards against a start that is repeated by a process that stood still, after
-// its owner has had the task run elsewhere. Found by "Runs keep their promises
-// under faults", seed 1509.
-TEST_CASE("A start is not repeated after the owner lease", "[run_gate]") {
-  for (const CallAnswer Answer :
-       {CallAnswer::Unanswered, CallAnswer::StaleRun}) {
-    Bench B;
-    B.makeUsable(at(0));
-    const MakeStart Start = B.order(EntryA, "job", 1, at(10));
-    B.take(B.Gate_.onStartAnswer(Start.Id_, {Answer, {}}, at(2400)));
-    CHECK(B.outputs<MakeStart>().empty());
-  }
-}
-
-// Guards against an endpoint that takes no runs for a third of a second because
-// one answer was lost, and against a longer lease for one that is gone.
-TEST_CASE("One lost list does not make an endpoint unusable", "[run_gate]") {
-  Bench B;
-  B.makeUsable(at(0));
-  B.take(B.Gate_.onTimer(at(20)));
-  const auto First = B.outputs<MakeHold>();
-  REQUIRE(First.size() == 1);
-  B.take(B.Gate_.onHoldAnswer(First[0].Id_, Error{"timeout", "hold", "", ""},
-                              at(320)));
-  CHECK(B.Gate_.usable());
-  B.take(B.Gate_.onTimer(at(320)));
-  const auto Second = B.outputs<MakeHold>();
-  REQUIRE(Second.size() == 1);
-  CHECK(Second[0].Call_.Wait_ == Duration(0));
-  CHECK_FALSE(Second[0].Call_.LeaseEndMs_);
-
-  SECTION("which the next one confirms") {
-    B.answerHold({}, {}, at(325));
-    CHECK(B.Gate_.usable());
-    B.take(B.Gate_.onTimer(at(340)));
-    CHECK(B.outputs<MakeHold>().at(0).Call_.LeaseEndMs_);
-  }
-  SECTION("unless the next one is lost as well") {
-    B.take(B.Gate_.onHoldAnswer(Second[0].Id_, Error{"timeout", "hold", "", ""},
-                                at(470)));
-    CHECK_FALSE(B.Gate_.usable());
-  }
-  SECTION("unless nobody takes the connection") {
-    B.take(B.Gate_.onHoldAnswer(
-        Second[0].Id_, Error{"connect_failed", "hold", "", ""}, at(321)));
-    CHECK_FALSE(B.Gate_.usable());
-  }
-}
--- a/tests/run_world.h
+++ b/tests/run_world.h
@@ -25,8 +25,8 @@
   std::size_t Agents_ = 4;
   /// Time with faults; a quiet end follows.
   Duration Faults_ = std::chrono::seconds(18);
-  RunGateLimits Gate_ = planGateLimits(LeaseSettings());
-  DispatchLimits Dispatch_ = planDispatchLimits(LeaseSettings());
+  RunGateLimits Gate_{planLeases(LeaseSettings())};
+  DispatchLimits Dispatch_{planLeases(LeaseSettings())};
   /// Callers send a job again this long after they lost its answer.
   Duration CallerRetry_ = std::chrono::milliseconds(1300);
   /// Prints the log lines of this job, and the faults.
--- a/tests/run_world_test.cpp
+++ b/tests/run_world_test.cpp
@@ -72,7 +72,7 @@
 // Guards the oracle itself: each broken decision must show as a broken promise.
 TEST_CASE("The oracle notices an entry that reruns too early", "[run-world]") {
   RunWorldOptions Options;
-  Options.Dispatch_.OwnerLease_ = Options.Dispatch_.EndpointLease_ =
+  Options.Dispatch_.Leases_.Owner_ = Options.Dispatch_.Leases_.Endpoint_ =
       std::chrono::milliseconds(0);
   CHECK(firstFailure(Options).find("two runs") != std::string::npos);
 }
@@ -80,7 +80,7 @@
 TEST_CASE("The oracle notices an agent that keeps runs of a dead entry",
           "[run-world]") {
   RunWorldOptions Options;
-  Options.Gate_.OwnerLease_ = std::chrono::hours(1);
+  Options.Gate_.Leases_.Owner_ = std::chrono::hours(1);
   CHECK(firstFailure(Options).find("two runs") != std::string::npos);
 }
 
@@ -93,7 +93,7 @@
 
 TEST_CASE("The oracle notices a job without an answer", "[run-world]") {
   RunWorldOptions Options;
-  Options.Dispatch_.EndpointLease_ = std::chrono::hours(1);
+  Options.Dispatch_.Leases_.Endpoint_ = std::chrono::hours(1);
   Options.Gate_.StopRetry_ = std::chrono::hours(1);
   CHECK_FALSE(firstFailure(Options).empty());
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -81,12 +81,13 @@
         self.net, self.claim = claim_net(args.seed)
         self.stopping = False
 
-    def entry_settings(self, i):
+    def settings(self, name, table):
+        """A settings file; table is that of the role without seeds and grace."""
         net = self.net
         seeds = ", ".join(f'"127.{net}.11.{k + 1}:1"'
                           for k in range(self.args.entries))
         return f"""[process]
-name = "entry-{i}"
+name = "{name}"
 zone = "z1"
 region = "r1"
 log = "127.{net}.13.1:17001"
@@ -94,36 +95,27 @@
 suspect_after_ms = 500
 lost_after_ms = 2500
 [leases]
-[dispatch_entry]
+{table}seeds = [{seeds}]
+grace_ms = 4000
+"""
+
+    def entry_settings(self, i):
+        net = self.net
+        return self.settings(f"entry-{i}", f"""[dispatch_entry]
 listen = "127.{net}.10.{i}:17000"
 ready_listen = "127.{net}.10.{i}:17002"
 peer_listen = "127.{net}.10.{i}:{PEER_PORT}"
 peer_advertise = "127.{net}.11.{i}:{PEER_PORT}"
-seeds = [{seeds}]
-grace_ms = 4000
-"""
+""")
 
     def agent_settings(self, i):
         net = self.net
-        seeds = ", ".join(f'"127.{net}.11.{k + 1}:1"'
-                          for k in range(self.args.entries))
-        return f"""[process]
-name = "agent-{i}"
-zone = "z1"
-region = "r1"
-log = "127.{net}.13.1:17001"
-heartbeat_ms = 200
-suspect_after_ms = 500
-lost_after_ms = 2500
-[leases]
-[dispatch_agent]
+        return self.settings(f"agent-{i}", f"""[dispatch_agent]
 listen = "127.{net}.14.{i}:17000"
 endpoint = "127.{net}.16.{i}:17000"
 service = "svc"
 peer_listen = "127.{net}.14.{i}:{PEER_PORT}"
-seeds = [{seeds}]
-grace_ms = 4000
-"""
+""")
 
     async def set_up(self):
         # The store is reached at 127.NET.13.1, worker N at 127.NET.16.N and the
