Fail a dial after 150 ms instead of waiting for the kernel's second packet

The opening packets are lost, and the kernel repeats them after a second: every agent's first link is up exactly 1.0 s after its start (38.105 to 39.103, ...), 0.5 s after the entries could serve. Jobs in between are refused with no_endpoint. Change: a TCP connect times out after 150 ms; the usual backoff dials again.

--- a/src/ws_transport.cpp
+++ b/src/ws_transport.cpp
@@ -12,6 +12,10 @@
 namespace chivelanding {
 namespace {
 
+// Timeout of a TCP connect, in milliseconds. A VM without power does not
+// answer, and the kernel repeats its opening packet only after a second; a new
+// dial reaches a VM that has come up meanwhile sooner.
+constexpr long ConnectTimeoutMs = 150;
 // Timeout of the websocket handshake, in milliseconds.
 constexpr long HandshakeTimeoutMs = 3000;
 // Timeout of the closing handshake, in milliseconds; an unreachable peer delays
@@ -24,7 +28,7 @@
   using concurrency_type = websocketpp::concurrency::none;
   using alog_type = websocketpp::log::stub;
   using elog_type = websocketpp::log::stub;
-  // The library prescribes these two names.
+  // The library prescribes these names.
   // NOLINTNEXTLINE(readability-identifier-naming)
   struct transport_config : Base::transport_config {
     using concurrency_type = websocketpp::concurrency::none;
@@ -32,6 +36,8 @@
     using elog_type = websocketpp::log::stub;
     // NOLINTNEXTLINE(readability-identifier-naming)
     static const bool enable_multithreading = false;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    static const long timeout_connect = ConnectTimeoutMs;
   };
   using transport_type =
       websocketpp::transport::asio::endpoint<transport_config>;
--- a/tests/load_replay.cpp
+++ b/tests/load_replay.cpp
@@ -113,13 +113,14 @@
   Entry &X = Entries_[E];
   for (DispatchOutput &O : X.Dispatcher_->take()) {
     if (auto *M = std::get_if<MessageToAgent>(&O)) {
-      for (std::size_t A = 0; A < Agents_.size(); ++A)
-        if (M->To_ == agentPeer(A))
-          at(Now_ + Pattern_.LinkDelay_,
-             [this, A, E, Message = std::move(M->Message_)] {
-               applyAgent(A, Agents_[A].Supervisor_->onMessage(entryId(E),
-                                                               Message, Now_));
-             });
+      std::size_t A = 0;
+      while (!(M->To_ == agentPeer(A)))
+        ++A;
+      at(Now_ + Pattern_.LinkDelay_,
+         [this, A, E, Message = std::move(M->Message_)] {
+           applyAgent(
+               A, Agents_[A].Supervisor_->onMessage(entryId(E), Message, Now_));
+         });
     } else if (const auto *Answer = std::get_if<AnswerJob>(&O)) {
       const auto It = X.Waiting_.find(Answer->Job_);
       if (It == X.Waiting_.end())
@@ -214,10 +215,9 @@
   std::size_t Free = 0;
   for (const Agent &A : Agents_)
     Free += (Pattern_.AgentCpu_ - A.Supervisor_->held().Cpu_) / Need;
-  const double Slots = static_cast<double>(Pattern_.AgentCpu_ / Need) *
-                       static_cast<double>(Agents_.size());
+  const std::size_t Slots = Pattern_.AgentCpu_ / Need * Agents_.size();
   Result_.IdleWhileWaiting_ +=
-      static_cast<double>(std::min(Free, Waiting)) / Slots;
+      static_cast<double>(std::min(Free, Waiting)) / static_cast<double>(Slots);
   ++IdleSamples_;
 }
 
