--- a/tests/load_replay_test.cpp
+++ b/tests/load_replay_test.cpp
@@ -47,7 +47,7 @@
 }
 
 LoadResult play(const char *Name, LoadPattern Pattern) {
-  const LoadResult R = LoadReplay(std::move(Pattern)).run();
+  LoadResult R = LoadReplay(std::move(Pattern)).run();
   print(Name, R);
   return R;
 }
