--- a/tests/load_replay.cpp
+++ b/tests/load_replay.cpp
@@ -15,6 +15,8 @@
 // Time after the last job, in which all jobs are answered.
 constexpr Duration CoolDown = std::chrono::seconds(3);
 constexpr Duration CallerTimeout = std::chrono::seconds(2);
+// Pause of a caller before it submits a job of unknown outcome again.
+constexpr Duration ResubmitPause = std::chrono::milliseconds(1300);
 constexpr double ObjectiveFactor = 1.6;
 constexpr double LateWorth = 0.2;
 constexpr Duration Target = std::chrono::milliseconds(60);
@@ -44,10 +46,21 @@
   return {"entry-" + std::to_string(E), Incarnation(1)};
 }
 
-void LoadReplay::startAgent(std::size_t A) {
+void LoadReplay::startEndpoint(std::size_t A) {
+  Agent &X = Agents_[A];
+  const std::uint64_t Number = ++X.Incarnation_;
   SimulatedEndpoint::Observer O;
-  O.OnStarted_ = [this](const TaskKey &K) {
+  O.OnStarted_ = [this, A, Number](const TaskKey &K) {
     ++Result_.Runs_;
+    const JobSpec &Spec = Specs_.at(K.Job_);
+    if (Spec.CrashDelay_ && K.Index_ == TaskIndex(0))
+      at(Now_ + *Spec.CrashDelay_, [this, A, Number, Job = K.Job_] {
+        if (Agents_[A].Incarnation_ != Number || !Agents_[A].Endpoint_.alive())
+          return;
+        Result_.MostCrashesOfTask_ =
+            std::max(Result_.MostCrashesOfTask_, ++CrashesByJob_[Job]);
+        crashEndpoint(A, Number);
+      });
     const auto It = Unstarted_.find(K.Job_);
     if (It == Unstarted_.end())
       return;
@@ -57,18 +70,33 @@
   O.OnEnded_ = [](const TaskKey &, RunEnding) {};
   O.DrawOutcome_ = [this](const TaskKey &K) {
     std::uniform_real_distribution<double> Spread(0.6, 1.4);
-    return std::pair(scaled(Specs_.at(K.Job_).Length_, Spread(Random_)),
-                     RunEnding::Done);
+    const Duration Length =
+        scaled(Specs_.at(K.Job_).Pattern_.Length_, Spread(Random_));
+    return std::pair(Length, RunEnding::Done);
   };
   O.Fail_ = [](const std::string &) {};
-  Agent &X = Agents_[A];
-  X.Endpoint_.startIncarnation("w" + std::to_string(A), 1, 1,
-                               {Pattern_.AgentCpu_, 1u << 20, 0}, O, Now_);
-  X.Supervisor_ = std::make_unique<RunSupervisor>(RunSupervisorLimits(), 1);
+  X.Endpoint_.startIncarnation(
+      "w" + std::to_string(A) + "-" + std::to_string(Number), Number, 1,
+      {Pattern_.AgentCpu_, 1u << 20, 0}, O, Now_);
   applyAgent(
       A, X.Supervisor_->onAnnounced(X.Endpoint_.announcement(1, Now_), Now_));
+}
+
+void LoadReplay::crashEndpoint(std::size_t A, std::uint64_t Incarnation) {
+  Agent &X = Agents_[A];
+  if (X.Incarnation_ != Incarnation || !X.Endpoint_.alive())
+    return;
+  ++Result_.Crashes_;
+  X.Endpoint_.crash(Now_);
+  at(Now_ + Pattern_.RestartTime_, [this, A] { startEndpoint(A); });
+}
+
+void LoadReplay::startAgent(std::size_t A) {
+  Agents_[A].Supervisor_ =
+      std::make_unique<RunSupervisor>(RunSupervisorLimits(), 1);
+  startEndpoint(A);
   for (std::size_t E = 0; E < Entries_.size(); ++E) {
-    applyAgent(A, X.Supervisor_->onEntryUp(entryId(E), Now_));
+    applyAgent(A, Agents_[A].Supervisor_->onEntryUp(entryId(E), Now_));
     Entries_[E].Dispatcher_->onAgentUp(agentPeer(A), Now_);
   }
 }
@@ -85,7 +113,7 @@
           });
     } else if (const auto *Start = std::get_if<MakeStart>(&O)) {
       at(Now_ + CallDelay, [this, A, S = *Start] {
-        const JobPattern &P = Specs_.at(S.Call_.Task_.Job_);
+        const JobPattern &P = Specs_.at(S.Call_.Task_.Job_).Pattern_;
         Agent &Y = Agents_[A];
         const CallAnswer Answer =
             Y.Endpoint_.start(S.Call_, {P.Cpu_, 64, 0}, Now_);
@@ -122,24 +150,55 @@
                A, Agents_[A].Supervisor_->onMessage(entryId(E), Message, Now_));
          });
     } else if (const auto *Answer = std::get_if<AnswerJob>(&O)) {
-      const auto It = X.Waiting_.find(Answer->Job_);
-      if (It == X.Waiting_.end())
-        continue;
-      const bool InTime = Now_ - It->second.Sent_ <= It->second.Objective_;
-      if (Answer->Ending_ == JobEnding::Completed) {
-        ++(InTime ? Result_.InTime_ : Result_.Late_);
-        Result_.Worth_ += It->second.Pattern_.Worth_ * (InTime ? 1 : LateWorth);
-      } else
-        ++Result_.Refused_;
-      X.Waiting_.erase(It);
+      onAnswer(E, *Answer);
     }
   }
 }
 
-void LoadReplay::submit(const JobPattern &P) {
+void LoadReplay::onAnswer(std::size_t E, const AnswerJob &Answer) {
+  auto &Waiting = Entries_[E].Waiting_;
+  const auto It = Waiting.find(Answer.Job_);
+  if (It == Waiting.end())
+    return;
+  const Submission S = It->second;
+  Waiting.erase(It);
+  const JobSpec &Spec = Specs_.at(S.Key_);
+  const double Worth = Spec.Pattern_.Worth_;
+  const bool InTime = Now_ - Spec.Sent_ <= S.Objective_;
+  if (Answer.Ending_ == JobEnding::Completed) {
+    ++(InTime ? Result_.InTime_ : Result_.Late_);
+    Credits_[Spec.Pattern_.Route_].Earned_ += Worth * (InTime ? 1 : LateWorth);
+  } else if (Answer.Ending_ == JobEnding::Unknown &&
+             Now_ + ResubmitPause < Spec.Sent_ + CallerTimeout) {
+    at(Now_ + ResubmitPause, [this, Key = S.Key_] { submit(Key); });
+  } else {
+    ++Result_.Refused_;
+    Result_.WronglyFailed_ +=
+        Answer.Ending_ == JobEnding::Failed && !Spec.CrashDelay_ ? 1 : 0;
+  }
+}
+
+void LoadReplay::createJob(const JobPattern &P) {
   const JobKey Key("job-" + std::to_string(NextJob_++));
-  Specs_[Key] = P;
+  JobSpec &Spec = Specs_[Key];
+  Spec.Pattern_ = P;
+  Spec.Sent_ = Now_;
+  for (const CrashingJobs &C : Pattern_.Crashing_) {
+    std::bernoulli_distribution Crashes(C.Share_);
+    if (C.Route_ == P.Route_ && C.From_ <= Now_ && Now_ < C.To_ &&
+        Crashes(Random_))
+      Spec.CrashDelay_ = C.Delay_;
+  }
   Unstarted_[Key] = Now_;
+  ++Result_.Jobs_;
+  if (!Spec.CrashDelay_)
+    Credits_[P.Route_].Owed_ += P.Worth_;
+  submit(Key);
+}
+
+void LoadReplay::submit(const JobKey &Key) {
+  const JobSpec &Spec = Specs_.at(Key);
+  const JobPattern &P = Spec.Pattern_;
   IdempotentJob J;
   J.Key_ = Key;
   J.Route_.Name_ = P.Route_;
@@ -151,14 +210,12 @@
   J.Tasks_ = P.Tasks_;
   J.Need_ = {P.Cpu_, 64, 0};
   J.Estimate_ = P.Length_;
-  J.CallerTimeout_ = CallerTimeout;
+  J.CallerTimeout_ = CallerTimeout - (Now_ - Spec.Sent_);
   std::uniform_int_distribution<std::size_t> Pick(0, Entries_.size() - 1);
   const std::size_t E = Pick(Random_);
-  ++Result_.Jobs_;
   const Duration Objective = J.objective(P.Length_);
   const JobNumber Number = Entries_[E].Dispatcher_->submit(std::move(J), Now_);
-  Entries_[E].Waiting_[Number] = {Now_, Objective, P};
-  OwedWorth_ += P.Worth_;
+  Entries_[E].Waiting_[Number] = {Key, Now_, Objective};
   applyEntry(E);
 }
 
@@ -173,7 +230,7 @@
         Rate *=
             B.Route_ == P.Route_ && B.From_ <= T && T < B.To_ ? B.Factor_ : 1;
       T += Duration(static_cast<std::int64_t>(Gap(Random_) / Rate * 1e6));
-      at(T, [this, &P] { submit(P); });
+      at(T, [this, &P] { createJob(P); });
     }
   }
 }
@@ -242,7 +299,13 @@
   }
   Result_.IdleWhileWaiting_ /=
       static_cast<double>(std::max<std::size_t>(1, IdleSamples_));
-  Result_.Worth_ /= std::max(1.0, OwedWorth_);
+  Credit All;
+  for (const auto &[Route, C] : Credits_) {
+    Result_.RouteWorth_[Route] = C.Earned_ / C.Owed_;
+    All.Earned_ += C.Earned_;
+    All.Owed_ += C.Owed_;
+  }
+  Result_.Worth_ = All.Earned_ / std::max(1.0, All.Owed_);
   return Result_;
 }
 
--- a/tests/load_replay.h
+++ b/tests/load_replay.h
@@ -27,6 +27,17 @@
   double Worth_ = 1;
 };
 
+/// From From_ to To_, this share of the jobs on a route contain one task that
+/// crashes the endpoint that runs it.
+struct CrashingJobs {
+  std::string Route_;
+  Time From_;
+  Time To_;
+  double Share_ = 0;
+  /// Time from the start of the task to the crash.
+  Duration Delay_ = std::chrono::milliseconds(9);
+};
+
 /// Arrivals on a route are multiplied by Factor_ from From_ to To_.
 struct Burst {
   std::string Route_;
@@ -35,13 +46,16 @@
   double Factor_ = 1;
 };
 
-/// A load on a fleet without faults.
+/// A load on a fleet, without other faults than crashes by tasks.
 struct LoadPattern {
   std::size_t Entries_ = 1;
   std::size_t Agents_ = 1;
   std::uint32_t AgentCpu_ = 64000;
   std::vector<JobPattern> Jobs_;
   std::vector<Burst> Bursts_;
+  std::vector<CrashingJobs> Crashing_;
+  /// Time from the crash of an endpoint to its return.
+  Duration RestartTime_ = std::chrono::milliseconds(3300);
   Duration Length_ = std::chrono::seconds(8);
   /// One way, between an entry and an agent.
   Duration LinkDelay_ = std::chrono::microseconds(1400);
@@ -57,8 +71,16 @@
   std::size_t InTime_ = 0;
   std::size_t Late_ = 0;
   std::size_t Refused_ = 0;
-  /// Worth earned, over the worth of all jobs.
+  /// Worth earned, over the worth of all jobs. Jobs with a crashing task are in
+  /// neither.
   double Worth_ = 0;
+  /// The same by route.
+  std::map<std::string, double> RouteWorth_;
+  std::size_t Crashes_ = 0;
+  /// Most crashes that one task has caused.
+  std::size_t MostCrashesOfTask_ = 0;
+  /// Jobs that could be done and were answered as failed.
+  std::size_t WronglyFailed_ = 0;
   std::size_t Runs_ = 0;
   /// Runs that an agent refused for lack of room.
   std::size_t RefusedRuns_ = 0;
@@ -77,9 +99,20 @@
 
 private:
   struct Submission {
+    JobKey Key_;
     Time Sent_;
     Duration Objective_{0};
+  };
+  struct JobSpec {
     JobPattern Pattern_;
+    /// First submission by its caller.
+    Time Sent_;
+    /// Time from the start of its first task to the crash of the endpoint.
+    std::optional<Duration> CrashDelay_;
+  };
+  struct Credit {
+    double Earned_ = 0;
+    double Owed_ = 0;
   };
   struct Entry {
     std::unique_ptr<Dispatcher> Dispatcher_;
@@ -89,14 +122,19 @@
     std::unique_ptr<RunSupervisor> Supervisor_;
     SimulatedEndpoint Endpoint_;
     std::optional<std::pair<MakePoll, Time>> Poll_;
+    std::uint64_t Incarnation_ = 0;
   };
 
   void at(Time When, std::function<void()> Do);
   void startAgent(std::size_t A);
+  void startEndpoint(std::size_t A);
+  void crashEndpoint(std::size_t A, std::uint64_t Incarnation);
   void tick();
   void stepEndpoint(std::size_t A);
   void scheduleArrivals();
-  void submit(const JobPattern &P);
+  void createJob(const JobPattern &P);
+  void submit(const JobKey &Key);
+  void onAnswer(std::size_t E, const AnswerJob &Answer);
   void applyEntry(std::size_t E);
   void applyAgent(std::size_t A, const RunSupervisorOutputs &Out);
   void measureIdle();
@@ -109,11 +147,12 @@
   std::multimap<Time, std::function<void()>> Events_;
   std::vector<Entry> Entries_;
   std::vector<Agent> Agents_;
-  std::map<JobKey, JobPattern> Specs_;
+  std::map<JobKey, JobSpec> Specs_;
   std::map<JobKey, Time> Unstarted_;
   LoadResult Result_;
   std::size_t IdleSamples_ = 0;
-  double OwedWorth_ = 0;
+  std::map<std::string, Credit> Credits_;
+  std::map<JobKey, std::size_t> CrashesByJob_;
   std::uint64_t NextJob_ = 1;
 };
 
--- a/tests/load_replay_test.cpp
+++ b/tests/load_replay_test.cpp
@@ -52,6 +52,35 @@
   return R;
 }
 
+// A fleet of eleven endpoints under a usual load, with jobs on one route that
+// crash the endpoint.
+LoadPattern crashingLoad(double Share, std::uint64_t Seed) {
+  LoadPattern P;
+  P.Entries_ = 3;
+  P.Agents_ = 11;
+  P.AgentCpu_ = 76000;
+  P.Jobs_ = {
+      {"short", PriorityClass(0), 8, 6200, milliseconds(60), 34.4, 0.0291},
+      {"long", PriorityClass(2), 4, 6200, milliseconds(900), 6.25, 0.16},
+      {"middle", PriorityClass(1), 2, 6200, milliseconds(200), 100, 0.01}};
+  P.Crashing_ = {
+      {"short", Time(milliseconds(5000)), Time(milliseconds(15000)), Share}};
+  P.Length_ = std::chrono::seconds(34);
+  P.Seed_ = Seed;
+  return P;
+}
+
+LoadResult playCrashing(double Share, std::uint64_t Seed) {
+  const std::string Name = "crashing share " + std::to_string(Share) +
+                           " seed " + std::to_string(Seed);
+  LoadResult R = play(Name.c_str(), crashingLoad(Share, Seed));
+  for (const auto &[Route, Worth] : R.RouteWorth_)
+    std::printf("  %s %.3f;", Route.c_str(), Worth);
+  std::printf(" crashes %zu, most of one task %zu, wrongly failed %zu\n",
+              R.Crashes_, R.MostCrashesOfTask_, R.WronglyFailed_);
+  return R;
+}
+
 } // namespace
 
 // Load pattern: a large fleet with many entries close to its capacity, each of
@@ -73,3 +102,18 @@
           "[load-replay]") {
   CHECK(refusedShare(play("overload", mixedLoad(5, 15, 1.2))) < 0.02);
 }
+
+// Load pattern: one route has jobs with a task that crashes each endpoint that
+// starts it. Guards against the loss of the whole fleet to one kind of work.
+TEST_CASE("Crashing tasks of one route do not take down the fleet",
+          "[load-replay]") {
+  for (const double Share : {0.03, 0.1, 0.3})
+    for (const std::uint64_t Seed : {1, 2}) {
+      const LoadResult R = playCrashing(Share, Seed);
+      CHECK(R.Worth_ >= 0.8);
+      CHECK(R.RouteWorth_.at("long") >= 0.95);
+      CHECK(R.RouteWorth_.at("middle") >= 0.95);
+      CHECK(R.MostCrashesOfTask_ <= 3);
+      CHECK(R.WronglyFailed_ == 0);
+    }
+}
