--- a/src/agent_pool.cpp
+++ b/src/agent_pool.cpp
@@ -1,6 +1,9 @@
 #include "agent_pool.h"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
 
 namespace chivelanding {
 namespace {
@@ -29,6 +32,13 @@
 // take at least half as long again, so only a nearly full rack is passed over.
 constexpr double DataRackBonus = 0.8;
 
+// Usable CPU that is left to the routes that are not confined, over what they
+// need: without some reserve their jobs would wait for room.
+constexpr double ReserveHeadroom = 1.2;
+// Time for which an endpoint counts as crashed lately. Longer than endpoints
+// take to return.
+constexpr Duration CrashedPeriod = std::chrono::seconds(15);
+
 // Slots of an endpoint for runs that state no CPU requirement.
 constexpr std::uint32_t MaxSlots = 1000;
 
@@ -89,7 +99,16 @@
   A.UnreportedStarts_.emplace_back(Sequence, Need);
 }
 
+// Zero for an endpoint whose runs tolerate no others; see isolatedResources for
+// its own route.
 Resources AgentPool::freeResources(const AgentView &A) {
+  if (A.Report_.Isolation_ != Isolation::Any)
+    return {};
+  return reportedResources(A);
+}
+
+// Deducts the starts that the last report does not account for.
+Resources AgentPool::reportedResources(const AgentView &A) {
   if (!A.ready())
     return {};
   Resources Free = A.Report_.Free_;
@@ -122,11 +141,14 @@
                       static_cast<std::ptrdiff_t>(Position(Random_)));
   AgentView *Best = nullptr;
   AgentView *AvoidedFit = nullptr;
+  AgentView *Reserved = nullptr;
+  bool HasUnreserved = false;
   double BestScore = 0;
   std::size_t Fitting = 0;
   bool HasOther = false;
   for (std::size_t I = 0;
-       I < Agents_.size() && (Fitting < MaxCandidates || !W.Rack_.empty());
+       I < Agents_.size() &&
+       (Fitting < MaxCandidates || !W.Rack_.empty() || W.PreferredAgent_);
        ++I) {
     if (It == Agents_.end())
       It = Agents_.begin();
@@ -135,6 +157,7 @@
       continue;
     const bool Avoided = W.AvoidedAgent_ && A.Peer_.Name_ == *W.AvoidedAgent_;
     HasOther = HasOther || !Avoided;
+    HasUnreserved = HasUnreserved || A.ReservedFor_.empty();
     if (!fits(W.Need_, freeResources(A)))
       continue;
     if (Avoided) {
@@ -143,6 +166,12 @@
     }
     if (A.Ejected_ && A.OutstandingRuns_ > 0)
       continue;
+    if (W.PreferredAgent_ && A.Peer_.Name_ == *W.PreferredAgent_)
+      return &A;
+    if (!A.ReservedFor_.empty()) {
+      Reserved = &A;
+      continue;
+    }
     ++Fitting;
     const double Score = score(A, W);
     if (!Best || Score > BestScore) {
@@ -150,12 +179,121 @@
       BestScore = Score;
     }
   }
+  if (W.OnlyPreferred_)
+    return nullptr;
+  if (!Best && !HasUnreserved)
+    Best = Reserved;
   return Best || HasOther ? Best : AvoidedFit;
 }
 
+AgentPool::OpenCpu AgentPool::openCpu(const ServiceName &Service) const {
+  OpenCpu Result;
+  for (const auto &[Peer, A] : Agents_) {
+    if (A.Report_.Service_ != Service || !A.Report_.Usable_ ||
+        A.Report_.Isolation_ != Isolation::Any)
+      continue;
+    Result.Used_ += minus(A.Report_.Capacity_, A.Report_.Free_).Cpu_;
+    if (A.ReservedFor_.empty())
+      Result.Capacity_ += A.Report_.Capacity_.Cpu_;
+  }
+  return Result;
+}
+
+// Reserves endpoints that crashed lately first, because they return empty,
+// while others idle in part until the last of their runs has ended. Among
+// equals the smallest come first, since each crash costs a whole one, then a
+// hash decides. An endpoint that is down keeps its reservation, but the CPU of
+// others is needed the more. For the sake of stability, a reservation ends only
+// once a whole endpoint is reserved too much.
+void AgentPool::reserveFor(const ServiceName &Service,
+                           const std::vector<std::string> &Routes,
+                           double NeededCpu, Time Now) {
+  std::vector<std::tuple<bool, std::uint32_t, std::size_t, AgentView *>> Fleet;
+  double Usable = 0;
+  for (auto &[Peer, A] : Agents_) {
+    if (A.Report_.Service_ != Service)
+      continue;
+    Fleet.emplace_back(A.CrashedAt_ + CrashedPeriod < Now,
+                       A.Report_.Capacity_.Cpu_,
+                       std::hash<std::string>()(Peer.Name_), &A);
+    Usable += A.Report_.Usable_ ? A.Report_.Capacity_.Cpu_ : 0;
+  }
+  std::sort(Fleet.begin(), Fleet.end());
+  const double Spare = std::max(0.0, Usable - ReserveHeadroom * NeededCpu);
+  const double Share = Spare / static_cast<double>(Routes.size());
+  auto Next = Fleet.begin();
+  for (const std::string &Route : Routes) {
+    double Reserved = 0;
+    for (auto First = Next; Next != Fleet.end(); ++Next) {
+      const auto &[NotCrashed, Cpu, Hash, A] = *Next;
+      const bool Kept = A->ReservedFor_ == Route;
+      const bool Down = !A->Report_.Usable_;
+      if (!Down && Next != First && Reserved + Cpu > Share + (Kept ? Cpu : 0))
+        break;
+      if (Down && NotCrashed && !Kept)
+        continue;
+      A->ReservedFor_ = Route;
+      Reserved += Down ? 0 : Cpu;
+    }
+  }
+  for (; Next != Fleet.end(); ++Next)
+    std::get<AgentView *>(*Next)->ReservedFor_.clear();
+}
+
+// True if no run is there or on its way, as far as this entry knows.
+bool AgentPool::isEmpty(const AgentView &A) {
+  return A.UnreportedStarts_.empty() && A.Report_.Free_ == A.Report_.Capacity_;
+}
+
+// Resources for runs that tolerate only runs of this route, or of the same job,
+// beside them.
+Resources AgentPool::isolatedResources(const AgentView &A,
+                                       const std::string &Route, Isolation I) {
+  const bool Shared = I == Isolation::SameRoute && A.Report_.Route_ == Route &&
+                      A.Report_.Isolation_ != Isolation::SameJob;
+  return isEmpty(A) || Shared ? reportedResources(A) : Resources();
+}
+
+AgentPool::ReservedAgents
+AgentPool::reservedAgents(const ServiceName &Service,
+                          const std::string &Route) const {
+  ReservedAgents Result;
+  for (const auto &[Peer, A] : Agents_) {
+    if (A.Report_.Service_ != Service || A.ReservedFor_ != Route || !A.ready())
+      continue;
+    ++Result.Usable_;
+    Result.Empty_ += isEmpty(A) ? 1 : 0;
+  }
+  return Result;
+}
+
+AgentPool::ReservedChoice AgentPool::chooseReserved(const ServiceName &Service,
+                                                    const std::string &Route,
+                                                    const Resources &Need,
+                                                    std::uint32_t Runs,
+                                                    Isolation I, bool Whole) {
+  ReservedChoice Best;
+  std::size_t Equal = 0;
+  for (auto &[Peer, A] : Agents_) {
+    if (A.Report_.Service_ != Service || A.ReservedFor_ != Route)
+      continue;
+    const std::uint32_t Slots =
+        std::min(Runs, slotsFor(isolatedResources(A, Route, I), Need));
+    if (Slots == 0 || Slots < Best.Slots_ ||
+        (Whole && Slots < std::min(Runs, slotsFor(A.Report_.Capacity_, Need))))
+      continue;
+    Equal = Slots > Best.Slots_ ? 1 : Equal + 1;
+    if (std::uniform_int_distribution<std::size_t>(1, Equal)(Random_) == 1)
+      Best = {&A, Slots};
+  }
+  return Best;
+}
+
+// Reserved agents count only if there are no others.
 AgentPool::Totals AgentPool::totals(const ServiceName &Service,
                                     const Resources &Need) const {
   Totals T;
+  Totals Reserved;
   for (const auto &[Peer, A] : Agents_) {
     if (A.Report_.Service_ != Service)
       continue;
@@ -164,13 +302,18 @@
         std::max(T.LargestMemoryMb_, A.Report_.Capacity_.MemoryMb_);
     if (!A.ready() || A.Ejected_)
       continue;
-    ++T.UsableEndpoints_;
+    Totals &Part = A.ReservedFor_.empty() ? T : Reserved;
+    ++Part.UsableEndpoints_;
     const Resources Free = freeResources(A);
-    T.FreeCpu_ += Free.Cpu_;
-    T.Slots_ += slotsFor(A.Report_.Capacity_, Need);
-    T.FreeSlots_ += slotsFor(Free, Need);
+    Part.FreeCpu_ += Free.Cpu_;
+    Part.Slots_ += slotsFor(A.Report_.Capacity_, Need);
+    Part.FreeSlots_ += slotsFor(Free, Need);
   }
-  return T;
+  if (T.UsableEndpoints_ > 0)
+    return T;
+  Reserved.LargestCpu_ = T.LargestCpu_;
+  Reserved.LargestMemoryMb_ = T.LargestMemoryMb_;
+  return Reserved;
 }
 
 std::vector<const AgentView *> AgentPool::updateEjections() {
--- a/src/agent_pool.h
+++ b/src/agent_pool.h
@@ -28,6 +28,10 @@
   /// Ejected as an outlier: gets one run at a time, because it fails or is far
   /// slower than the others.
   bool Ejected_ = false;
+  /// When its endpoint last crashed with runs on it.
+  Time CrashedAt_ = Time(std::chrono::hours(-1));
+  /// Confined route for which this agent is reserved; empty if for none.
+  std::string ReservedFor_;
   std::uint64_t LastSequence_ = 0;
   /// Sequence number and resources of starts that the last report does not
   /// account for yet.
@@ -72,6 +76,10 @@
     RackName Rack_;
     /// Name of an agent that is chosen only if there is no other.
     std::optional<std::string> AvoidedAgent_;
+    /// Name of an agent that is chosen if it has room. If OnlyPreferred_, no
+    /// other is chosen.
+    std::optional<std::string> PreferredAgent_;
+    bool OnlyPreferred_ = false;
     /// Best fit: prefers the endpoint with the least resources left over, so
     /// that little is lost in fragments too small for a run.
     bool Pack_ = false;
@@ -84,6 +92,40 @@
   static void reserve(AgentView &A, std::uint64_t Sequence, Resources Need);
   static Resources freeResources(const AgentView &A);
 
+  /// Capacity of the usable endpoints of a service that are open to runs
+  /// without isolation, and what these use of it, in thousandths of a core.
+  struct OpenCpu {
+    double Capacity_ = 0;
+    double Used_ = 0;
+  };
+  OpenCpu openCpu(const ServiceName &Service) const;
+  /// Reserves agents of the service for the confined routes, as far as the
+  /// other routes, which need this much CPU, can spare them; at least one
+  /// usable agent for each route. All entries reserve the same agents.
+  void reserveFor(const ServiceName &Service,
+                  const std::vector<std::string> &Routes, double NeededCpu,
+                  Time Now);
+  /// What the agents that are reserved for a route offer it.
+  struct ReservedAgents {
+    std::uint32_t Usable_ = 0;
+    /// Usable ones without any run.
+    std::uint32_t Empty_ = 0;
+  };
+  ReservedAgents reservedAgents(const ServiceName &Service,
+                                const std::string &Route) const;
+  /// A reserved agent, and how many runs may start there beside each other.
+  struct ReservedChoice {
+    AgentView *Agent_ = nullptr;
+    std::uint32_t Slots_ = 0;
+  };
+  /// Returns a reserved agent with room for most of Runs runs, a random one
+  /// among equals, since all entries choose among few; no agent if none has
+  /// room for one. If Whole, an agent must have room for all of them, or for as
+  /// many as its endpoint can run at all.
+  ReservedChoice chooseReserved(const ServiceName &Service,
+                                const std::string &Route, const Resources &Need,
+                                std::uint32_t Runs, Isolation I, bool Whole);
+
   /// Resources of the usable endpoints of a service. A slot is capacity for one
   /// run of the requested size.
   struct Totals {
@@ -103,6 +145,10 @@
   std::vector<const AgentView *> updateEjections();
 
 private:
+  static Resources reportedResources(const AgentView &A);
+  static bool isEmpty(const AgentView &A);
+  static Resources isolatedResources(const AgentView &A,
+                                     const std::string &Route, Isolation I);
   double score(const AgentView &A, const RunRequest &W) const;
 
   ZoneName Zone_;
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -22,6 +22,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace chivelanding {
 namespace {
@@ -96,7 +97,7 @@
   Time ConfigAt_;
   PeerVersions Versions_;
   std::map<JobNumber, std::vector<WaitingCaller>> WaitingCallers_;
-  std::vector<PeerId> ConnectedEntries_;
+  std::set<PeerId> ConnectedEntries_;
   std::optional<DrainPlan> Drain_;
   std::optional<bool> WasReady_;
   bool Stopped_ = false;
@@ -132,8 +133,10 @@
   return {
       [this](const PeerUp &Up) {
         if (Up.Peer_.Role_ == Role::Entry) {
-          ConnectedEntries_.push_back(Up.Peer_);
+          ConnectedEntries_.insert(Up.Peer_);
           sendConfigVersion(Up.Peer_);
+          Dispatcher_.onEntryUp(Up.Peer_, steadyNow());
+          apply();
           return;
         }
         Dispatcher_.onAgentUp(Up.Peer_, steadyNow());
@@ -146,9 +149,7 @@
       },
       [this](const PeerId &Peer) {
         if (Peer.Role_ == Role::Entry) {
-          ConnectedEntries_.erase(std::remove(ConnectedEntries_.begin(),
-                                              ConnectedEntries_.end(), Peer),
-                                  ConnectedEntries_.end());
+          ConnectedEntries_.erase(Peer);
           Versions_.onLost(Peer);
           return;
         }
@@ -168,7 +169,6 @@
   const Time Now = steadyNow();
   if (From.Role_ == Role::Agent) {
     Dispatcher_.onMessage(From, M, Now);
-    apply();
   } else if (const auto *Config = std::get_if<ConfigText>(&M)) {
     if (!Config_ || Config_->version() < Config->Version_)
       onConfig(Config->Text_, From.Name_.c_str());
@@ -179,12 +179,13 @@
       Hub_.send(From, ConfigText{Config_->version(), ConfigText_});
   } else if (const auto *Cancel = std::get_if<CancelJob>(&M)) {
     Dispatcher_.cancelByKey(Cancel->Job_, Now);
-    apply();
+  } else {
+    Dispatcher_.onEntryMessage(M, Now);
   }
+  apply();
 }
 
-// Sends the version without the text, because nearly all entries have read the
-// text from the store.
+// Leaves out the text, which nearly all entries have read from the store.
 void DispatchEntry::Impl::sendConfigVersion(const PeerId &To) {
   if (Config_)
     Hub_.send(To, ConfigDigest{Config_->version(), 0});
@@ -332,6 +333,10 @@
   for (DispatchOutput &O : Dispatcher_.take()) {
     if (auto *Send = std::get_if<MessageToAgent>(&O)) {
       Hub_.send(Send->To_, std::move(Send->Message_));
+    } else if (const auto *M = std::get_if<MessageToEntries>(&O)) {
+      for (const PeerId &Peer : ConnectedEntries_)
+        if (!M->To_ || *M->To_ == Peer)
+          Hub_.send(Peer, M->Message_);
     } else if (const auto *A = std::get_if<AnswerJob>(&O)) {
       onAnswer(*A);
     } else if (const auto *Event = std::get_if<LogEvent>(&O)) {
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -17,6 +17,9 @@
 // Below this share of free slots, runs are packed (best fit) rather than
 // spread.
 constexpr double PackBelowFreeShare = 0.15;
+// Time for which a suspect waits for room at the agent that keeps it apart from
+// the others: a few runs of a short kind.
+constexpr Duration AgentForSuspectWait = std::chrono::milliseconds(100);
 // Consecutive runs of one job that are dispatched to the same agent while
 // resources are plentiful: they share a message and a copy of the payload.
 constexpr std::uint32_t MaxRunsPerGroup = 4;
@@ -104,6 +107,8 @@
     if (J.Spec_.Route_.Class_ < Class)
       break;
     const Job &Other = Jobs_.at(Number);
+    if (isConfined(Other))
+      continue;
     if (Other.Spec_.Route_.Class_ < J.Spec_.Route_.Class_ ||
         Number <= J.Number_)
       RequestedCpu += static_cast<double>(Other.WaitingTasks_) *
@@ -157,6 +162,7 @@
   J.Number_ = Number;
   J.Spec_ = std::move(Spec);
   const IdempotentJob &S = J.Spec_;
+  RouteServices_[S.Route_.Name_] = S.Route_.Service_;
   const auto Factor = LengthFactor_.find(S.Route_.Name_);
   J.Estimate_ =
       scaled(S.Estimate_, Factor == LengthFactor_.end() ? 1 : Factor->second);
@@ -202,9 +208,15 @@
     refuse(J, "no_endpoint", Now);
     return Number;
   }
+  if (answerSuspect(J, Now))
+    return Number;
   enqueue(J);
   placeWaiting(Now);
   const auto Left = Jobs_.find(Number);
+  if (Left != Jobs_.end() && isConfined(J)) {
+    refuseConfinedSurplus(J, Now);
+    return Number;
+  }
   if (Left != Jobs_.end() && J.OutstandingRuns_ == 0 &&
       expectedWait(J, Now) > scaled(Slack, AdmissionWaitFactor))
     refuse(J, "overloaded", Now);
@@ -217,92 +229,130 @@
 
 // The first job that cannot have all the resources it needs blocks the later
 // ones of its service: otherwise wide jobs would never start beside narrow
-// ones. It is given the free resources task by task.
+// ones. It is given the free resources task by task. A confined route has its
+// own resources, so it blocks and is blocked only by itself.
 void Dispatcher::placeWaiting(Time Now) {
-  std::set<ServiceName> Full;
+  std::set<std::pair<ServiceName, std::string>> Full;
   const std::vector<QueueKey> Snapshot(Queue_.begin(), Queue_.end());
   for (const auto &[Class, Number] : Snapshot) {
     const auto It = Jobs_.find(Number);
     if (It == Jobs_.end())
       continue;
     Job &J = It->second;
-    if (Full.count(J.Spec_.Route_.Service_) > 0)
+    if (answerSuspect(J, Now))
       continue;
-    if (placeJob(J, Now))
+    const bool Confined = isConfined(J);
+    const std::pair Resource{J.Spec_.Route_.Service_,
+                             Confined ? J.Spec_.Route_.Name_ : std::string()};
+    if (Full.count(Resource) > 0)
+      continue;
+    if (!(Confined ? placeConfined(J, Now) : placeJob(J, Now)))
+      Full.insert(Resource);
+    else if (J.WaitingTasks_ == 0)
       Queue_.erase({Class, Number});
-    else
-      Full.insert(J.Spec_.Route_.Service_);
   }
 }
 
+void Dispatcher::dispatchTask(Job &J, std::size_t Index, AgentView &A,
+                              Isolation I,
+                              std::map<PeerId, StartRuns> &Messages) {
+  const auto [It, New] = Messages.try_emplace(A.Peer_);
+  StartRuns &Start = It->second;
+  if (New) {
+    Start.Job_ = J.Spec_.Key_;
+    Start.Submission_ = J.Number_.value();
+    Start.Payload_ = J.Spec_.Payload_;
+    Start.Need_ = J.Spec_.Need_;
+    Start.Estimate_ = J.Estimate_;
+    Start.Sequence_ = ++A.LastSequence_;
+    Start.AgentClock_ = A.Report_.AgentClock_;
+    Start.Route_ = J.Spec_.Route_.Name_;
+    Start.Isolation_ = I;
+    A.OwnerLeaseFrom_ = A.ReportedAt_;
+    A.RenewedClock_ = A.Report_.AgentClock_;
+  }
+  AgentPool::reserve(A, Start.Sequence_, J.Spec_.Need_);
+  ++A.OutstandingRuns_;
+  Task &T = J.Tasks_[Index];
+  T.State_ = State::Dispatched;
+  T.Agent_ = A.Peer_;
+  ++T.Attempt_;
+  Start.Runs_.push_back(
+      {TaskIndex(static_cast<std::uint32_t>(Index)), T.Attempt_});
+  --J.WaitingTasks_;
+  ++J.OutstandingRuns_;
+}
+
+void Dispatcher::sendStarts(Job &J, std::map<PeerId, StartRuns> Messages,
+                            Time Now) {
+  if (Messages.empty())
+    return;
+  std::string Agents;
+  const Isolation I = Messages.begin()->second.Isolation_;
+  for (auto &[Peer, Start] : Messages) {
+    const auto &Report = Agents_.find(Peer)->Report_;
+    Agents += (Agents.empty() ? "" : ",") + Peer.Name_ + ":" +
+              std::to_string(Start.Runs_.size()) + "/" +
+              std::to_string(Report.Free_.Cpu_);
+    Out_.push_back(MessageToAgent{Peer, std::move(Start)});
+  }
+  log(events::JobPlaced, {{"job", J.Spec_.Key_.str()},
+                          {"agents", Agents},
+                          {"isolation", isolationName(I)},
+                          {"unplaced", std::to_string(J.WaitingTasks_)},
+                          {"age_ms", millisecondsText(Now - J.Received_)}});
+}
+
 // Dispatches the waiting tasks for which there are free resources. True if none
-// is left waiting.
+// is left waiting for them. Jobs that were on the same crashed endpoint are
+// kept apart: a second crash then shows which of them is the cause.
 bool Dispatcher::placeJob(Job &J, Time Now) {
   AgentPool::Totals T = Agents_.totals(J.Spec_.Route_.Service_, J.Spec_.Need_);
   const bool Pack = static_cast<double>(T.FreeSlots_) <
                     PackBelowFreeShare * static_cast<double>(T.Slots_);
+  const bool Suspect = Crashes_.isSuspect(J.Spec_.Key_);
+  bool SuspectWaits = false;
   std::map<PeerId, StartRuns> Messages;
   AgentView *Group = nullptr;
   std::uint32_t GroupSize = 0;
   for (std::size_t I = 0; I < J.Tasks_.size() && J.WaitingTasks_ > 0; ++I) {
-    Task &Waiting = J.Tasks_[I];
+    const Task &Waiting = J.Tasks_[I];
     if (Waiting.State_ != State::Waiting)
       continue;
     if (T.FreeSlots_ == 0)
       break;
     const bool Grouped =
-        Group && !Pack && GroupSize < MaxRunsPerGroup &&
+        Group && !Pack && !Suspect && GroupSize < MaxRunsPerGroup &&
         (!Waiting.AvoidedAgent_ ||
          *Waiting.AvoidedAgent_ != Group->Peer_.Name_) &&
         fits(J.Spec_.Need_, AgentPool::freeResources(*Group)) &&
-        !Group->Ejected_;
-    AgentView *A =
-        Grouped
-            ? Group
-            : Agents_.chooseAgent({J.Spec_.Route_.Service_, J.Spec_.Need_,
-                                   J.Spec_.Rack_, Waiting.AvoidedAgent_, Pack});
+        !Group->Ejected_ && Group->ReservedFor_.empty();
+    AgentView *A = Group;
+    if (!Grouped) {
+      AgentPool::RunRequest Request;
+      Request.Service_ = J.Spec_.Route_.Service_;
+      Request.Need_ = J.Spec_.Need_;
+      Request.Rack_ = J.Spec_.Rack_;
+      Request.AvoidedAgent_ = Waiting.AvoidedAgent_;
+      Request.Pack_ = Pack;
+      if (Suspect) {
+        Request.PreferredAgent_ =
+            agentForSuspect(J, TaskIndex(static_cast<std::uint32_t>(I)));
+        Request.OnlyPreferred_ = Request.PreferredAgent_ &&
+                                 Now < Waiting.FailedAt_ + AgentForSuspectWait;
+        SuspectWaits = SuspectWaits || Request.OnlyPreferred_;
+      }
+      A = Agents_.chooseAgent(Request);
+    }
     if (!A)
       continue;
     GroupSize = A == Group ? GroupSize + 1 : 1;
     Group = A;
-    const auto [It, New] = Messages.try_emplace(A->Peer_);
-    StartRuns &Start = It->second;
-    if (New) {
-      Start.Job_ = J.Spec_.Key_;
-      Start.Submission_ = J.Number_.value();
-      Start.Payload_ = J.Spec_.Payload_;
-      Start.Need_ = J.Spec_.Need_;
-      Start.Estimate_ = J.Estimate_;
-      Start.Sequence_ = ++A->LastSequence_;
-      Start.AgentClock_ = A->Report_.AgentClock_;
-      A->OwnerLeaseFrom_ = A->ReportedAt_;
-      A->RenewedClock_ = A->Report_.AgentClock_;
-    }
-    AgentPool::reserve(*A, Start.Sequence_, J.Spec_.Need_);
-    ++A->OutstandingRuns_;
     --T.FreeSlots_;
-    Waiting.State_ = State::Dispatched;
-    Waiting.Agent_ = A->Peer_;
-    ++Waiting.Attempt_;
-    Start.Runs_.push_back(
-        {TaskIndex(static_cast<std::uint32_t>(I)), Waiting.Attempt_});
-    --J.WaitingTasks_;
-    ++J.OutstandingRuns_;
-  }
-  std::string Agents;
-  for (auto &[Peer, Start] : Messages) {
-    const auto &Report = Agents_.find(Peer)->Report_;
-    Agents += (Agents.empty() ? "" : ",") + Peer.Name_ + ":" +
-              std::to_string(Start.Runs_.size()) + "/" +
-              std::to_string(Report.Free_.Cpu_);
-    Out_.push_back(MessageToAgent{Peer, std::move(Start)});
+    dispatchTask(J, I, *A, Isolation::Any, Messages);
   }
-  if (!Messages.empty())
-    log(events::JobPlaced, {{"job", J.Spec_.Key_.str()},
-                            {"agents", Agents},
-                            {"unplaced", std::to_string(J.WaitingTasks_)},
-                            {"age_ms", millisecondsText(Now - J.Received_)}});
-  return J.WaitingTasks_ == 0;
+  sendStarts(J, std::move(Messages), Now);
+  return J.WaitingTasks_ == 0 || SuspectWaits;
 }
 
 void Dispatcher::refuse(Job &J, const char *Code, Time Now) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "agent_pool.h"
 #include "agent_subset.h"
+#include "crash_ledger.h"
 #include "dispatch_config.h"
 #include "durations.h"
 #include "events.h"
@@ -76,7 +77,15 @@
   Message Message_;
 };
 
-using DispatchOutput = std::variant<AnswerJob, MessageToAgent, LogEvent>;
+/// Output: send a message to this entry, or to every other one if none is
+/// given.
+struct MessageToEntries {
+  std::optional<PeerId> To_;
+  Message Message_;
+};
+
+using DispatchOutput =
+    std::variant<AnswerJob, MessageToAgent, MessageToEntries, LogEvent>;
 using DispatchOutputs = std::vector<DispatchOutput>;
 
 /// Periods and limits of an entry that dispatches runs. The leases must equal
@@ -114,6 +123,10 @@
   void onAgentSuspected(const PeerId &Agent, bool Suspected, Time Now);
   void onAgentLost(const PeerId &Agent, Time Now);
   void onMessage(const PeerId &From, const Message &M, Time Now);
+  /// A link to another entry is up: tells it what it cannot learn from agents.
+  void onEntryUp(const PeerId &Entry, Time Now);
+  /// A message of another entry about tasks that crash endpoints.
+  void onEntryMessage(const Message &M, Time Now);
   void onTimer(Time Now);
 
   /// Returns and clears the outputs of the calls since the last take().
@@ -139,6 +152,8 @@
     PeerId Agent_;
     /// Set when the agent is lost: time from which on none of its runs is left.
     std::optional<Time> LeasesExpireAt_;
+    /// When the last run ended without success.
+    Time FailedAt_;
     /// Name of the agent at which the last run did not succeed.
     std::optional<std::string> AvoidedAgent_;
   };
@@ -162,6 +177,29 @@
   void enqueue(const Job &J);
   void placeWaiting(Time Now);
   bool placeJob(Job &J, Time Now);
+  /// The same for a job of a confined route that has no outstanding runs.
+  bool placeConfined(Job &J, Time Now);
+  void refuseConfinedSurplus(Job &J, Time Now);
+  /// Dispatches the waiting task with this index.
+  void dispatchTask(Job &J, std::size_t Index, AgentView &A, Isolation I,
+                    std::map<PeerId, StartRuns> &Messages);
+  void sendStarts(Job &J, std::map<PeerId, StartRuns> Messages, Time Now);
+  void onCrash(const PeerId &From, const EndpointCrashed &C, Time Now);
+  void onCrashWithdrawn(const PeerId &From, const EndpointAlive &E, Time Now);
+  void clearSuspect(const Job &J, TaskIndex Task, Time Now);
+  void applyConfinements(Time Now);
+  void updateNeededCpu(Time Now);
+  void reserveAgents(Time Now);
+  bool mayTestSuspect(const JobRoute &Route) const;
+  /// Jobs of the route that wait for their first run.
+  std::size_t waitingNewJobs(const std::string &Route) const;
+  bool isConfined(const Job &J) const;
+  /// Answers a job that may crash endpoints and must not run now. False if it
+  /// may run.
+  bool answerSuspect(Job &J, Time Now);
+  /// Name of the agent at which every entry would rerun this suspect.
+  std::optional<std::string> agentForSuspect(const Job &J,
+                                             TaskIndex Task) const;
   Duration expectedWait(const Job &J, Time Now) const;
   double cpuReleaseRate(const Job &J, Time Now) const;
   void recordReleasedCpu(std::uint32_t Cpu, Time Now);
@@ -188,6 +226,14 @@
   DispatchLimits Limits_;
   AgentPool Agents_;
   AgentSubset Subset_;
+  CrashLedger Crashes_;
+  /// Service of each route that has had jobs here.
+  std::map<std::string, ServiceName> RouteServices_;
+  std::set<std::string> ConfinedRoutes_;
+  /// CPU that the routes need that are not confined, by service: a moving
+  /// average.
+  std::map<ServiceName, double> NeededCpu_;
+  Time NeededCpuAt_;
   std::mt19937_64 Random_;
   std::uint64_t NextJob_ = 1;
   std::map<JobNumber, Job> Jobs_;
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -84,6 +84,10 @@
   else if (const auto *Slow = std::get_if<SlowRuns>(&M))
     for (const SlowRun &S : Slow->Runs_)
       onSlowRun(From, S, Now);
+  else if (const auto *Crash = std::get_if<EndpointCrashed>(&M))
+    onCrash(From, *Crash, Now);
+  else if (const auto *Alive = std::get_if<EndpointAlive>(&M))
+    onCrashWithdrawn(From, *Alive, Now);
   placeWaiting(Now);
 }
 
@@ -136,6 +140,7 @@
   J.MayHaveRun_ = J.MayHaveRun_ || !neverStarted(E.Ending_);
   if (E.Ending_ == RunEnding::Done) {
     T.State_ = State::Done;
+    clearSuspect(J, E.Run_.Index_, Now);
     if (J.Spec_.Estimate_ > Duration(0)) {
       double &Factor =
           LengthFactor_.try_emplace(J.Spec_.Route_.Name_, 1.0).first->second;
@@ -148,6 +153,7 @@
     return;
   }
   T.State_ = State::Waiting;
+  T.FailedAt_ = Now;
   ++J.WaitingTasks_;
   T.Failures_ += E.Ending_ == RunEnding::Failed ? 1 : 0;
   if (E.Ending_ != RunEnding::NoRoom)
@@ -186,7 +192,8 @@
 void Dispatcher::onSlowRun(const PeerId &From, const SlowRun &S, Time Now) {
   Task *T = nullptr;
   Job *J = findRun(From, S.Run_, T);
-  if (!J || T->State_ != State::Dispatched || T->Moves_ >= MaxMoves)
+  if (!J || T->State_ != State::Dispatched || T->Moves_ >= MaxMoves ||
+      isConfined(*J))
     return;
   const Duration MovedLength =
       J->Estimate_ + Limits_.Leases_.StopTime_ + MoveCost;
@@ -265,6 +272,11 @@
     if (!A.Standby_ &&
         std::max(A.ReportedAt_, A.InUseSince_) + ReportMaxAge < Now)
       A.Suspected_ = true;
+  updateNeededCpu(Now);
+  Crashes_.onTimer(Now);
+  applyConfinements(Now);
+  if (!ConfinedRoutes_.empty())
+    reserveAgents(Now);
   updateSubset(Now);
   for (const AgentView *A : Agents_.updateEjections())
     log(A->Ejected_ ? events::EndpointEjected : events::EndpointReinstated,
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -115,6 +115,11 @@
                                    Severity::Warning,
                                    "An orphaned run that this process did not "
                                    "dispatch, or a late start, is stopped."};
+const EventType EndpointCrashSuspected{710, "endpoint_crash_suspected",
+                                       Severity::Warning,
+                                       "The endpoint seems to have crashed; "
+                                       "the runs on it, as job/task:age in ms, "
+                                       "are suspects."};
 const EventType JobPlaced{720, "job_placed", Severity::Info,
                           "Tasks of a job were dispatched; agents are listed "
                           "as name:tasks/free CPU."};
@@ -138,6 +143,19 @@
 const EventType SubsetChanged{
     727, "subset_changed", Severity::Info,
     "The entry takes agents into use or puts them on standby."};
+const EventType CrashRecorded{
+    728, "crash_recorded", Severity::Warning,
+    "The entry learns that an endpoint crashed and which route may be the "
+    "cause."};
+const EventType CrashWithdrawn{
+    729, "crash_withdrawn", Severity::Info,
+    "An endpoint that was recorded as crashed answers again."};
+const EventType RouteConfined{
+    730, "route_confined", Severity::Warning,
+    "Tasks of the route crash endpoints; it gets few endpoints, which run "
+    "nothing else."};
+const EventType RouteReleased{731, "route_released", Severity::Info,
+                              "The route may use all endpoints again."};
 } // namespace events
 
 const std::vector<const EventType *> &allEventTypes() {
@@ -190,6 +208,7 @@
       &EndpointIncarnationStarted,
       &EndpointLeaseExpired,
       &OrphanedRunStopped,
+      &EndpointCrashSuspected,
       &JobPlaced,
       &TaskRerun,
       &TaskMoved,
@@ -197,7 +216,11 @@
       &RequestRefused,
       &AnnouncementRefused,
       &ReadinessChanged,
-      &SubsetChanged};
+      &SubsetChanged,
+      &CrashRecorded,
+      &CrashWithdrawn,
+      &RouteConfined,
+      &RouteReleased};
   return All;
 }
 
--- a/src/events.h
+++ b/src/events.h
@@ -94,6 +94,7 @@
 extern const EventType EndpointIncarnationStarted;
 extern const EventType EndpointLeaseExpired;
 extern const EventType OrphanedRunStopped;
+extern const EventType EndpointCrashSuspected;
 extern const EventType JobPlaced;
 extern const EventType TaskRerun;
 extern const EventType TaskMoved;
@@ -102,6 +103,10 @@
 extern const EventType AnnouncementRefused;
 extern const EventType ReadinessChanged;
 extern const EventType SubsetChanged;
+extern const EventType CrashRecorded;
+extern const EventType CrashWithdrawn;
+extern const EventType RouteConfined;
+extern const EventType RouteReleased;
 } // namespace events
 
 /// Every event type, by number.
--- a/src/message.cpp
+++ b/src/message.cpp
@@ -186,6 +186,9 @@
 std::uint64_t maxValueOf(RunEnding) {
   return static_cast<std::uint64_t>(RunEnding::Expired);
 }
+std::uint64_t maxValueOf(Isolation) {
+  return static_cast<std::uint64_t>(Isolation::SameJob);
+}
 std::uint64_t maxValueOf(Role) {
   return static_cast<std::uint64_t>(Role::Agent);
 }
@@ -313,21 +316,27 @@
   return Names[static_cast<std::size_t>(E)];
 }
 
+const char *isolationName(Isolation I) {
+  static constexpr const char *Names[] = {"any", "same_route", "same_job"};
+  return Names[static_cast<std::size_t>(I)];
+}
+
 const char *messageName(const Message &M) {
   static constexpr const char *Names[] = {
-      "AnnounceEndpoint",   "StartTasks",     "TasksRejected",
-      "TaskFinished",       "CancelTasks",    "JobEnded",
-      "AgentReport",        "Demand",         "CloseIncarnation",
-      "IncarnationClosed",  "TransferGrant",  "YouAreClosed",
-      "EntriesHeard",       "AgentAnnounced", "AgentAnnouncedAck",
-      "KnownEntries",       "RelaySubmit",    "RelayAnswer",
-      "RelayCancel",        "ConfigDigest",   "ConfigRequest",
-      "ConfigState",        "UsageSummary",   "EpochsExpired",
-      "AgentsSynchronized", "ConfigDelta",    "WithdrawJobs",
-      "JobsWithdrawn",      "StartRuns",      "StopRuns",
-      "HoldRuns",           "RunsEnded",      "SlowRuns",
-      "EndpointReport",     "ConfigText",     "CancelJob",
-      "SetStandby"};
+      "AnnounceEndpoint",   "StartTasks",      "TasksRejected",
+      "TaskFinished",       "CancelTasks",     "JobEnded",
+      "AgentReport",        "Demand",          "CloseIncarnation",
+      "IncarnationClosed",  "TransferGrant",   "YouAreClosed",
+      "EntriesHeard",       "AgentAnnounced",  "AgentAnnouncedAck",
+      "KnownEntries",       "RelaySubmit",     "RelayAnswer",
+      "RelayCancel",        "ConfigDigest",    "ConfigRequest",
+      "ConfigState",        "UsageSummary",    "EpochsExpired",
+      "AgentsSynchronized", "ConfigDelta",     "WithdrawJobs",
+      "JobsWithdrawn",      "StartRuns",       "StopRuns",
+      "HoldRuns",           "RunsEnded",       "SlowRuns",
+      "EndpointReport",     "ConfigText",      "CancelJob",
+      "SetStandby",         "EndpointCrashed", "EndpointAlive",
+      "SuspectCleared",     "RouteConfined"};
   static_assert(std::size(Names) == std::variant_size_v<Message>);
   return Names[M.index()];
 }
--- a/src/message.h
+++ b/src/message.h
@@ -429,7 +429,8 @@
                  ConfigState, UsageSummary, EpochsExpired, AgentsSynchronized,
                  ConfigDelta, WithdrawJobs, JobsWithdrawn, StartRuns, StopRuns,
                  HoldRuns, RunsEnded, SlowRuns, EndpointReport, ConfigText,
-                 CancelJob, SetStandby>;
+                 CancelJob, SetStandby, EndpointCrashed, EndpointAlive,
+                 SuspectCleared, RouteConfined>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
--- a/src/run_message.h
+++ b/src/run_message.h
@@ -64,6 +64,18 @@
   }
 };
 
+/// Which other runs an endpoint may have beside a run.
+enum class Isolation : std::uint8_t {
+  Any,
+  /// Runs of the same route.
+  SameRoute,
+  /// Runs of the same job.
+  SameJob
+};
+
+/// Name of an isolation in logs; never changes.
+const char *isolationName(Isolation I);
+
 /// Index and attempt of one run in StartRuns.
 struct RunStart {
   TaskIndex Index_;
@@ -90,11 +102,15 @@
   /// expired.
   std::uint64_t AgentClock_ = 0;
   std::vector<RunStart> Runs_;
+  /// Name of the job's route.
+  std::string Route_;
+  Isolation Isolation_ = Isolation::Any;
   static constexpr auto fields() {
     return std::make_tuple(&StartRuns::Job_, &StartRuns::Submission_,
                            &StartRuns::Payload_, &StartRuns::Need_,
                            &StartRuns::Estimate_, &StartRuns::Sequence_,
-                           &StartRuns::AgentClock_, &StartRuns::Runs_);
+                           &StartRuns::AgentClock_, &StartRuns::Runs_,
+                           &StartRuns::Route_, &StartRuns::Isolation_);
   }
 };
 
@@ -188,6 +204,11 @@
   std::uint32_t SlownessPermille_ = 1000;
   /// Share of recent runs at this endpoint that failed, in thousandths.
   std::uint32_t FailedPermille_ = 0;
+  /// The strictest isolation of the runs at this endpoint.
+  Isolation Isolation_ = Isolation::Any;
+  /// Route of all runs at this endpoint; empty if there are none or several
+  /// routes have some.
+  std::string Route_;
   static constexpr auto fields() {
     return std::make_tuple(
         &EndpointReport::Endpoint_, &EndpointReport::Service_,
@@ -195,7 +216,69 @@
         &EndpointReport::Capacity_, &EndpointReport::Free_,
         &EndpointReport::AgentClock_, &EndpointReport::SeenSequence_,
         &EndpointReport::Usable_, &EndpointReport::SlownessPermille_,
-        &EndpointReport::FailedPermille_);
+        &EndpointReport::FailedPermille_, &EndpointReport::Isolation_,
+        &EndpointReport::Route_);
+  }
+};
+
+/// A run that was at an endpoint when it crashed.
+struct CrashedRun {
+  JobKey Job_;
+  TaskIndex Index_;
+  std::string Route_;
+  /// Time from the start request to the report of the crash.
+  Duration Age_{0};
+  static constexpr auto fields() {
+    return std::make_tuple(&CrashedRun::Job_, &CrashedRun::Index_,
+                           &CrashedRun::Route_, &CrashedRun::Age_);
+  }
+};
+
+/// Agent to every entry: this endpoint incarnation seems to have crashed, any
+/// of these runs may be the cause. Says nothing about whether they have ended.
+struct EndpointCrashed {
+  std::string Endpoint_;
+  /// As in EndpointIncarnation.
+  std::uint64_t StartedMs_ = 0;
+  /// Time since the crash was found.
+  Duration Age_{0};
+  std::vector<CrashedRun> Runs_;
+  static constexpr auto fields() {
+    return std::make_tuple(&EndpointCrashed::Endpoint_,
+                           &EndpointCrashed::StartedMs_, &EndpointCrashed::Age_,
+                           &EndpointCrashed::Runs_);
+  }
+};
+
+/// Agent to every entry: withdraws EndpointCrashed, because the same
+/// incarnation answers again.
+struct EndpointAlive {
+  std::string Endpoint_;
+  std::uint64_t StartedMs_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&EndpointAlive::Endpoint_,
+                           &EndpointAlive::StartedMs_);
+  }
+};
+
+/// Entry to entry: this task, which was at an endpoint when it crashed, has
+/// completed elsewhere and was not the cause.
+struct SuspectCleared {
+  JobKey Job_;
+  TaskIndex Index_;
+  static constexpr auto fields() {
+    return std::make_tuple(&SuspectCleared::Job_, &SuspectCleared::Index_);
+  }
+};
+
+/// Entry to an entry that connects: it is proved that tasks of this route crash
+/// endpoints.
+struct RouteConfined {
+  std::string Route_;
+  /// Time since the last crash by the route.
+  Duration Age_{0};
+  static constexpr auto fields() {
+    return std::make_tuple(&RouteConfined::Route_, &RouteConfined::Age_);
   }
 };
 
--- a/src/run_supervisor.cpp
+++ b/src/run_supervisor.cpp
@@ -108,6 +108,9 @@
   // The new incarnation has seen no fencing token and would accept a late start
   // from before. The first call with a higher token makes it refuse those.
   Token_ += SameId ? 1 : 0;
+  if (Endpoint_)
+    reportCrash("new_incarnation", Now);
+  CrashReported_ = false;
   ClockMs_ = 0;
   // The new incarnation may have accepted a start already, which gave it a
   // lease of at most this length.
@@ -160,6 +163,7 @@
   Owner &O = Owners_[Entry];
   O.LeaseEnd_ = Now + Limits_.Leases_.Owner_;
   O.ReportDue_ = true;
+  reportEarlierCrashes(Entry, Now);
   return takeOutputs(Now);
 }
 
@@ -190,8 +194,7 @@
   if (const auto *Start = std::get_if<StartRuns>(&M)) {
     Renew(Start->AgentClock_);
     O.SeenSequence_ = std::max(O.SeenSequence_, Start->Sequence_);
-    for (const RunStart &R : Start->Runs_)
-      startRun(From, *Start, R, Now);
+    startRuns(From, *Start, Now);
   } else if (const auto *Stop = std::get_if<StopRuns>(&M)) {
     for (const RunRef &Ref : Stop->Runs_) {
       const auto It = Runs_.find({Ref.Job_, Ref.Index_});
@@ -222,6 +225,24 @@
   It->second.Ended_.push_back({std::move(Ref), Ending, Duration(0)});
 }
 
+// Isolated runs are started all or none: those that are left over would wait
+// for the others, since their entry uses one endpoint at a time for them.
+void RunSupervisor::startRuns(const EntryId &From, const StartRuns &M,
+                              Time Now) {
+  Resources Need;
+  for (std::size_t I = 0; I < M.Runs_.size(); ++I)
+    Need += M.Need_;
+  if (M.Isolation_ != Isolation::Any && usable() &&
+      !fits(Need, freeResources())) {
+    for (const RunStart &R : M.Runs_)
+      refuseRun(From, {M.Job_, R.Index_, R.Attempt_, M.Submission_},
+                RunEnding::NoRoom);
+    return;
+  }
+  for (const RunStart &R : M.Runs_)
+    startRun(From, M, R, Now);
+}
+
 void RunSupervisor::startRun(const EntryId &From, const StartRuns &M,
                              const RunStart &Start, Time Now) {
   const RunRef Ref{M.Job_, Start.Index_, Start.Attempt_, M.Submission_};
@@ -250,13 +271,15 @@
     refuseRun(From, Ref, RunEnding::Unavailable);
     return;
   }
-  if (!fits(M.Need_, freeResources())) {
+  if (!fits(M.Need_, freeResources()) || !mayShareEndpoint(M)) {
     refuseRun(From, Ref, RunEnding::NoRoom);
     return;
   }
   LastNeedCpu_ = M.Need_.Cpu_;
   Run R;
   R.Owner_ = From;
+  R.Route_ = M.Route_;
+  R.Isolation_ = M.Isolation_;
   R.Attempt_ = Start.Attempt_;
   R.Submission_ = M.Submission_;
   R.Number_ = Start.Attempt_;
@@ -265,10 +288,23 @@
   R.Payload_ = M.Payload_;
   R.Dispatched_ = Now;
   Held_ += R.Need_;
+  IsolationChanged_ =
+      IsolationChanged_ || (Runs_.empty() && R.Isolation_ != Isolation::Any);
   makeStart(Key, Runs_.emplace(Key, std::move(R)).first->second, Now);
   markReportsDueIfFreeChanged();
 }
 
+bool RunSupervisor::mayShareEndpoint(const StartRuns &M) const {
+  return std::all_of(Runs_.begin(), Runs_.end(), [&M](const auto &Item) {
+    const auto &[Key, R] = Item;
+    if (Key.Job_ == M.Job_)
+      return true;
+    const Isolation Strictest = std::max(R.Isolation_, M.Isolation_);
+    return Strictest == Isolation::Any ||
+           (Strictest == Isolation::SameRoute && R.Route_ == M.Route_);
+  });
+}
+
 RunSupervisor::Runs::iterator
 RunSupervisor::finishRun(Runs::iterator It, RunEnding Ending, Time Now) {
   Run &R = It->second;
@@ -294,6 +330,8 @@
          Ending,
          Length});
   markReportsDueIfFreeChanged();
+  IsolationChanged_ = IsolationChanged_ ||
+                      (Runs_.size() == 1 && R.Isolation_ != Isolation::Any);
   return Runs_.erase(It);
 }
 
@@ -340,8 +378,10 @@
     else if (*R.StopAccepted_ + Limits_.Leases_.StopTime_ <= Now)
       PollDue = true;
   }
-  if (!Reachable_ && !Runs_.empty() && leaseExpiredBy() <= Now)
+  if (!Reachable_ && !Runs_.empty() && leaseExpiredBy() <= Now) {
+    reportCrash("lease_over", Now);
     endRunsAfterLease(Now);
+  }
   if (Endpoint_ && Polls_.empty() && NextPoll_ <= Now)
     makePoll(Reachable_ && NoOrphans_ && FailedPolls_ == 0 ? Limits_.PollWait_
                                                            : Duration(0),
@@ -372,12 +412,20 @@
   R.SeenSequence_ = O.SeenSequence_;
   R.SlownessPermille_ = Health_.slownessPermille(Now);
   R.FailedPermille_ = Health_.failedPermille(Now);
+  if (!Runs_.empty())
+    R.Route_ = Runs_.begin()->second.Route_;
+  for (const auto &[Key, Run] : Runs_) {
+    R.Isolation_ = std::max(R.Isolation_, Run.Isolation_);
+    if (Run.Route_ != R.Route_)
+      R.Route_.clear();
+  }
   return R;
 }
 
 // Ended runs are sent at once, together with a report, so that the owner knows
 // the free resources before it places a task again. Reports without ended runs
-// are sent at a minimum interval.
+// are sent at a minimum interval, but for the begin and the end of isolation,
+// which decide whether an entry may use the endpoint at all.
 RunSupervisorOutputs RunSupervisor::takeOutputs(Time Now) {
   const Duration Pause = Limits_.MinReportInterval_ *
                          static_cast<std::int64_t>(1 + Owners_.size());
@@ -386,7 +434,8 @@
     const Duration Since = Now - O.LastReport_;
     const Duration Period =
         O.Standby_ ? Limits_.StandbyReportPeriod_ : Limits_.ReportPeriod_;
-    if (Urgent || Since >= Period || (O.ReportDue_ && Since >= Pause)) {
+    if (Urgent || Since >= Period || (O.ReportDue_ && Since >= Pause) ||
+        (IsolationChanged_ && !O.Standby_)) {
       EndpointReport Report = report(O, Now);
       O.ReportedCpu_ = Report.Free_.Cpu_;
       Out_.push_back(MessageToEntry{Id, std::move(Report)});
@@ -400,6 +449,7 @@
     O.Ended_.clear();
     O.Slow_.clear();
   }
+  IsolationChanged_ = false;
   RunSupervisorOutputs Result = std::move(Out_);
   Out_.clear();
   return Result;
--- a/src/run_supervisor.h
+++ b/src/run_supervisor.h
@@ -7,10 +7,12 @@
 #include "message.h"
 #include "run_health.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -120,6 +122,8 @@
   enum class State : std::uint8_t { Starting, Running, Stopping };
   struct Run {
     EntryId Owner_;
+    std::string Route_;
+    Isolation Isolation_ = Isolation::Any;
     std::uint32_t Attempt_ = 0;
     std::uint64_t Submission_ = 0;
     /// Number of the run at the endpoint.
@@ -164,6 +168,7 @@
     std::vector<SlowRun> Slow_;
   };
 
+  void startRuns(const EntryId &From, const StartRuns &M, Time Now);
   void startRun(const EntryId &From, const StartRuns &M, const RunStart &R,
                 Time Now);
   void makeStart(const TaskKey &Key, Run &R, Time Now);
@@ -171,6 +176,12 @@
   void makeStop(const TaskKey &Key, std::uint32_t Number, Time Now);
   void makePoll(Duration Wait, Time Now);
   void refuseRun(const EntryId &To, RunRef Ref, RunEnding Ending);
+  /// True if these runs and those at the endpoint tolerate each other.
+  bool mayShareEndpoint(const StartRuns &M) const;
+  /// Tells every entry which runs the endpoint had when it crashed.
+  void reportCrash(const char *Reason, Time Now);
+  void withdrawCrash();
+  void reportEarlierCrashes(const EntryId &To, Time Now);
   Runs::iterator finishRun(Runs::iterator It, RunEnding Ending, Time Now);
   void endRunsAfterLease(Time Now);
   void beginIncarnation(const EndpointIncarnation &Endpoint, Time Now);
@@ -226,10 +237,17 @@
   /// know.
   bool NoOrphans_ = false;
   bool Draining_ = false;
+  /// The endpoint's first isolated run was started or its last one has ended
+  /// since the last reports.
+  bool IsolationChanged_ = false;
   /// Endpoint_ was saved by an earlier process, and the endpoint has not
   /// announced it yet.
   bool Restored_ = false;
   Time NextPoll_;
+  /// Crashes of the endpoint, the latest last, for entries that connect later.
+  std::deque<std::pair<Time, EndpointCrashed>> Crashes_;
+  /// The last of Crashes_ is that of the current incarnation.
+  bool CrashReported_ = false;
   /// Last stop call of each orphaned run, which an earlier process or a late
   /// start has left at the endpoint.
   std::map<TaskKey, Time> OrphanStops_;
--- a/src/run_supervisor_polls.cpp
+++ b/src/run_supervisor_polls.cpp
@@ -113,6 +113,8 @@
     ++FailedPolls_;
     if (FailedPolls_ >= UnreachableAfterPolls || error(A).Code_ != "timeout") {
       setReachable(false, error(A).Code_.c_str(), Now);
+      if (error(A).Code_ == "connect_failed")
+        reportCrash("connect_failed", Now);
       NextPoll_ = Now + Limits_.PollRetryPause_;
     } else {
       NextPoll_ = Now;
@@ -140,6 +142,7 @@
   syncClock(Poll.ClockMs_, Now);
   FailedPolls_ = 0;
   setReachable(true, "", Now);
+  withdrawCrash();
   applyEnds(Poll, Now);
   applyRunning(Poll, C.Sent_, Now);
   NextPoll_ = Now;
--- a/tests/load_replay.cpp
+++ b/tests/load_replay.cpp
@@ -149,6 +149,14 @@
            applyAgent(
                A, Agents_[A].Supervisor_->onMessage(entryId(E), Message, Now_));
          });
+    } else if (const auto *ToEntries = std::get_if<MessageToEntries>(&O)) {
+      for (std::size_t Other = 0; Other < Entries_.size(); ++Other)
+        if (Other != E)
+          at(Now_ + Pattern_.LinkDelay_,
+             [this, Other, M = ToEntries->Message_] {
+               Entries_[Other].Dispatcher_->onEntryMessage(M, Now_);
+               applyEntry(Other);
+             });
     } else if (const auto *Answer = std::get_if<AnswerJob>(&O)) {
       onAnswer(E, *Answer);
     }
--- a/tests/run_supervisor_test.cpp
+++ b/tests/run_supervisor_test.cpp
@@ -367,3 +367,81 @@
   }
   CHECK(B.Supervisor_.runs() == 1);
 }
+
+// Guards against a crash of which the entries learn only when the lease has
+// expired, and as single lost runs.
+TEST_CASE("A refused connection reports the runs of a crash at once",
+          "[run-supervisor]") {
+  RunSupervisorFixture B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "1", at(10));
+  B.startRun(EntryB, "2", at(12));
+  B.record(B.Supervisor_.onTimer(at(20)));
+  B.record(B.Supervisor_.onPollAnswer(B.outputs<MakePoll>().back().Id_,
+                                      Error{"connect_failed", "poll", "", ""},
+                                      at(30)));
+  for (const EntryId &E : {EntryA, EntryB}) {
+    const auto Crashes = B.messages<EndpointCrashed>(E);
+    REQUIRE(Crashes.size() == 1);
+    CHECK(Crashes.front().Endpoint_ == "worker-1");
+    CHECK(Crashes.front().Runs_.size() == 2);
+  }
+  // The runs have not ended: the endpoint may only be cut off.
+  CHECK(B.Supervisor_.runs() == 2);
+  // An entry that connects later learns of it as well.
+  const EntryId Later{"entry-c", Incarnation(3)};
+  B.record(B.Supervisor_.onEntryUp(Later, at(2030)));
+  const auto Crashes = B.messages<EndpointCrashed>(Later);
+  REQUIRE(Crashes.size() == 1);
+  CHECK(Crashes.front().Age_ == milliseconds(2000));
+}
+
+// Guards against a cut-off endpoint that counts as crashed after it has come
+// back.
+TEST_CASE("A crash is withdrawn when the same incarnation answers",
+          "[run-supervisor]") {
+  RunSupervisorFixture B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "1", at(10));
+  B.record(B.Supervisor_.onTimer(at(20)));
+  B.record(B.Supervisor_.onPollAnswer(B.outputs<MakePoll>().back().Id_,
+                                      Error{"connect_failed", "poll", "", ""},
+                                      at(30)));
+  REQUIRE(B.messages<EndpointCrashed>(EntryA).size() == 1);
+  B.record(B.Supervisor_.onTimer(at(80)));
+  B.answerPoll({listedRun("1", 1)}, {}, at(90));
+  CHECK(B.messages<EndpointAlive>(EntryA).size() == 1);
+  CHECK(B.Supervisor_.runs() == 1);
+}
+
+// Guards against a leaving endpoint that counts as crashed.
+TEST_CASE("The end of a leaving endpoint is no crash", "[run-supervisor]") {
+  RunSupervisorFixture B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "1", at(10));
+  B.record(B.Supervisor_.onWithdrawn("worker-1", at(15)));
+  B.record(B.Supervisor_.onTimer(at(20)));
+  B.record(B.Supervisor_.onPollAnswer(B.outputs<MakePoll>().back().Id_,
+                                      Error{"connect_failed", "poll", "", ""},
+                                      at(30)));
+  CHECK(B.messages<EndpointCrashed>(EntryA).empty());
+}
+
+// Guards against a neighbour that a crash would take along.
+TEST_CASE("Isolated runs tolerate only their route", "[run-supervisor]") {
+  RunSupervisorFixture B;
+  B.makeUsable(at(0));
+  const auto Start = [&](const char *Job, const char *Route, Isolation I) {
+    StartRuns M = RunSupervisorFixture::makeStartRuns(Job, 1, at(10), 1000);
+    M.Route_ = Route;
+    M.Isolation_ = I;
+    B.record(B.Supervisor_.onMessage(EntryA, M, at(10)));
+    return !B.outputs<MakeStart>().empty();
+  };
+  CHECK(Start("1", "r", Isolation::SameRoute));
+  CHECK_FALSE(Start("2", "s", Isolation::Any));
+  CHECK(B.ending(EntryA) == RunEnding::NoRoom);
+  CHECK_FALSE(Start("3", "s", Isolation::SameRoute));
+  CHECK(Start("4", "r", Isolation::SameRoute));
+  CHECK_FALSE(Start("5", "r", Isolation::SameJob));
+}
