Confine a route on trial after a series of crashes under its runs

What callers saw: when several jobs with a crashing task came within the first 0.7 s, up to eight of eleven endpoints were down before any task had met its second crash, which takes until the leases have expired.

Change: three crashes within a second, each at least 50 ms after the one before (endpoints of one rack fail together), with the same route last started at each of them, confine the route. It is acquitted after 1.5 s unless an endpoint has crashed meanwhile that ran nothing else or one of its tasks has met two crashes.

--- a/src/crash_ledger.cpp
+++ b/src/crash_ledger.cpp
@@ -15,6 +15,15 @@
 constexpr std::uint32_t GiveUpSharedCrashes = 3;
 // Crashes under one task that show that its route crashes endpoints.
 constexpr std::uint32_t ConfineCrashes = 2;
+// A series: this many crashes within SeriesLength, each at least SeriesGap
+// after the one before. Endpoints that fail together, such as those of a rack,
+// are found within less.
+constexpr std::size_t SeriesCrashes = 3;
+constexpr Duration SeriesLength = std::chrono::seconds(1);
+constexpr Duration SeriesGap = std::chrono::milliseconds(50);
+// Time after which reruns show whether a route that was confined for a series
+// is the cause: the leases have expired and a short task has run.
+constexpr Duration TrialTime = std::chrono::milliseconds(1500);
 
 bool isRun(const CrashedRun &Run, const JobKey &Job, TaskIndex Task) {
   return Run.Index_ == Task && Run.Job_ == Job;
@@ -107,9 +116,11 @@
 // nothing else have crashed, and confines those against which the remaining
 // evidence speaks.
 void CrashLedger::evaluate(Time Now) {
+  if (Records_.empty() && Confined_.empty())
+    return;
   std::vector<std::string> Acquitted;
   for (const auto &[Route, C] : Confined_)
-    if (!C.Proved_ && !hasRepeatedSuspect(Route))
+    if (!C.Proved_ && C.TrialEnd_ <= Now && !hasRepeatedSuspect(Route))
       Acquitted.push_back(Route);
   for (const std::string &Route : Acquitted) {
     Confined_.erase(Route);
@@ -118,6 +129,40 @@
   for (std::string Route = routeToConfine(Now); !Route.empty();
        Route = routeToConfine(Now))
     confine(Route, Now);
+  const std::string Series = routeOfSeries(Now);
+  if (Series.empty())
+    return;
+  confine(Series, Now);
+  Confined_[Series].TrialEnd_ = Now + TrialTime;
+}
+
+// Endpoints that crash one after the other, each right after a run of the same
+// route was started there, leave no time to wait for a task to meet its second
+// crash: that takes until the leases have expired.
+std::string CrashLedger::routeOfSeries(Time Now) const {
+  const std::string *Route = nullptr;
+  Time Next = Now + SeriesGap;
+  std::size_t Crashes = 0;
+  for (auto R = Records_.rbegin();
+       R != Records_.rend() && Crashes < SeriesCrashes; ++R) {
+    if (R->At_ + SeriesLength < Now)
+      break;
+    if (R->At_ + SeriesGap > Next)
+      continue;
+    if (R->Crash_.Runs_.empty() || explanation(*R))
+      return "";
+    const auto Youngest =
+        std::min_element(R->Crash_.Runs_.begin(), R->Crash_.Runs_.end(),
+                         [](const CrashedRun &A, const CrashedRun &B) {
+                           return A.Age_ < B.Age_;
+                         });
+    if (Route && *Route != Youngest->Route_)
+      return "";
+    Route = &Youngest->Route_;
+    Next = R->At_;
+    ++Crashes;
+  }
+  return Crashes == SeriesCrashes ? *Route : "";
 }
 
 bool CrashLedger::hasRepeatedSuspect(const std::string &Route) const {
@@ -222,6 +267,7 @@
       Due.push_back(Route);
   for (const std::string &Route : Due)
     release(Route, Now);
+  evaluate(Now);
 }
 
 std::vector<CrashLedger::Change> CrashLedger::takeChanges() {
--- a/src/crash_ledger.h
+++ b/src/crash_ledger.h
@@ -93,6 +93,9 @@
     Duration Hold_{0};
     /// An endpoint has crashed that ran nothing but this route.
     bool Proved_ = false;
+    /// Time until which the route is not acquitted for lack of a task that met
+    /// two crashes.
+    Time TrialEnd_;
   };
   struct Release {
     Time At_;
@@ -105,6 +108,7 @@
   void forget(const std::deque<Record>::iterator &R);
   void evaluate(Time Now);
   std::string routeToConfine(Time Now) const;
+  std::string routeOfSeries(Time Now) const;
   bool hasRepeatedSuspect(const std::string &Route) const;
   void confine(const std::string &Route, Time Now);
   void release(const std::string &Route, Time Now);
--- a/tests/crash_ledger_test.cpp
+++ b/tests/crash_ledger_test.cpp
@@ -69,6 +69,31 @@
   CHECK_FALSE(L.isConfined("long"));
 }
 
+// Guards against the loss of most endpoints before any task has met its second
+// crash, and against a series that is taken for proof.
+TEST_CASE("A series of crashes under one route confines it on trial",
+          "[crash-ledger]") {
+  CrashLedger L;
+  L.onCrash(crash("w1", {run("a", "r", 20), run("x", "s", 90)}), at(0));
+  L.onCrash(crash("w2", {run("b", "r", 20), run("y", "s", 30)}), at(200));
+  CHECK_FALSE(L.isConfined("r"));
+  L.onCrash(crash("w3", {run("c", "r", 20), run("z", "s", 50)}), at(400));
+  CHECK(L.isConfined("r"));
+  L.onTimer(at(1800));
+  CHECK(L.isConfined("r"));
+  L.onTimer(at(1900));
+  CHECK_FALSE(L.isConfined("r"));
+}
+
+// Guards against a route that is blamed for the loss of a rack.
+TEST_CASE("Crashes at the same time are no series", "[crash-ledger]") {
+  CrashLedger L;
+  L.onCrash(crash("w1", {run("a", "r")}), at(0));
+  L.onCrash(crash("w2", {run("b", "r")}), at(20));
+  L.onCrash(crash("w3", {run("c", "r")}), at(40));
+  CHECK_FALSE(L.isConfined("r"));
+}
+
 // Guards against an innocent route that stays confined.
 TEST_CASE("A route is acquitted when its suspect completes", "[crash-ledger]") {
   CrashLedger L;
