Keep a route that was confined for a series until a quiet time

Cause: the route was acquitted for lack of evidence, but its endpoints were still busy with runs of other routes, so that neither its new jobs nor its suspects had run. Now the usual 5 s without a crash decide.

The test "A series of crashes under one route confines it" asserted the release after 1.5 s; it now asserts that the quiet time decides.

--- a/src/crash_ledger.cpp
+++ b/src/crash_ledger.cpp
@@ -21,9 +21,6 @@
 constexpr std::size_t SeriesCrashes = 3;
 constexpr Duration SeriesLength = std::chrono::seconds(1);
 constexpr Duration SeriesGap = std::chrono::milliseconds(50);
-// Time after which reruns show whether a route that was confined for a series
-// is the cause: the leases have expired and a short task has run.
-constexpr Duration TrialTime = std::chrono::milliseconds(1500);
 
 bool isRun(const CrashedRun &Run, const JobKey &Job, TaskIndex Task) {
   return Run.Index_ == Task && Run.Job_ == Job;
@@ -114,13 +111,14 @@
 
 // Acquits the routes whose suspects have completed, unless endpoints that ran
 // nothing else have crashed, and confines those against which the remaining
-// evidence speaks.
+// evidence speaks. After a series, the quiet time decides: until the endpoints
+// of the route are empty, neither new jobs nor suspects show anything.
 void CrashLedger::evaluate(Time Now) {
   if (Records_.empty() && Confined_.empty())
     return;
   std::vector<std::string> Acquitted;
   for (const auto &[Route, C] : Confined_)
-    if (!C.Proved_ && C.TrialEnd_ <= Now && !hasRepeatedSuspect(Route))
+    if (!C.Proved_ && !C.OfSeries_ && !hasRepeatedSuspect(Route))
       Acquitted.push_back(Route);
   for (const std::string &Route : Acquitted) {
     Confined_.erase(Route);
@@ -133,7 +131,7 @@
   if (Series.empty())
     return;
   confine(Series, Now);
-  Confined_[Series].TrialEnd_ = Now + TrialTime;
+  Confined_[Series].OfSeries_ = true;
 }
 
 // Endpoints that crash one after the other, each right after a run of the same
--- a/src/crash_ledger.h
+++ b/src/crash_ledger.h
@@ -93,9 +93,8 @@
     Duration Hold_{0};
     /// An endpoint has crashed that ran nothing but this route.
     bool Proved_ = false;
-    /// Time until which the route is not acquitted for lack of a task that met
-    /// two crashes.
-    Time TrialEnd_;
+    /// Confined for a series of crashes, not for a task that met two.
+    bool OfSeries_ = false;
   };
   struct Release {
     Time At_;
--- a/tests/crash_ledger_test.cpp
+++ b/tests/crash_ledger_test.cpp
@@ -70,18 +70,19 @@
 }
 
 // Guards against the loss of most endpoints before any task has met its second
-// crash, and against a series that is taken for proof.
-TEST_CASE("A series of crashes under one route confines it on trial",
-          "[crash-ledger]") {
+// crash, and against a route that is released before its jobs ran alone.
+TEST_CASE("A series of crashes under one route confines it", "[crash-ledger]") {
   CrashLedger L;
   L.onCrash(crash("w1", {run("a", "r", 20), run("x", "s", 90)}), at(0));
   L.onCrash(crash("w2", {run("b", "r", 20), run("y", "s", 30)}), at(200));
   CHECK_FALSE(L.isConfined("r"));
   L.onCrash(crash("w3", {run("c", "r", 20), run("z", "s", 50)}), at(400));
   CHECK(L.isConfined("r"));
-  L.onTimer(at(1800));
+  CHECK(L.provedRoutes(at(500)).empty());
+  CHECK(L.onCompleted(JobKey("a"), TaskIndex(0), at(2000)));
+  L.onTimer(at(5300));
   CHECK(L.isConfined("r"));
-  L.onTimer(at(1900));
+  L.onTimer(at(5400));
   CHECK_FALSE(L.isConfined("r"));
 }
 
