Reserve at most half of the agents of a service for confined routes

What callers would see: while the other routes need little, a confined route got every endpoint and could crash all of them by turns; jobs of the others that come next find none.

--- a/src/agent_pool.cpp
+++ b/src/agent_pool.cpp
@@ -1,6 +1,7 @@
 #include "agent_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <tuple>
 #include <utility>
@@ -35,6 +36,9 @@
 // Usable CPU that is left to the routes that are not confined, over what they
 // need: without some reserve their jobs would wait for room.
 constexpr double ReserveHeadroom = 1.2;
+// Largest share of the agents of a service that is reserved. The others need
+// little at times, but must not find every endpoint down when they need more.
+constexpr double MaxReservedShare = 0.5;
 // Time for which an endpoint counts as crashed lately. Longer than endpoints
 // take to return.
 constexpr Duration CrashedPeriod = std::chrono::seconds(15);
@@ -221,10 +225,13 @@
   std::sort(Fleet.begin(), Fleet.end());
   const double Spare = std::max(0.0, Usable - ReserveHeadroom * NeededCpu);
   const double Share = Spare / static_cast<double>(Routes.size());
+  const auto End = Fleet.begin() +
+                   static_cast<std::ptrdiff_t>(std::ceil(
+                       MaxReservedShare * static_cast<double>(Fleet.size())));
   auto Next = Fleet.begin();
   for (const std::string &Route : Routes) {
     double Reserved = 0;
-    for (auto First = Next; Next != Fleet.end(); ++Next) {
+    for (auto First = Next; Next != End; ++Next) {
       const auto &[NotCrashed, Cpu, Hash, A] = *Next;
       const bool Kept = A->ReservedFor_ == Route;
       const bool Down = !A->Report_.Usable_;
--- a/tests/run_supervisor_test.cpp
+++ b/tests/run_supervisor_test.cpp
@@ -445,3 +445,31 @@
   CHECK(Start("4", "r", Isolation::SameRoute));
   CHECK_FALSE(Start("5", "r", Isolation::SameJob));
 }
+
+// Guards against starts beyond a capacity that has shrunk under running work in
+// the same incarnation.
+TEST_CASE("A shrunk capacity stops further starts at once",
+          "[run-supervisor]") {
+  RunSupervisorFixture B;
+  B.makeUsable(at(0));
+  B.startRun(EntryA, "1", at(10));
+  B.startRun(EntryA, "2", at(10));
+  EndpointIncarnation Shrunk = endpoint(10);
+  Shrunk.Sequence_ = 2;
+  Shrunk.Capacity_ = {2500, 4096, 0};
+  B.record(B.Supervisor_.onAnnounced(Shrunk, at(100)));
+  CHECK(B.Supervisor_.runs() == 2);
+  const auto Reports = B.messages<EndpointReport>(EntryA);
+  REQUIRE_FALSE(Reports.empty());
+  CHECK(Reports.back().Free_.Cpu_ == 500);
+  B.dispatch(EntryA, "3", 1, at(110));
+  CHECK(B.outputs<MakeStart>().empty());
+  CHECK(B.ending(EntryA) == RunEnding::NoRoom);
+  // Less than what runs: nothing is free until it has ended.
+  Shrunk.Sequence_ = 3;
+  Shrunk.Capacity_ = {1000, 4096, 0};
+  B.record(B.Supervisor_.onAnnounced(Shrunk, at(200)));
+  const auto Later = B.messages<EndpointReport>(EntryA);
+  REQUIRE_FALSE(Later.empty());
+  CHECK(Later.back().Free_.Cpu_ == 0);
+}
