Raise the protocol version for the new messages between processes

What operators would have seen: an entry of the version before and an agent of this one refuse each other's frames as malformed, without saying why.

--- a/src/message.h
+++ b/src/message.h
@@ -17,7 +17,7 @@
 
 /// Version of the protocol between entries and agents. A peer with another
 /// version is refused.
-constexpr std::uint32_t ProtocolVersion = 1;
+constexpr std::uint32_t ProtocolVersion = 2;
 
 /// Attributes of the endpoint beside an agent. As in every message, fields()
 /// lists the members in wire order; the codec is generated from it.
