--- a/src/endpoint_port.h
+++ b/src/endpoint_port.h
@@ -32,6 +32,9 @@
   std::uint64_t Sequence_ = 0;
   /// The endpoint's own clock in milliseconds when it announced itself.
   std::uint64_t ClockMs_ = 0;
+  /// Time for which the endpoint stays slower than usual after it became cold,
+  /// as of its announcement.
+  Duration ColdRemaining_{0};
 };
 
 /// Identifies a task at an endpoint.
--- a/src/message.cpp
+++ b/src/message.cpp
@@ -184,7 +184,7 @@
   return static_cast<std::uint64_t>(TaskState::Unknown);
 }
 std::uint64_t maxValueOf(RunEnding) {
-  return static_cast<std::uint64_t>(RunEnding::Expired);
+  return static_cast<std::uint64_t>(RunEnding::Withdrawn);
 }
 std::uint64_t maxValueOf(Isolation) {
   return static_cast<std::uint64_t>(Isolation::SameJob);
@@ -311,8 +311,9 @@
 }
 
 const char *runEndingName(RunEnding E) {
-  static constexpr const char *Names[] = {
-      "done", "failed", "stopped", "lost", "no_room", "unavailable", "expired"};
+  static constexpr const char *Names[] = {"done",    "failed",   "stopped",
+                                          "lost",    "no_room",  "unavailable",
+                                          "expired", "withdrawn"};
   return Names[static_cast<std::size_t>(E)];
 }
 
@@ -336,7 +337,7 @@
       "HoldRuns",           "RunsEnded",       "SlowRuns",
       "EndpointReport",     "ConfigText",      "CancelJob",
       "SetStandby",         "EndpointCrashed", "EndpointAlive",
-      "SuspectCleared",     "RouteConfined"};
+      "SuspectCleared",     "RouteConfined",   "ZoneCordons"};
   static_assert(std::size(Names) == std::variant_size_v<Message>);
   return Names[M.index()];
 }
--- a/src/message.h
+++ b/src/message.h
@@ -17,7 +17,7 @@
 
 /// Version of the protocol between entries and agents. A peer with another
 /// version is refused.
-constexpr std::uint32_t ProtocolVersion = 2;
+constexpr std::uint32_t ProtocolVersion = 3;
 
 /// Attributes of the endpoint beside an agent. As in every message, fields()
 /// lists the members in wire order; the codec is generated from it.
@@ -430,7 +430,7 @@
                  ConfigDelta, WithdrawJobs, JobsWithdrawn, StartRuns, StopRuns,
                  HoldRuns, RunsEnded, SlowRuns, EndpointReport, ConfigText,
                  CancelJob, SetStandby, EndpointCrashed, EndpointAlive,
-                 SuspectCleared, RouteConfined>;
+                 SuspectCleared, RouteConfined, ZoneCordons>;
 
 /// Name of the message's type for logs.
 const char *messageName(const Message &M);
--- a/src/run_message.h
+++ b/src/run_message.h
@@ -105,12 +105,19 @@
   /// Name of the job's route.
   std::string Route_;
   Isolation Isolation_ = Isolation::Any;
+  PriorityClass Class_;
+  /// Age of the job when the message was sent.
+  Duration Age_{0};
+  /// Time from receipt within which the runs may wait in the agent's queue. If
+  /// zero, a run for which there is no room is refused at once.
+  Duration StartWithin_{0};
   static constexpr auto fields() {
-    return std::make_tuple(&StartRuns::Job_, &StartRuns::Submission_,
-                           &StartRuns::Payload_, &StartRuns::Need_,
-                           &StartRuns::Estimate_, &StartRuns::Sequence_,
-                           &StartRuns::AgentClock_, &StartRuns::Runs_,
-                           &StartRuns::Route_, &StartRuns::Isolation_);
+    return std::make_tuple(
+        &StartRuns::Job_, &StartRuns::Submission_, &StartRuns::Payload_,
+        &StartRuns::Need_, &StartRuns::Estimate_, &StartRuns::Sequence_,
+        &StartRuns::AgentClock_, &StartRuns::Runs_, &StartRuns::Route_,
+        &StartRuns::Isolation_, &StartRuns::Class_, &StartRuns::Age_,
+        &StartRuns::StartWithin_);
   }
 };
 
@@ -142,7 +149,9 @@
   /// The endpoint refuses runs, drains or is unreachable.
   Unavailable,
   /// The owner lease had expired when the start request arrived.
-  Expired
+  Expired,
+  /// The entry stopped the run while it waited in the agent's queue.
+  Withdrawn
 };
 
 /// Name of an ending in logs; never changes.
@@ -183,6 +192,16 @@
   static constexpr auto fields() { return std::make_tuple(&SlowRuns::Runs_); }
 };
 
+/// Processor need of the queued runs of one class at an agent.
+struct QueuedCpu {
+  PriorityClass Class_;
+  /// Thousandths of a core.
+  std::uint32_t Cpu_ = 0;
+  static constexpr auto fields() {
+    return std::make_tuple(&QueuedCpu::Class_, &QueuedCpu::Cpu_);
+  }
+};
+
 /// Agent to entry: state of the endpoint, sent on change and periodically.
 struct EndpointReport {
   /// Id of the endpoint's current incarnation; empty if none is known.
@@ -209,6 +228,18 @@
   /// Route of all runs at this endpoint; empty if there are none or several
   /// routes have some.
   std::string Route_;
+  /// Revision of the agent's set of cordoned zones; 0 if it knows none.
+  std::uint64_t CordonRevision_ = 0;
+  /// The endpoint's zone is cordoned, as far as the agent knows.
+  bool Cordoned_ = false;
+  /// Dispatches without room wait in the agent's queue if their entry allows
+  /// it.
+  bool Queues_ = false;
+  /// Queued runs by class, the most urgent class first.
+  std::vector<QueuedCpu> Queue_;
+  /// Thousandths of a core that runs at this endpoint release per second, a
+  /// decaying average.
+  std::uint32_t ReleaseRate_ = 0;
   static constexpr auto fields() {
     return std::make_tuple(
         &EndpointReport::Endpoint_, &EndpointReport::Service_,
@@ -217,7 +248,9 @@
         &EndpointReport::AgentClock_, &EndpointReport::SeenSequence_,
         &EndpointReport::Usable_, &EndpointReport::SlownessPermille_,
         &EndpointReport::FailedPermille_, &EndpointReport::Isolation_,
-        &EndpointReport::Route_);
+        &EndpointReport::Route_, &EndpointReport::CordonRevision_,
+        &EndpointReport::Cordoned_, &EndpointReport::Queues_,
+        &EndpointReport::Queue_, &EndpointReport::ReleaseRate_);
   }
 };
 
@@ -291,6 +324,18 @@
   }
 };
 
+/// Entry to entry and to agent: the zones in which no run may start, as of a
+/// position in the operators' stream. Of two sets, the one with the higher
+/// revision holds.
+struct ZoneCordons {
+  /// Offset up to which the stream was considered; 0 if nothing is known.
+  std::uint64_t Revision_ = 0;
+  std::vector<ZoneName> Zones_;
+  static constexpr auto fields() {
+    return std::make_tuple(&ZoneCordons::Revision_, &ZoneCordons::Zones_);
+  }
+};
+
 /// Entry to entry: text of the active configuration, as read from the store.
 struct ConfigText {
   ConfigVersion Version_;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,11 +1,12 @@
 #include "settings.h"
 
+#include "settings_keys.h"
+
 #include <toml++/toml.h>
 
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -15,160 +16,6 @@
 namespace chivelanding {
 namespace {
 
-// One key of a settings table: the member that it sets, the range of numbers in
-// the file's unit, and its description for docs/settings.md.
-template <typename T> struct Key {
-  using Member =
-      std::variant<std::string T::*, ZoneName T::*, RegionName T::*,
-                   ServiceName T::*, Duration T::*, std::uint32_t T::*,
-                   std::uint64_t T::*, SocketAddress T::*,
-                   std::vector<SocketAddress> T::*>;
-  const char *Name_;
-  Member Member_;
-  std::int64_t Min_;
-  std::int64_t Max_;
-  bool Required_;
-  const char *Description_;
-};
-
-constexpr std::int64_t HourMs = 3'600'000;
-constexpr std::int64_t Gibibyte = std::int64_t(1) << 30;
-
-const std::vector<Key<ProcessSettings>> &processKeys() {
-  using S = ProcessSettings;
-  static const std::vector<Key<S>> Keys = {
-      {"name", &S::Name_, 1, 63, true,
-       "name of the process, unique among its role; letters, digits, `-`, "
-       "`_`"},
-      {"zone", &S::Zone_, 1, 63, true, "availability zone of this VM"},
-      {"region", &S::Region_, 1, 63, true, "region of this VM"},
-      {"log_level", &S::LogLevel_, 0, 0, false,
-       "lowest severity that is logged: `debug`, `info`, `warning`, `error`"},
-      {"log_format", &S::LogFormat_, 0, 0, false,
-       "`json`: one object a line on standard output; `text`: plain lines on "
-       "standard error"},
-      {"heartbeat_ms", &S::Heartbeat_, 10, 60'000, false,
-       "heartbeat period on an idle link"},
-      {"suspect_after_ms", &S::SuspectAfter_, 50, 600'000, false,
-       "silence after which a peer is suspected and a second connection is "
-       "opened"},
-      {"lost_after_ms", &S::LostAfter_, 100, HourMs, false,
-       "silence after which a peer may be declared lost"},
-      {"max_frame_bytes", &S::MaxFrameBytes_, 65'536, Gibibyte, false,
-       "largest frame accepted from a peer"},
-      {"drain_limit_ms", &S::DrainLimit_, 0, HourMs, false,
-       "longest time that a drain waits for running work"},
-      {"log", &S::Log_, 0, 0, false,
-       "address of the platform's log; without it the process gets the "
-       "configuration from its peers"},
-  };
-  return Keys;
-}
-
-const std::vector<Key<EntrySettings>> &entryKeys() {
-  using S = EntrySettings;
-  static const std::vector<Key<S>> Keys = {
-      {"listen", &S::Listen_, 0, 0, true, "callers' HTTP listener"},
-      {"peer_listen", &S::PeerListen_, 0, 0, true,
-       "listener for agents and other entries"},
-      {"admin_listen", &S::AdminListen_, 0, 0, false,
-       "listener of the administration API; off if not set"},
-      {"seeds", &S::Seeds_, 0, 64, false,
-       "peer listeners of other entries to contact first, or the balancer's "
-       "address"},
-      {"max_body_bytes", &S::MaxBodyBytes_, 1024, Gibibyte, false,
-       "largest body of a caller's request"},
-      {"max_connections", &S::MaxConnections_, 1, 1'000'000, false,
-       "callers' connections that may be open at once"},
-      {"max_tasks_per_job", &S::MaxTasksPerJob_, 1, 1700, false,
-       "tasks in one job"},
-      {"max_waiting_tasks", &S::MaxWaitingTasks_, 1, 10'000'000, false,
-       "tasks that may wait at this entry"},
-      {"token_epoch_ms", &S::TokenEpoch_, 100, HourMs, false,
-       "length of an epoch of owner tokens"},
-      {"token_epochs_accepted", &S::TokenEpochsAccepted_, 1, 1000, false,
-       "past epochs whose tokens are still accepted for new jobs"},
-      {"result_bytes", &S::ResultBytes_, 1024, 64 * Gibibyte, false,
-       "bytes of results kept for answered jobs"},
-      {"seed", &S::Seed_, 0, INT64_MAX, false,
-       "seed of random choices; 0: a random seed is drawn at the start"},
-  };
-  return Keys;
-}
-
-const std::vector<Key<AgentSettings>> &agentKeys() {
-  using S = AgentSettings;
-  static const std::vector<Key<S>> Keys = {
-      {"listen", &S::Listen_, 0, 0, true,
-       "local HTTP listener for the endpoint"},
-      {"entries", &S::Entries_, 1, 64, true,
-       "peer listeners of entries to contact first, or the balancer's address"},
-      {"queue_room", &S::QueueCapacity_, 0, 1000, false,
-       "tasks that may wait at the agent beyond the endpoint's slots"},
-      {"result_bytes", &S::ResultBytes_, 1024, 64 * Gibibyte, false,
-       "bytes of results kept for jobs that have no answer yet"},
-      {"retention_ms", &S::Retention_, 1000, 24 * HourMs, false,
-       "time that records of lost or closed owners are kept"},
-  };
-  return Keys;
-}
-
-const std::vector<Key<LeaseSettings>> &leaseKeys() {
-  using S = LeaseSettings;
-  static const std::vector<Key<S>> Keys = {
-      {"max_endpoint_lease_ms", &S::MaxEndpointLease_, 300, 60'000, false,
-       "longest lease that the endpoints grant"},
-      {"caller_retry_ms", &S::CallerRetry_, 500, HourMs, false,
-       "pause after which a caller sends a job again; the runs of a lost entry "
-       "are over by then"},
-      {"stop_time_ms", &S::StopTime_, 1, 10'000, false,
-       "longest time that an endpoint takes to stop a run"},
-  };
-  return Keys;
-}
-
-const std::vector<Key<DispatchEntrySettings>> &dispatchEntryKeys() {
-  using S = DispatchEntrySettings;
-  static const std::vector<Key<S>> Keys = {
-      {"listen", &S::Listen_, 0, 0, true, "callers' HTTP listener"},
-      {"ready_listen", &S::ReadyListen_, 0, 0, true,
-       "listener for the load balancer's readiness check"},
-      {"metrics_listen", &S::MetricsListen_, 0, 0, false,
-       "listener for metrics; off if not set"},
-      {"peer_listen", &S::PeerListen_, 0, 0, true,
-       "listener for agents and other entries"},
-      {"peer_advertise", &S::PeerAdvertise_, 0, 0, false,
-       "address at which peers reach `peer_listen`, if it is another one"},
-      {"seeds", &S::Seeds_, 0, 64, false,
-       "addresses on the VMs of other entries; the port is that of "
-       "`peer_listen`"},
-      {"grace_ms", &S::Grace_, 100, HourMs, false,
-       "time from SIGTERM until the process is killed"},
-  };
-  return Keys;
-}
-
-const std::vector<Key<DispatchAgentSettings>> &dispatchAgentKeys() {
-  using S = DispatchAgentSettings;
-  static const std::vector<Key<S>> Keys = {
-      {"listen", &S::Listen_, 0, 0, true,
-       "HTTP listener for the endpoint on this VM"},
-      {"endpoint", &S::Endpoint_, 0, 0, true,
-       "address of the endpoint on this VM"},
-      {"service", &S::Service_, 1, 63, true,
-       "service that the endpoint belongs to"},
-      {"metrics_listen", &S::MetricsListen_, 0, 0, false,
-       "listener for metrics; off if not set"},
-      {"peer_listen", &S::PeerListen_, 0, 0, true,
-       "address for peers; the entries listen at this port"},
-      {"seeds", &S::Seeds_, 0, 64, false,
-       "addresses on the VMs of entries; the port is that of `peer_listen`"},
-      {"grace_ms", &S::Grace_, 100, HourMs, false,
-       "time from SIGTERM until the process is killed"},
-  };
-  return Keys;
-}
-
 // Collects errors together with their position in the file.
 class Reporter {
 public:
@@ -355,6 +202,11 @@
 template <typename T>
 struct HasLeases<T, std::void_t<decltype(&T::Leases_)>> : std::true_type {};
 
+// True for the tables that only the dispatching roles have.
+template <typename T> bool isDispatchTable(std::string_view Name) {
+  return HasLeases<T>::value && (Name == "leases" || Name == "cordons");
+}
+
 template <typename T>
 LoadedSettings<T> parse(const std::string &Text, const std::string &File,
                         const char *Role, const std::vector<Key<T>> &Keys) {
@@ -364,13 +216,16 @@
     const toml::table Parsed = toml::parse(Text);
     for (const auto &[Given, Node] : Parsed)
       if (Given.str() != "process" && Given.str() != Role &&
-          !(HasLeases<T>::value && Given.str() == "leases"))
+          !isDispatchTable<T>(Given.str()))
         Report.add(Given.source(),
                    "unknown table or key '" + std::string(Given.str()) + "'");
     readTable(Parsed, "process", processKeys(), Out.Process_, Report);
     readTable(Parsed, Role, Keys, Out, Report);
-    if constexpr (HasLeases<T>::value)
+    if constexpr (HasLeases<T>::value) {
       readTable(Parsed, "leases", leaseKeys(), Out.Leases_, Report);
+      if (Parsed.contains("cordons"))
+        readTable(Parsed, "cordons", cordonKeys(), Out.Cordons_, Report);
+    }
     checkFailureTimeouts(Out.Process_, Report);
   } catch (const toml::parse_error &E) {
     Report.add(E.source(), std::string(E.description()));
@@ -390,52 +245,6 @@
   return ParseText(Text.str(), Path);
 }
 
-// Default value as it would be written in the file.
-template <typename T> std::string defaultText(const Key<T> &K) {
-  const T Defaults{};
-  return std::visit(
-      [&](auto Member) -> std::string {
-        using Value = std::decay_t<decltype(Defaults.*Member)>;
-        const Value &V = Defaults.*Member;
-        if constexpr (std::is_same_v<Value, Duration>)
-          return std::to_string(V.count() / 1000);
-        else if constexpr (std::is_integral_v<Value>)
-          return std::to_string(V);
-        else if constexpr (std::is_same_v<Value, std::string>)
-          return V;
-        else
-          return "";
-      },
-      K.Member_);
-}
-
-template <typename T>
-std::string section(const char *Name, const std::vector<Key<T>> &Keys) {
-  std::string Page = std::string("\n## [") + Name +
-                     "]\n\n| key | default | range | meaning |\n"
-                     "| --- | --- | --- | --- |\n";
-  for (const Key<T> &K : Keys) {
-    const std::string Default = K.Required_ ? "required" : defaultText(K);
-    const bool IsList =
-        std::holds_alternative<std::vector<SocketAddress> T::*>(K.Member_);
-    std::string Range;
-    if (std::holds_alternative<SocketAddress T::*>(K.Member_))
-      Range = "`\"IP:PORT\"`";
-    else if (IsList)
-      Range = "list of " + std::to_string(K.Min_) + " to " +
-              std::to_string(K.Max_) + " `\"IP:PORT\"`";
-    else if (K.Max_ == 63)
-      Range = "1 to 63 characters";
-    else if (K.Max_ > 0)
-      Range = std::to_string(K.Min_) + " to " + std::to_string(K.Max_);
-    for (const std::string &Cell :
-         {std::string("| `") + K.Name_, "` | " + Default, " | " + Range,
-          std::string(" | ") + K.Description_, std::string(" |\n")})
-      Page += Cell;
-  }
-  return Page;
-}
-
 } // namespace
 
 LoadedSettings<EntrySettings> parseEntrySettings(const std::string &Text,
@@ -478,23 +287,4 @@
   return loadSettings<AgentSettings>(Path, parseAgentSettings);
 }
 
-std::string settingsPage() {
-  return std::string(
-             "# Settings\n\n"
-             "A process reads one TOML file: `chivelanding entry "
-             "--settings FILE` or\n`chivelanding agent --settings "
-             "FILE`. `--check-settings` checks the file and\nexits. "
-             "Keys that end in `_ms` are in milliseconds, those that "
-             "end in `_bytes`\nin bytes. Unknown keys are refused. "
-             "`chivelanding dispatch-entry` and `chivelanding dispatch-agent` "
-             "read [process],\n[leases] and the table of their own "
-             "name.\n"
-             "This page is generated by `chivelanding settings`;\na "
-             "test compares it with the code.\n") +
-         section("process", processKeys()) + section("entry", entryKeys()) +
-         section("agent", agentKeys()) + section("leases", leaseKeys()) +
-         section("dispatch_entry", dispatchEntryKeys()) +
-         section("dispatch_agent", dispatchAgentKeys());
-}
-
 } // namespace chivelanding
--- a/src/settings.h
+++ b/src/settings.h
@@ -86,10 +86,20 @@
   Duration StopTime_ = std::chrono::milliseconds(50);
 };
 
+/// Zones that operators take out of service.
+struct CordonSettings {
+  /// Time within which a request is in force everywhere; zero if such requests
+  /// have no effect.
+  Duration ApplyWithin_{0};
+
+  bool enabled() const { return ApplyWithin_ > Duration(0); }
+};
+
 /// An entry that dispatches idempotent jobs.
 struct DispatchEntrySettings {
   ProcessSettings Process_;
   LeaseSettings Leases_;
+  CordonSettings Cordons_;
   /// HTTP listener for callers.
   SocketAddress Listen_;
   /// Listener for the load balancer's readiness check.
@@ -110,6 +120,7 @@
 struct DispatchAgentSettings {
   ProcessSettings Process_;
   LeaseSettings Leases_;
+  CordonSettings Cordons_;
   /// The endpoint on this VM and its service. Announcements with another
   /// address or service are refused.
   SocketAddress Endpoint_;
@@ -121,6 +132,9 @@
   /// port.
   SocketAddress PeerListen_;
   std::vector<SocketAddress> Seeds_;
+  /// Number of linked entries from which on runs without room are queued; 0:
+  /// never.
+  std::uint32_t StartQueueEntries_ = 0;
   Duration Grace_ = std::chrono::milliseconds(6000);
 };
 
@@ -138,7 +152,7 @@
 /// Reads the [process] and [agent] tables of a TOML file.
 LoadedSettings<AgentSettings> loadAgentSettings(const std::string &Path);
 /// Reads the [process], [leases] and [dispatch_entry] or [dispatch_agent]
-/// tables of a TOML file.
+/// tables of a TOML file, and [cordons] if it is there.
 LoadedSettings<DispatchEntrySettings>
 loadDispatchEntrySettings(const std::string &Path);
 LoadedSettings<DispatchAgentSettings>
