Derive the cordoned zones from the operators' stream and exchange them

Operators can request that no run starts in a zone.

A stream that is empty when it is read first yields a known set with its first records: otherwise an entry that starts before the first configuration is written would never know the set.

The test of platform names also looks for the new key prefix.

--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -1,5 +1,7 @@
 #include "config_feed.h"
 
+#include "cordon_records.h"
+
 #include <boost/asio/io_context.hpp>
 
 #include <optional>
@@ -21,16 +23,21 @@
 
 struct ConfigFeed::Impl : std::enable_shared_from_this<ConfigFeed::Impl> {
   Impl(boost::asio::io_context &Io, RecordStore &Store, EventLog &Log,
-       Callback OnConfig)
-      : Store_(Store), Log_(Log), OnConfig_(std::move(OnConfig)), Timer_(Io) {}
+       Callback OnConfig, CordonCallback OnCordons)
+      : Store_(Store), Log_(Log), OnConfig_(std::move(OnConfig)),
+        OnCordons_(std::move(OnCordons)), Cordons_(Store.cordonKeyPrefix()),
+        Timer_(Io) {}
 
   void read();
   void onRecords(const Result<StoreRecords> &R);
+  void readCordons(const StoreRecords &Answer, bool Whole);
   void retry(const Error &E);
 
   RecordStore &Store_;
   EventLog &Log_;
   Callback OnConfig_;
+  CordonCallback OnCordons_;
+  CordonRecords Cordons_;
   boost::asio::steady_timer Timer_;
   /// Offset from which to read on; empty before the first answer and after an
   /// error.
@@ -59,6 +66,7 @@
   if (Available_ != true)
     Log_.write(events::StoreAvailable, {{"use", "configuration"}});
   Available_ = true;
+  readCordons(value(R), !Next_);
   Next_ = value(R).Next_;
   const std::string *Newest = nullptr;
   for (const StoreRecord &Record : value(R).Records_)
@@ -69,6 +77,15 @@
   read();
 }
 
+void ConfigFeed::Impl::readCordons(const StoreRecords &Answer, bool Whole) {
+  if (!OnCordons_)
+    return;
+  if (Whole)
+    OnCordons_(Cordons_.onNewest(Answer));
+  else if (const auto Changed = Cordons_.onFollowed(Answer))
+    OnCordons_(*Changed);
+}
+
 // The offset is discarded on the first error: records written meanwhile may
 // have been deleted, but the newest version never is.
 void ConfigFeed::Impl::retry(const Error &E) {
@@ -86,8 +103,10 @@
 }
 
 ConfigFeed::ConfigFeed(boost::asio::io_context &Io, RecordStore &Store,
-                       EventLog &Log, Callback OnConfig)
-    : Impl_(std::make_shared<Impl>(Io, Store, Log, std::move(OnConfig))) {}
+                       EventLog &Log, Callback OnConfig,
+                       CordonCallback OnCordons)
+    : Impl_(std::make_shared<Impl>(Io, Store, Log, std::move(OnConfig),
+                                   std::move(OnCordons))) {}
 
 ConfigFeed::~ConfigFeed() { stop(); }
 
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -15,14 +15,17 @@
 
 namespace chivelanding {
 
-/// Reads the configuration from the platform's store: the newest version first,
-/// then each later one as it is written. Starts over after an error.
+/// Reads the operators' stream of the platform's store, which has the
+/// configuration and the cordons: the newest records first, then each later one
+/// as it is written. Starts over after an error.
 class ConfigFeed {
 public:
   using Callback = std::function<void(const std::string &Text)>;
+  using CordonCallback = std::function<void(const ZoneCordons &C)>;
 
+  /// Records of cordons are ignored if OnCordons is empty.
   ConfigFeed(boost::asio::io_context &Io, RecordStore &Store, EventLog &Log,
-             Callback OnConfig);
+             Callback OnConfig, CordonCallback OnCordons = nullptr);
   ~ConfigFeed();
 
   void start();
--- a/src/counted_store.cpp
+++ b/src/counted_store.cpp
@@ -50,4 +50,8 @@
   return Store_.configKey();
 }
 
+const std::string &CountedStore::cordonKeyPrefix() const {
+  return Store_.cordonKeyPrefix();
+}
+
 } // namespace chivelanding
--- a/src/counted_store.h
+++ b/src/counted_store.h
@@ -19,6 +19,7 @@
   void put(StoreStream Stream, const StoreRecord &Record, Duration Timeout,
            std::function<void(const Result<Done> &)> Callback) override;
   const std::string &configKey() const override;
+  const std::string &cordonKeyPrefix() const override;
 
 private:
   RecordStore &Store_;
--- a/src/dispatch_ports.h
+++ b/src/dispatch_ports.h
@@ -114,6 +114,9 @@
                    std::function<void(const Result<Done> &)> Callback) = 0;
   /// Key of the configuration in the operators' stream.
   virtual const std::string &configKey() const = 0;
+  /// Prefix of the keys of cordoned zones in the operators' stream; the name of
+  /// the zone follows.
+  virtual const std::string &cordonKeyPrefix() const = 0;
 };
 
 } // namespace chivelanding
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -88,6 +88,10 @@
     "The platform's store does not answer or its answer is an error."};
 const EventType StoreAvailable{607, "store_available", Severity::Info,
                                "The platform's store answers again."};
+const EventType CordonsAdopted{
+    608, "cordons_adopted", Severity::Info,
+    "The set of cordoned zones of this revision is in force; no run starts in "
+    "these zones."};
 const EventType RunRefused{
     700, "run_refused", Severity::Info,
     "The agent refuses a start request; nothing was started."};
@@ -198,6 +202,7 @@
       &AdminAction,
       &StoreUnavailable,
       &StoreAvailable,
+      &CordonsAdopted,
       &RunRefused,
       &RunRejected,
       &RunStopping,
--- a/src/events.h
+++ b/src/events.h
@@ -83,6 +83,7 @@
 extern const EventType AdminAction;
 extern const EventType StoreUnavailable;
 extern const EventType StoreAvailable;
+extern const EventType CordonsAdopted;
 // 700-799: runs under leases.
 extern const EventType RunRefused;
 extern const EventType RunRejected;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -314,7 +314,7 @@
       "run-start|run-stop|log-append|log-newest|log-read|Instances\\.|"
       "endedRuns|op/config|keyed\\.op|X-Deadline-Ms|X-Expect-Instance|"
       "bestEffort|estRuntimeMs|fencingToken|deadlineMs|ackIndex|pathPrefix|"
-      "targetLatencyMs|CHIVELANDING_SETTINGS[^_]");
+      "targetLatencyMs|evacuate/|CHIVELANDING_SETTINGS[^_]");
   const std::filesystem::path Root = CHIVELANDING_SOURCE_DIR;
   for (const char *Folder : {"src", "standin"})
     for (const auto &File :
