Give entries the cordoned zones and let them send these to their peers

The entry adopts sets from the store and from other entries, sends them to the connected entries and agents, and hands them to the dispatcher, whose setCordons is empty for now. With [cordons] in its settings and no known set, it is not ready and refuses submissions with 503 (cordons_unknown). Without [cordons], nothing is adopted or sent.

No functional change without [cordons].

--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -2,17 +2,18 @@
 
 #include "clock.h"
 #include "config_feed.h"
+#include "cordon_exchange.h"
 #include "counted_store.h"
 #include "dispatch_metrics.h"
 #include "drain_plan.h"
 #include "durations.h"
+#include "entry_config.h"
 #include "entry_presence.h"
 #include "http_server.h"
 #include "lease_plan.h"
 #include "metrics.h"
 #include "pause_monitor.h"
 #include "peer_hub.h"
-#include "peer_versions.h"
 #include "periodic_timer.h"
 #include "random_number.h"
 #include "status_server.h"
@@ -62,11 +63,10 @@
   void onCancel(const CancelRequest &Request, const HttpReplyPtr &Reply);
   void onCallerDisconnected(JobNumber Job, const HttpReply *Reply);
   void onAnswer(const AnswerJob &A);
-  void onConfig(const std::string &Text, const char *Source);
   void onPeerMessage(const PeerId &From, const Message &M);
-  void sendConfigVersion(const PeerId &To);
-  void requestConfig(Time Now);
   void apply();
+  void applyCordons(Time Now);
+  void log(const Event &E);
   bool isReady();
   HttpResponse metrics();
   void checkPause(Time Now);
@@ -87,15 +87,12 @@
   StatusServer ReadyServer_;
   StatusServer MetricsServer_;
   PeerHub Hub_;
+  EntryConfig Config_;
+  CordonExchange Cordons_;
   ConfigFeed ConfigFeed_;
   EntryPresence Presence_;
   PeriodicTimer Timer_;
   PauseMonitor Pauses_;
-  std::optional<DispatchConfig> Config_;
-  /// Text of the current configuration, sent to entries that request it.
-  std::string ConfigText_;
-  Time ConfigAt_;
-  PeerVersions Versions_;
   std::map<JobNumber, std::vector<WaitingCaller>> WaitingCallers_;
   std::set<PeerId> ConnectedEntries_;
   std::optional<DrainPlan> Drain_;
@@ -123,8 +120,20 @@
       MetricsServer_(
           Io, [this] { return isReady(); }, [this] { return metrics(); }),
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
-      ConfigFeed_(Io, Store_, Log,
-                  [this](const std::string &Text) { onConfig(Text, "store"); }),
+      Config_(
+          *Ports_.Configs_, Metrics_, Log,
+          [this](const PeerId &To, Message M) { Hub_.send(To, std::move(M)); }),
+      Cordons_(Settings_.Cordons_.enabled()),
+      ConfigFeed_(
+          Io, Store_, Log,
+          [this](const std::string &Text) {
+            Config_.onText(Text, "store", steadyNow());
+          },
+          [this](const ZoneCordons &C) {
+            Cordons_.onStoreSet(C, steadyNow());
+            applyCordons(steadyNow());
+            apply();
+          }),
       Presence_(Io, Store_, Log,
                 [this](const SocketAddress &Entry) { Hub_.addSeed(Entry); }),
       Timer_(Io) {}
@@ -132,14 +141,17 @@
 PeerHandler DispatchEntry::Impl::makeHandler() {
   return {
       [this](const PeerUp &Up) {
+        const Time Now = steadyNow();
+        Cordons_.onPeerUp(Up.Peer_, Now);
+        applyCordons(Now);
         if (Up.Peer_.Role_ == Role::Entry) {
           ConnectedEntries_.insert(Up.Peer_);
-          sendConfigVersion(Up.Peer_);
-          Dispatcher_.onEntryUp(Up.Peer_, steadyNow());
+          Config_.onEntryUp(Up.Peer_);
+          Dispatcher_.onEntryUp(Up.Peer_, Now);
           apply();
           return;
         }
-        Dispatcher_.onAgentUp(Up.Peer_, steadyNow());
+        Dispatcher_.onAgentUp(Up.Peer_, Now);
       },
       [this](const PeerId &Peer) {
         Dispatcher_.onAgentSuspected(Peer, true, steadyNow());
@@ -148,9 +160,10 @@
         Dispatcher_.onAgentSuspected(Peer, false, steadyNow());
       },
       [this](const PeerId &Peer) {
+        Cordons_.onPeerLost(Peer);
         if (Peer.Role_ == Role::Entry) {
           ConnectedEntries_.erase(Peer);
-          Versions_.onLost(Peer);
+          Config_.onEntryLost(Peer);
           return;
         }
         Dispatcher_.onAgentLost(Peer, steadyNow());
@@ -168,71 +181,31 @@
 void DispatchEntry::Impl::onPeerMessage(const PeerId &From, const Message &M) {
   const Time Now = steadyNow();
   if (From.Role_ == Role::Agent) {
+    if (const auto *Report = std::get_if<EndpointReport>(&M))
+      Cordons_.onReport(From, *Report, Now);
     Dispatcher_.onMessage(From, M, Now);
-  } else if (const auto *Config = std::get_if<ConfigText>(&M)) {
-    if (!Config_ || Config_->version() < Config->Version_)
-      onConfig(Config->Text_, From.Name_.c_str());
-  } else if (const auto *Digest = std::get_if<ConfigDigest>(&M)) {
-    Versions_.onDigest(From, Digest->Version_, Now);
-  } else if (const auto *Request = std::get_if<ConfigRequest>(&M)) {
-    if (Config_ && Request->Have_ < Config_->version())
-      Hub_.send(From, ConfigText{Config_->version(), ConfigText_});
+  } else if (const auto *Set = std::get_if<ZoneCordons>(&M)) {
+    Cordons_.onEntrySet(From, *Set, Now);
   } else if (const auto *Cancel = std::get_if<CancelJob>(&M)) {
     Dispatcher_.cancelByKey(Cancel->Job_, Now);
-  } else {
+  } else if (!Config_.onMessage(From, M, Now)) {
     Dispatcher_.onEntryMessage(M, Now);
   }
+  applyCordons(Now);
   apply();
 }
 
-// Leaves out the text, which nearly all entries have read from the store.
-void DispatchEntry::Impl::sendConfigVersion(const PeerId &To) {
-  if (Config_)
-    Hub_.send(To, ConfigDigest{Config_->version(), 0});
-}
-
-void DispatchEntry::Impl::requestConfig(Time Now) {
-  const ConfigVersion Have = Config_ ? Config_->version() : ConfigVersion();
-  if (const auto From = Versions_.nextPeerToAsk(Have, Now))
-    Hub_.send(*From, ConfigRequest{Have});
-}
-
-// Versions may arrive in any order. Only a newer version is accepted, so that
-// this process never goes back to an older configuration.
-void DispatchEntry::Impl::onConfig(const std::string &Text,
-                                   const char *Source) {
-  auto Decoded = Ports_.Configs_->decode(Text);
-  if (!ok(Decoded)) {
-    Log_.write(events::ConfigRecordSkipped,
-               {{"source", Source}, {"error", error(Decoded).str()}});
-    return;
-  }
-  if (Config_ && value(Decoded).version() <= Config_->version())
-    return;
-  const auto Previous = Config_ ? Config_->version() : ConfigVersion();
-  Config_ = std::move(value(Decoded));
-  ConfigText_ = Text;
-  ConfigAt_ = steadyNow();
-  Metrics_.count(events::ConfigAccepted);
-  Log_.write(events::ConfigAccepted,
-             {{"version", std::to_string(Config_->version().value())},
-              {"former", std::to_string(Previous.value())},
-              {"source", Source},
-              {"routes", std::to_string(Config_->routes().size())}});
-  for (const PeerId &Peer : ConnectedEntries_)
-    sendConfigVersion(Peer);
-}
-
 void DispatchEntry::Impl::onRequest(HttpRequest &&Request,
                                     const HttpReplyPtr &Reply) {
   const Time Now = steadyNow();
   checkPause(Now);
   const bool SenderGone = Request.SenderGone_;
-  CallerRequest Decoded = Ports_.Callers_->decode(
-      std::move(Request), Config_ ? &*Config_ : nullptr);
+  CallerRequest Decoded =
+      Ports_.Callers_->decode(std::move(Request), Config_.current());
   if (auto *Submit = std::get_if<SubmitRequest>(&Decoded)) {
-    if (SenderGone) {
-      refuseSubmission(Submit->Job_.Key_, "caller_gone", Reply);
+    if (SenderGone || !Cordons_.mayStartRuns()) {
+      refuseSubmission(Submit->Job_.Key_,
+                       SenderGone ? "caller_gone" : "cordons_unknown", Reply);
       return;
     }
     Submit->Job_.Age_ = Pauses_.maxRequestAge(Now);
@@ -253,8 +226,7 @@
                 {"step", Refused.Reason_.Step_},
                 {"detail", Refused.Reason_.Detail_},
                 {"status", std::to_string(Refused.Response_.Status_)},
-                {"version",
-                 std::to_string(Config_ ? Config_->version().value() : 0)}});
+                {"version", std::to_string(Config_.version().value())}});
     Reply->send(std::move(Refused.Response_));
   }
 }
@@ -340,15 +312,32 @@
     } else if (const auto *A = std::get_if<AnswerJob>(&O)) {
       onAnswer(*A);
     } else if (const auto *Event = std::get_if<LogEvent>(&O)) {
-      Metrics_.count(*Event->Event_.Type_);
-      Log_.write(Event->Event_);
+      log(Event->Event_);
     }
   }
 }
 
-// The entry is ready if it has a configuration and an agent to send work to.
+void DispatchEntry::Impl::applyCordons(Time Now) {
+  for (const CordonOutput &O : Cordons_.take()) {
+    if (const auto *Send = std::get_if<CordonsToPeer>(&O))
+      Hub_.send(Send->To_, Cordons_.table().current());
+    else if (const auto *Event = std::get_if<LogEvent>(&O))
+      log(Event->Event_);
+    else
+      Dispatcher_.setCordons(Cordons_.table().current(), Now);
+  }
+}
+
+void DispatchEntry::Impl::log(const Event &E) {
+  Metrics_.count(*E.Type_);
+  Log_.write(E);
+}
+
+// The entry is ready if it has a configuration and an agent to send work to,
+// and knows the cordoned zones if there may be any.
 bool DispatchEntry::Impl::isReady() {
-  return Config_ && !Drain_ && Dispatcher_.hasReadyAgent();
+  return Config_.current() && Cordons_.mayStartRuns() && !Drain_ &&
+         Dispatcher_.hasReadyAgent();
 }
 
 void DispatchEntry::Impl::checkReady() {
@@ -356,22 +345,22 @@
   if (WasReady_ == Ready)
     return;
   WasReady_ = Ready;
-  Log_.write(
-      events::ReadinessChanged,
-      {{"ready", Ready ? "true" : "false"},
-       {"version", std::to_string(Config_ ? Config_->version().value() : 0)},
-       {"agents", std::to_string(Dispatcher_.agents().all().size())},
-       {"draining", Drain_ ? "true" : "false"}});
+  Log_.write(events::ReadinessChanged,
+             {{"ready", Ready ? "true" : "false"},
+              {"version", std::to_string(Config_.version().value())},
+              {"agents", std::to_string(Dispatcher_.agents().all().size())},
+              {"draining", Drain_ ? "true" : "false"}});
 }
 
 HttpResponse DispatchEntry::Impl::metrics() {
   const Time Now = steadyNow();
   setDispatchMetrics(Metrics_, Dispatcher_, Now);
   Metrics_.set("chivelanding_config_version", "Configuration in force.",
-               static_cast<double>(Config_ ? Config_->version().value() : 0));
+               static_cast<double>(Config_.version().value()));
   Metrics_.set("chivelanding_config_age_seconds",
                "Time since that version came into force.",
-               Config_ ? seconds(Now - ConfigAt_) : 0);
+               Config_.current() ? seconds(Now - Config_.adoptedAt()) : 0);
+  setCordonMetrics(Metrics_, Settings_.Cordons_, Cordons_.table().current());
   Metrics_.set("chivelanding_store_available",
                "1 if the last call to the store was answered.",
                ConfigFeed_.available() ? 1 : 0);
@@ -393,7 +382,7 @@
   checkPause(Now);
   Dispatcher_.onTimer(Now);
   apply();
-  requestConfig(Now);
+  Config_.requestNewer(Now);
   checkReady();
   Log_.flush();
   advanceDrain(Now);
@@ -466,7 +455,9 @@
                 {"entry", I.Self_.str()},
                 {"listen", value(Callers).str()},
                 {"peers", value(Peers).str()},
-                {"zone", I.Settings_.Process_.Zone_.str()}});
+                {"zone", I.Settings_.Process_.Zone_.str()},
+                {"cordons_apply_within_ms",
+                 millisecondsText(I.Settings_.Cordons_.ApplyWithin_)}});
   I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   I.ConfigFeed_.start();
   I.Presence_.announce(I.Self_.Name_, Advertised);
--- a/src/dispatch_metrics.cpp
+++ b/src/dispatch_metrics.cpp
@@ -55,4 +55,18 @@
         Running);
 }
 
+void setCordonMetrics(Metrics &M, const CordonSettings &S,
+                      const ZoneCordons &Current) {
+  if (!S.enabled())
+    return;
+  M.set("chivelanding_cordon_revision",
+        "Revision of the set of cordoned zones; 0 if none is known.",
+        static_cast<double>(Current.Revision_));
+  M.set("chivelanding_cordoned_zones", "Zones in which no run may start.",
+        static_cast<double>(Current.Zones_.size()));
+  M.set("chivelanding_cordon_apply_within_seconds",
+        "Time from the settings within which a cordon is in force everywhere.",
+        seconds(S.ApplyWithin_));
+}
+
 } // namespace chivelanding
--- a/src/dispatch_metrics.h
+++ b/src/dispatch_metrics.h
@@ -3,6 +3,7 @@
 
 #include "dispatcher.h"
 #include "metrics.h"
+#include "settings.h"
 
 #include <string>
 
@@ -21,6 +22,10 @@
 /// Sets the gauges of jobs, resources and agents from the present state of the
 /// dispatcher.
 void setDispatchMetrics(Metrics &M, const Dispatcher &D, Time Now);
+/// Sets the gauges of the cordons that are in force; none if they have no
+/// effect by the settings.
+void setCordonMetrics(Metrics &M, const CordonSettings &S,
+                      const ZoneCordons &Current);
 
 } // namespace chivelanding
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -127,6 +127,8 @@
   void onEntryUp(const PeerId &Entry, Time Now);
   /// A message of another entry about tasks that crash endpoints.
   void onEntryMessage(const Message &M, Time Now);
+  /// The entry has adopted this set of cordoned zones.
+  void setCordons(const ZoneCordons &C, Time Now);
   void onTimer(Time Now);
 
   /// Returns and clears the outputs of the calls since the last take().
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -317,4 +317,6 @@
   placeWaiting(Now);
 }
 
+void Dispatcher::setCordons(const ZoneCordons & /*C*/, Time /*Now*/) {}
+
 } // namespace chivelanding
