Enforce cordons at agents and dispatchers; limit cold endpoints to a share

Cause: an entry may not know a cordon yet, so the agent has to refuse starts itself, and entries have to count the reduced fleet at once. An endpoint that returns cold must not get its whole load in one burst from several entries.

Change: RunSupervisor keeps the cordons of the highest revision, refuses new runs while its zone is cordoned (or the set is needed and unknown) and offers a cold endpoint's share only. AgentPool derives whether an agent is cordoned; Dispatcher gets setCordons() and refuses jobs with zones_cordoned if no zone is left. EndpointReport gets two fields at its end: CordonOnly_, which says that no earlier run is left although Usable_ is false, and OfferedPermille_, without which an entry could not tell an empty cold endpoint from a busy one.

No functional change without cordons and cold endpoints.

--- a/src/agent_pool.cpp
+++ b/src/agent_pool.cpp
@@ -1,5 +1,7 @@
 #include "agent_pool.h"
 
+#include "cold_start.h"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -81,6 +83,7 @@
 void AgentPool::onReport(AgentView &A, const EndpointReport &R, Time Now) {
   A.Report_ = R;
   A.ReportedAt_ = Now;
+  updateCordoned(A);
   while (!A.UnreportedStarts_.empty() &&
          A.UnreportedStarts_.front().first <= R.SeenSequence_)
     A.UnreportedStarts_.pop_front();
@@ -92,7 +95,13 @@
     A.InUseSince_ = Now;
 }
 
-void AgentPool::remove(const PeerId &Peer) { Agents_.erase(Peer); }
+void AgentPool::remove(const PeerId &Peer) {
+  const auto It = Agents_.find(Peer);
+  if (It == Agents_.end())
+    return;
+  CordonedAgents_ -= It->second.Cordoned_ ? 1 : 0;
+  Agents_.erase(It);
+}
 
 AgentView *AgentPool::find(const PeerId &Peer) {
   const auto It = Agents_.find(Peer);
@@ -121,10 +130,31 @@
   return Free;
 }
 
+Resources AgentPool::offeredResources(const AgentView &A) {
+  return shareOfCapacity(A.Report_.Capacity_, A.Report_.OfferedPermille_);
+}
+
+// Number of runs that fit into Room, which is what the endpoint offers or a
+// part of it. The agent applies the same exception for a single run.
+std::uint32_t AgentPool::slotsIn(const AgentView &A, const Resources &Room,
+                                 const Resources &Need) {
+  const std::uint32_t Slots = slotsFor(Room, Need);
+  if (Slots > 0 || A.Report_.OfferedPermille_ >= WholeSharePermille)
+    return Slots;
+  return A.ready() && isEmpty(A) && fits(Need, A.Report_.Capacity_) ? 1 : 0;
+}
+
+bool AgentPool::hasRoom(const AgentView &A, const Resources &Need) {
+  const Resources Free = freeResources(A);
+  return fits(Need, Free) || (A.Report_.OfferedPermille_ < WholeSharePermille &&
+                              slotsIn(A, Free, Need) > 0);
+}
+
 double AgentPool::score(const AgentView &A, const RunRequest &W) const {
   const Resources Free = freeResources(A);
-  const double LeftOver = static_cast<double>(Free.Cpu_ - W.Need_.Cpu_) /
-                          std::max<double>(1, A.Report_.Capacity_.Cpu_);
+  const double LeftOver =
+      (static_cast<double>(Free.Cpu_) - static_cast<double>(W.Need_.Cpu_)) /
+      std::max<double>(1, A.Report_.Capacity_.Cpu_);
   const double Share = W.Pack_ ? -LeftOver : LeftOver;
   const double RelativeSlowness =
       A.Report_.SlownessPermille_ / MedianSlowness_ - 1;
@@ -162,7 +192,7 @@
     const bool Avoided = W.AvoidedAgent_ && A.Peer_.Name_ == *W.AvoidedAgent_;
     HasOther = HasOther || !Avoided;
     HasUnreserved = HasUnreserved || A.ReservedFor_.empty();
-    if (!fits(W.Need_, freeResources(A)))
+    if (!hasRoom(A, W.Need_))
       continue;
     if (Avoided) {
       AvoidedFit = &A;
@@ -193,12 +223,13 @@
 AgentPool::OpenCpu AgentPool::openCpu(const ServiceName &Service) const {
   OpenCpu Result;
   for (const auto &[Peer, A] : Agents_) {
-    if (A.Report_.Service_ != Service || !A.Report_.Usable_ ||
+    if (A.Report_.Service_ != Service || !A.isOpen() ||
         A.Report_.Isolation_ != Isolation::Any)
       continue;
-    Result.Used_ += minus(A.Report_.Capacity_, A.Report_.Free_).Cpu_;
+    const Resources Offered = offeredResources(A);
+    Result.Used_ += minus(Offered, A.Report_.Free_).Cpu_;
     if (A.ReservedFor_.empty())
-      Result.Capacity_ += A.Report_.Capacity_.Cpu_;
+      Result.Capacity_ += Offered.Cpu_;
   }
   return Result;
 }
@@ -208,7 +239,8 @@
 // equals the smallest come first, since each crash costs a whole one, then a
 // hash decides. An endpoint that is down keeps its reservation, but the CPU of
 // others is needed the more. For the sake of stability, a reservation ends only
-// once a whole endpoint is reserved too much.
+// once a whole endpoint is reserved too much. A cordoned endpoint loses its
+// reservation: it may be out of use for hours.
 void AgentPool::reserveFor(const ServiceName &Service,
                            const std::vector<std::string> &Routes,
                            double NeededCpu, Time Now) {
@@ -217,10 +249,14 @@
   for (auto &[Peer, A] : Agents_) {
     if (A.Report_.Service_ != Service)
       continue;
+    if (A.Cordoned_) {
+      A.ReservedFor_.clear();
+      continue;
+    }
     Fleet.emplace_back(A.CrashedAt_ + CrashedPeriod < Now,
                        A.Report_.Capacity_.Cpu_,
                        std::hash<std::string>()(Peer.Name_), &A);
-    Usable += A.Report_.Usable_ ? A.Report_.Capacity_.Cpu_ : 0;
+    Usable += A.Report_.Usable_ ? offeredResources(A).Cpu_ : 0;
   }
   std::sort(Fleet.begin(), Fleet.end());
   const double Spare = std::max(0.0, Usable - ReserveHeadroom * NeededCpu);
@@ -249,7 +285,7 @@
 
 // True if no run is there or on its way, as far as this entry knows.
 bool AgentPool::isEmpty(const AgentView &A) {
-  return A.UnreportedStarts_.empty() && A.Report_.Free_ == A.Report_.Capacity_;
+  return A.UnreportedStarts_.empty() && A.Report_.Free_ == offeredResources(A);
 }
 
 // Resources for runs that tolerate only runs of this route, or of the same job,
@@ -285,9 +321,9 @@
     if (A.Report_.Service_ != Service || A.ReservedFor_ != Route)
       continue;
     const std::uint32_t Slots =
-        std::min(Runs, slotsFor(isolatedResources(A, Route, I), Need));
+        std::min(Runs, slotsIn(A, isolatedResources(A, Route, I), Need));
     if (Slots == 0 || Slots < Best.Slots_ ||
-        (Whole && Slots < std::min(Runs, slotsFor(A.Report_.Capacity_, Need))))
+        (Whole && Slots < std::min(Runs, slotsFor(offeredResources(A), Need))))
       continue;
     Equal = Slots > Best.Slots_ ? 1 : Equal + 1;
     if (std::uniform_int_distribution<std::size_t>(1, Equal)(Random_) == 1)
@@ -313,8 +349,8 @@
     ++Part.UsableEndpoints_;
     const Resources Free = freeResources(A);
     Part.FreeCpu_ += Free.Cpu_;
-    Part.Slots_ += slotsFor(A.Report_.Capacity_, Need);
-    Part.FreeSlots_ += slotsFor(Free, Need);
+    Part.Slots_ += slotsIn(A, offeredResources(A), Need);
+    Part.FreeSlots_ += slotsIn(A, Free, Need);
   }
   if (T.UsableEndpoints_ > 0)
     return T;
@@ -328,7 +364,7 @@
   std::vector<std::uint32_t> Failed;
   std::vector<AgentView *> Usable;
   for (auto &[Peer, A] : Agents_) {
-    if (!A.Report_.Usable_)
+    if (!A.isOpen())
       continue;
     Slowness.push_back(A.Report_.SlownessPermille_);
     Failed.push_back(A.Report_.FailedPermille_);
--- a/src/agent_pool.h
+++ b/src/agent_pool.h
@@ -1,6 +1,7 @@
 #ifndef CHIVELANDING_AGENT_POOL_H
 #define CHIVELANDING_AGENT_POOL_H
 
+#include "cordon_set.h"
 #include "link.h"
 #include "message.h"
 
@@ -23,6 +24,9 @@
   bool Suspected_ = false;
   /// Gets no runs from this entry and reports rarely; see AgentSubset.
   bool Standby_ = false;
+  /// Its zone is cordoned, as far as this entry or, if it knows a later set,
+  /// the agent knows.
+  bool Cordoned_ = false;
   /// When it was last taken into use.
   Time InUseSince_;
   /// Ejected as an outlier: gets one run at a time, because it fails or is far
@@ -47,8 +51,17 @@
   /// agent that was taken into use has to report first: the clock and the free
   /// resources of its last report are seconds old.
   bool ready() const {
-    return Report_.Usable_ && !Suspected_ && !Standby_ &&
-           ReportedAt_ >= InUseSince_;
+    return isOpen() && !Suspected_ && !Standby_ && ReportedAt_ >= InUseSince_;
+  }
+  /// True if the endpoint is usable and its zone is not cordoned.
+  bool isOpen() const { return Report_.Usable_ && !Cordoned_; }
+  /// True if runs might start here but for a cordon.
+  bool readyButForCordon() const {
+    return Cordoned_ && !Suspected_ && (Report_.Usable_ || Report_.CordonOnly_);
+  }
+  /// True if the agent only has to learn that its zone is not cordoned.
+  bool isOpening() const {
+    return !Cordoned_ && !Suspected_ && Report_.CordonOnly_;
   }
 };
 
@@ -61,6 +74,19 @@
 
   AgentView &onUp(const PeerId &Peer, Time Now);
   void onReport(AgentView &A, const EndpointReport &R, Time Now);
+  /// Takes the cordoned zones as this entry knows them. False if it has had
+  /// this revision or a later one.
+  bool setCordons(const ZoneCordons &C);
+  /// Number of agents whose zone is cordoned.
+  std::size_t cordoned() const { return CordonedAgents_; }
+  /// True if the service has endpoints that might be used but for cordons, and
+  /// no other that is usable.
+  bool isCordoned(const ServiceName &Service) const;
+  /// True if an endpoint of the service is expected to be usable within
+  /// milliseconds, because its zone is not cordoned any more.
+  bool isOpening(const ServiceName &Service) const;
+  /// Capacity of the agents that are ready, in thousandths of a core.
+  double readyCpu() const;
   /// Puts the agent on standby, or takes it into use from its next report on.
   static void setStandby(AgentView &A, bool Standby, Time Now);
   void remove(const PeerId &Peer);
@@ -91,6 +117,9 @@
   /// for the start message with this sequence number.
   static void reserve(AgentView &A, std::uint64_t Sequence, Resources Need);
   static Resources freeResources(const AgentView &A);
+  /// True if one run that needs this may be dispatched now. One may exceed the
+  /// share that a cold endpoint offers if no other is there.
+  static bool hasRoom(const AgentView &A, const Resources &Need);
 
   /// Capacity of the usable endpoints of a service that are open to runs
   /// without isolation, and what these use of it, in thousandths of a core.
@@ -146,7 +175,11 @@
 
 private:
   static Resources reportedResources(const AgentView &A);
+  static Resources offeredResources(const AgentView &A);
   static bool isEmpty(const AgentView &A);
+  static std::uint32_t slotsIn(const AgentView &A, const Resources &Room,
+                               const Resources &Need);
+  void updateCordoned(AgentView &A);
   static Resources isolatedResources(const AgentView &A,
                                      const std::string &Route, Isolation I);
   double score(const AgentView &A, const RunRequest &W) const;
@@ -154,6 +187,8 @@
   ZoneName Zone_;
   std::mt19937_64 Random_;
   std::map<PeerId, AgentView> Agents_;
+  CordonSet Cordons_;
+  std::size_t CordonedAgents_ = 0;
   double MedianSlowness_ = 1000;
 };
 
--- a/src/agent_subset.cpp
+++ b/src/agent_subset.cpp
@@ -14,9 +14,10 @@
 // half the size would then have enough.
 constexpr double ShrinkAboveFreeShare = 0.6;
 // True if the agent may be in the subset. An agent that has not reported since
-// it was taken into use is eligible too: its report is due shortly.
+// it was taken into use is eligible too: its report is due shortly. So is one
+// whose cordon was lifted and that does not know it yet.
 bool isEligible(const AgentView &A) {
-  return A.Report_.Usable_ && !A.Ejected_ && !A.Suspected_;
+  return (A.isOpen() || A.isOpening()) && !A.Ejected_ && !A.Suspected_;
 }
 
 } // namespace
--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -43,6 +43,13 @@
 // Share of the time until the process is killed in which active runs may end.
 constexpr double DrainShare = 0.9;
 
+RunSupervisorLimits supervisorLimits(const DispatchAgentSettings &Settings) {
+  RunSupervisorLimits Limits;
+  Limits.Leases_ = planLeases(Settings.Leases_);
+  Limits.NeedsCordons_ = Settings.Cordons_.enabled();
+  return Limits;
+}
+
 std::uint64_t unixTimeMs() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -95,7 +102,7 @@
     : Io_(Io), Settings_(std::move(Settings)), Ports_(std::move(Ports)),
       Log_(Log), Self_{Settings_.Process_.Name_,
                        Incarnation(drawRandomNumber())},
-      Supervisor_({planLeases(Settings_.Leases_)}, unixTimeMs()),
+      Supervisor_(supervisorLimits(Settings_), unixTimeMs()),
       Metrics_({{"role", "agent"}, {"name", Self_.Name_}}),
       Store_(*Ports_.Store_, Metrics_),
       Http_(Io,
@@ -105,7 +112,7 @@
               onRequest(Request, Reply);
             }),
       MetricsServer_(
-          Io, [this] { return Supervisor_.usable(); },
+          Io, [this] { return Supervisor_.ready(); },
           [this] { return metrics(); }),
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
       Presence_(Io, Store_, Log,
@@ -125,6 +132,9 @@
             apply(Supervisor_.onEntryLost(Peer.entry(), steadyNow()));
           },
           [this](const PeerId &From, const Message &M) {
+            if (std::holds_alternative<ZoneCordons>(M) &&
+                !Settings_.Cordons_.enabled())
+              return;
             apply(Supervisor_.onMessage(From.entry(), M, steadyNow()));
           },
           [this] {
@@ -221,6 +231,16 @@
                Supervisor_.held().Cpu_);
   Metrics_.set("chivelanding_usable", "1 if runs may be started here.",
                Supervisor_.usable() ? 1 : 0);
+  Metrics_.set("chivelanding_cordoned",
+               "1 if the zone of the endpoint is cordoned.",
+               Supervisor_.cordoned() ? 1 : 0);
+  Metrics_.set("chivelanding_cordon_revision",
+               "Revision of the cordons in force here; 0 if none is known.",
+               static_cast<double>(Supervisor_.cordonRevision()));
+  Metrics_.set(
+      "chivelanding_offered_share",
+      "Offered share of the capacity; below 1 if the endpoint is cold.",
+      Supervisor_.offeredPermille() / double(WholeSharePermille));
   Metrics_.set("chivelanding_entries", "Entries linked to this agent.",
                static_cast<double>(ConnectedEntries_));
   Metrics_.set("chivelanding_log_lines_dropped", "Log lines left out.",
@@ -281,9 +301,12 @@
   }
   addSeeds(I.Settings_.Seeds_);
   I.LastLookUp_ = steadyNow();
-  I.Log_.write(events::ProcessStarted, {{"role", "dispatch-agent"},
-                                        {"agent", I.Self_.str()},
-                                        {"listen", value(Local).str()}});
+  I.Log_.write(events::ProcessStarted,
+               {{"role", "dispatch-agent"},
+                {"agent", I.Self_.str()},
+                {"listen", value(Local).str()},
+                {"cordons_within_ms",
+                 millisecondsText(I.Settings_.Cordons_.ApplyWithin_)}});
   I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   I.PersistedEndpoint_.load([&I](const EndpointIncarnation &Endpoint) {
     I.apply(I.Supervisor_.onRestored(Endpoint, steadyNow()));
--- a/src/dispatch_metrics.cpp
+++ b/src/dispatch_metrics.cpp
@@ -32,7 +32,7 @@
     if (A.Standby_)
       continue;
     ReportAges[Peer.Name_] = seconds(Now - A.ReportedAt_);
-    if (A.Report_.Usable_)
+    if (A.isOpen())
       Known += A.Report_.Capacity_.Cpu_;
     Free += AgentPool::freeResources(A).Cpu_;
   }
@@ -42,6 +42,8 @@
         static_cast<double>(D.waiting()));
   M.set("chivelanding_agents", "Agents linked to this entry.",
         static_cast<double>(D.agents().all().size()));
+  M.set("chivelanding_cordoned_agents", "Agents whose zone is cordoned.",
+        static_cast<double>(D.agents().cordoned()));
   M.set("chivelanding_agents_in_use", "Agents that get runs of this entry.",
         static_cast<double>(ReportAges.size()));
   M.setEach("chivelanding_report_age_seconds",
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -66,11 +66,6 @@
   return Result;
 }
 
-bool Dispatcher::hasReadyAgent() const {
-  return std::any_of(Agents_.all().begin(), Agents_.all().end(),
-                     [](const auto &Item) { return Item.second.ready(); });
-}
-
 std::size_t Dispatcher::waiting(const std::string &Route) const {
   std::size_t Count = 0;
   for (const auto &[Number, J] : Jobs_)
@@ -131,7 +126,7 @@
            ReleaseRateTimeConstantS;
   double Running = 0;
   for (const auto &[Peer, A] : Agents_.all())
-    Running += A.OutstandingRuns_;
+    Running += A.Cordoned_ ? 0 : A.OutstandingRuns_;
   const double Length = std::max(0.01, seconds(J.Estimate_));
   return Running * static_cast<double>(J.Spec_.Need_.Cpu_) / Length;
 }
@@ -200,8 +195,12 @@
     refuse(J, "too_large", Now);
     return Number;
   }
+  if (T.UsableEndpoints_ == 0 && Agents_.isCordoned(S.Route_.Service_)) {
+    refuse(J, "zones_cordoned", Now);
+    return Number;
+  }
   const auto LastUsable = LastUsable_.find(S.Route_.Service_);
-  if (T.UsableEndpoints_ > 0) {
+  if (T.UsableEndpoints_ > 0 || Agents_.isOpening(S.Route_.Service_)) {
     LastUsable_[S.Route_.Service_] = Now;
   } else if (LastUsable == LastUsable_.end() ||
              LastUsable->second + EndpointGapTolerance < Now) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -128,6 +128,9 @@
   /// A message of another entry about tasks that crash endpoints.
   void onEntryMessage(const Message &M, Time Now);
   void onTimer(Time Now);
+  /// Zones in which no run may be dispatched. A set of a revision that is not
+  /// higher than the last one is ignored.
+  void setCordons(const ZoneCordons &C, Time Now);
 
   /// Returns and clears the outputs of the calls since the last take().
   DispatchOutputs take();
@@ -136,6 +139,7 @@
   /// Jobs of the route of which no task can have run and none is dispatched.
   std::size_t waiting(const std::string &Route) const;
   std::size_t waiting() const { return Queue_.size(); }
+  /// True if an agent is ready or would be but for a cordon of its zone.
   bool hasReadyAgent() const;
   /// True if a job with this key is live. Running is then set to whether any of
   /// its runs was dispatched and may have started.
@@ -203,6 +207,11 @@
   Duration expectedWait(const Job &J, Time Now) const;
   double cpuReleaseRate(const Job &J, Time Now) const;
   void recordReleasedCpu(std::uint32_t Cpu, Time Now);
+  /// Refuses the waiting jobs of which nothing has run if all zones with
+  /// endpoints of their service are cordoned.
+  void refuseCordonedJobs(Time Now);
+  /// False if what a run at this agent releases is of no use to waiting jobs.
+  bool releasesUsableCpu(const PeerId &Agent) const;
   void refuse(Job &J, const char *Code, Time Now);
   void answer(Job &J, JobEnding Ending, const char *Code,
               std::optional<Duration> RetryAfter, Time Now);
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -88,17 +88,23 @@
     onCrash(From, *Crash, Now);
   else if (const auto *Alive = std::get_if<EndpointAlive>(&M))
     onCrashWithdrawn(From, *Alive, Now);
+  refuseCordonedJobs(Now);
   placeWaiting(Now);
 }
 
 // A usable report from a later incarnation of the same agent proves that no run
-// of the former incarnation is left.
+// of the former incarnation is left. So does a report that is unusable only
+// because of a cordon.
 void Dispatcher::onReport(const PeerId &From, const EndpointReport &R,
                           Time Now) {
   AgentView *A = Agents_.find(From);
   if (!A)
     return;
-  const bool BecameUsable = R.Usable_ && !A->Report_.Usable_;
+  const auto HasNoEarlierRuns = [](const EndpointReport &Report) {
+    return Report.Usable_ || Report.CordonOnly_;
+  };
+  const bool BecameUsable =
+      HasNoEarlierRuns(R) && !HasNoEarlierRuns(A->Report_);
   Agents_.onReport(*A, R, Now);
   A->Suspected_ = false;
   if (!BecameUsable)
@@ -134,7 +140,8 @@
 
 void Dispatcher::handleRunEnd(Job &J, Task &T, const EndedRun &E, Time Now) {
   releaseRun(T.Agent_, J);
-  if (E.Ending_ != RunEnding::Lost && !neverStarted(E.Ending_))
+  if (E.Ending_ != RunEnding::Lost && !neverStarted(E.Ending_) &&
+      releasesUsableCpu(T.Agent_))
     recordReleasedCpu(J.Spec_.Need_.Cpu_, Now);
   T.LeasesExpireAt_.reset();
   J.MayHaveRun_ = J.MayHaveRun_ || !neverStarted(E.Ending_);
@@ -314,6 +321,8 @@
     if (Jobs_.count(Number) > 0)
       checkDeadlines(Number, Now);
   }
+  if (CheckDue)
+    refuseCordonedJobs(Now);
   placeWaiting(Now);
 }
 
--- /dev/null
+++ b/src/dispatcher_cordons.cpp
@@ -0,0 +1,55 @@
+#include "dispatcher.h"
+
+#include <algorithm>
+
+// Zones that are cordoned: no run is dispatched there.
+namespace chivelanding {
+
+// The agents of the zone release no CPU any more that waiting jobs could use.
+// Until the measured rate shows that, the expected wait would be too short.
+void Dispatcher::setCordons(const ZoneCordons &C, Time Now) {
+  const double Before = Agents_.readyCpu();
+  if (!Agents_.setCordons(C))
+    return;
+  const double After = Agents_.readyCpu();
+  if (After < Before)
+    ReleasedCpu_ *= After / Before;
+  checkAgents(Now);
+  refuseCordonedJobs(Now);
+  placeWaiting(Now);
+}
+
+bool Dispatcher::hasReadyAgent() const {
+  return std::any_of(Agents_.all().begin(), Agents_.all().end(),
+                     [](const auto &Item) {
+                       const AgentView &A = Item.second;
+                       return A.ready() || A.readyButForCordon();
+                     });
+}
+
+bool Dispatcher::releasesUsableCpu(const PeerId &Agent) const {
+  const auto It = Agents_.all().find(Agent);
+  return It == Agents_.all().end() || !It->second.Cordoned_;
+}
+
+void Dispatcher::refuseCordonedJobs(Time Now) {
+  if (Queue_.empty() || Agents_.cordoned() == 0)
+    return;
+  std::map<ServiceName, bool> Cordoned;
+  std::vector<JobNumber> Refused;
+  for (const auto &[Class, Number] : Queue_) {
+    const Job &J = Jobs_.at(Number);
+    if (J.MayHaveRun_ || J.OutstandingRuns_ > 0)
+      continue;
+    const ServiceName &Service = J.Spec_.Route_.Service_;
+    const auto [It, New] = Cordoned.try_emplace(Service, false);
+    if (New)
+      It->second = Agents_.isCordoned(Service);
+    if (It->second)
+      Refused.push_back(Number);
+  }
+  for (const JobNumber Number : Refused)
+    refuse(Jobs_.at(Number), "zones_cordoned", Now);
+}
+
+} // namespace chivelanding
--- a/src/dispatcher_crashes.cpp
+++ b/src/dispatcher_crashes.cpp
@@ -176,7 +176,7 @@
     return std::nullopt;
   std::vector<std::pair<std::size_t, std::string>> Ranks;
   for (const auto &[Peer, A] : Agents_.all())
-    if (A.Report_.Service_ == J.Spec_.Route_.Service_ && A.Report_.Usable_ &&
+    if (A.Report_.Service_ == J.Spec_.Route_.Service_ && A.isOpen() &&
         A.ReservedFor_.empty() && !A.Standby_)
       Ranks.emplace_back(
           std::hash<std::string>()(Position->Endpoint_ + '\n' + Peer.Name_),
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -156,6 +156,22 @@
     "nothing else."};
 const EventType RouteReleased{731, "route_released", Severity::Info,
                               "The route may use all endpoints again."};
+const EventType EndpointCordoned{
+    750, "endpoint_cordoned", Severity::Warning,
+    "The endpoint's zone is cordoned: no run starts here, the present ones go "
+    "on to their ends."};
+const EventType EndpointCordonLifted{751, "endpoint_cordon_lifted",
+                                     Severity::Info,
+                                     "Runs may start at this endpoint again."};
+const EventType RunRefusedByCordon{
+    752, "run_refused_by_cordon", Severity::Info,
+    "The agent refuses a run because its zone is cordoned, or because it does "
+    "not know yet which zones are."};
+const EventType EndpointCold{
+    753, "endpoint_cold", Severity::Info,
+    "The endpoint is cold and offers only a share of its capacity."};
+const EventType EndpointWarm{754, "endpoint_warm", Severity::Info,
+                             "The endpoint offers its whole capacity again."};
 } // namespace events
 
 const std::vector<const EventType *> &allEventTypes() {
@@ -220,7 +236,12 @@
       &CrashRecorded,
       &CrashWithdrawn,
       &RouteConfined,
-      &RouteReleased};
+      &RouteReleased,
+      &EndpointCordoned,
+      &EndpointCordonLifted,
+      &RunRefusedByCordon,
+      &EndpointCold,
+      &EndpointWarm};
   return All;
 }
 
--- a/src/events.h
+++ b/src/events.h
@@ -107,6 +107,11 @@
 extern const EventType CrashWithdrawn;
 extern const EventType RouteConfined;
 extern const EventType RouteReleased;
+extern const EventType EndpointCordoned;
+extern const EventType EndpointCordonLifted;
+extern const EventType RunRefusedByCordon;
+extern const EventType EndpointCold;
+extern const EventType EndpointWarm;
 } // namespace events
 
 /// Every event type, by number.
--- a/src/run_message.h
+++ b/src/run_message.h
@@ -240,6 +240,13 @@
   /// Thousandths of a core that runs at this endpoint release per second, a
   /// decaying average.
   std::uint32_t ReleaseRate_ = 0;
+  /// Usable_ is false only because the zone is cordoned, or because the agent
+  /// does not know yet which zones are. Like Usable_, it means that no run of
+  /// an earlier process of this agent is left at the endpoint.
+  bool CordonOnly_ = false;
+  /// Share of Capacity_ that the endpoint offers now, in thousandths: less than
+  /// 1000 while it is cold. Free_ is what is left of this share.
+  std::uint32_t OfferedPermille_ = 1000;
   static constexpr auto fields() {
     return std::make_tuple(
         &EndpointReport::Endpoint_, &EndpointReport::Service_,
@@ -250,7 +257,8 @@
         &EndpointReport::FailedPermille_, &EndpointReport::Isolation_,
         &EndpointReport::Route_, &EndpointReport::CordonRevision_,
         &EndpointReport::Cordoned_, &EndpointReport::Queues_,
-        &EndpointReport::Queue_, &EndpointReport::ReleaseRate_);
+        &EndpointReport::Queue_, &EndpointReport::ReleaseRate_,
+        &EndpointReport::CordonOnly_, &EndpointReport::OfferedPermille_);
   }
 };
 
--- a/src/run_supervisor.cpp
+++ b/src/run_supervisor.cpp
@@ -20,16 +20,7 @@
 } // namespace
 
 RunSupervisor::RunSupervisor(RunSupervisorLimits Limits, std::uint64_t Token)
-    : Limits_(Limits), Token_(Token) {}
-
-bool RunSupervisor::usable() const {
-  return Endpoint_ && !Endpoint_->Leaving_ && Reachable_ && NoOrphans_ &&
-         !Draining_;
-}
-
-Resources RunSupervisor::freeResources() const {
-  return Endpoint_ ? minus(Endpoint_->Capacity_, Held_) : Resources();
-}
+    : Limits_(Limits), Token_(Token), WasClosed_(Limits.NeedsCordons_) {}
 
 void RunSupervisor::log(const EventType &Type, std::vector<EventField> Fields) {
   Out_.push_back(LogEvent{{&Type, std::move(Fields)}});
@@ -74,6 +65,9 @@
   Restored_ = false;
   Endpoint_ = Endpoint;
   syncClock(Endpoint.ClockMs_, Now);
+  Cold_.onAnnounced(Endpoint.ColdRemaining_, Now);
+  updateOffered(Now);
+  updateCordoned();
   if (Changed)
     markReportsDue();
   return takeOutputs(Now);
@@ -122,6 +116,9 @@
   Acknowledged_ = 0;
   OrphanStops_.clear();
   Endpoint_ = Endpoint;
+  Cold_ = ColdStart();
+  OfferedPermille_ = WholeSharePermille;
+  updateCordoned();
   ClockMs_ = Endpoint.ClockMs_;
   ClockAt_ = Now;
   for (auto It = Runs_.begin(); It != Runs_.end();) {
@@ -208,17 +205,21 @@
   } else if (const auto *Standby = std::get_if<SetStandby>(&M)) {
     O.Standby_ = Standby->Standby_;
     O.ReportDue_ = !O.Standby_;
+  } else if (const auto *Cordons = std::get_if<ZoneCordons>(&M)) {
+    if (Cordons_.adopt(*Cordons))
+      updateCordoned();
   }
   return takeOutputs(Now);
 }
 
-void RunSupervisor::refuseRun(const EntryId &To, RunRef Ref, RunEnding Ending) {
-  log(events::RunRefused, {{"job", Ref.Job_.str()},
-                           {"task", std::to_string(Ref.Index_.value())},
-                           {"attempt", std::to_string(Ref.Attempt_)},
-                           {"entry", To.str()},
-                           {"reason", runEndingName(Ending)},
-                           {"free_cpu", std::to_string(freeResources().Cpu_)}});
+void RunSupervisor::refuseRun(const EntryId &To, RunRef Ref, RunEnding Ending,
+                              const EventType &Event) {
+  log(Event, {{"job", Ref.Job_.str()},
+              {"task", std::to_string(Ref.Index_.value())},
+              {"attempt", std::to_string(Ref.Attempt_)},
+              {"entry", To.str()},
+              {"reason", runEndingName(Ending)},
+              {"free_cpu", std::to_string(freeResources().Cpu_)}});
   const auto It = Owners_.find(To);
   if (It == Owners_.end())
     return;
@@ -229,11 +230,12 @@
 // for the others, since their entry uses one endpoint at a time for them.
 void RunSupervisor::startRuns(const EntryId &From, const StartRuns &M,
                               Time Now) {
+  updateOffered(Now);
   Resources Need;
   for (std::size_t I = 0; I < M.Runs_.size(); ++I)
     Need += M.Need_;
   if (M.Isolation_ != Isolation::Any && usable() &&
-      !fits(Need, freeResources())) {
+      !hasRoom(Need, M.Runs_.size() == 1)) {
     for (const RunStart &R : M.Runs_)
       refuseRun(From, {M.Job_, R.Index_, R.Attempt_, M.Submission_},
                 RunEnding::NoRoom);
@@ -268,10 +270,11 @@
     return;
   }
   if (!usable()) {
-    refuseRun(From, Ref, RunEnding::Unavailable);
+    refuseRun(From, Ref, RunEnding::Unavailable,
+              zoneClosed() ? events::RunRefusedByCordon : events::RunRefused);
     return;
   }
-  if (!fits(M.Need_, freeResources()) || !mayShareEndpoint(M)) {
+  if (!hasRoom(M.Need_, true) || !mayShareEndpoint(M)) {
     refuseRun(From, Ref, RunEnding::NoRoom);
     return;
   }
@@ -369,6 +372,7 @@
 
 RunSupervisorOutputs RunSupervisor::onTimer(Time Now) {
   stopRunsOfExpiredOwners(Now);
+  updateOffered(Now);
   bool PollDue = false;
   for (auto &[Key, R] : Runs_) {
     if (R.State_ != State::Stopping)
@@ -407,6 +411,10 @@
     R.Capacity_ = Endpoint_->Capacity_;
   }
   R.Usable_ = usable();
+  R.CordonOnly_ = !R.Usable_ && operable();
+  R.CordonRevision_ = Cordons_.revision();
+  R.Cordoned_ = cordoned();
+  R.OfferedPermille_ = OfferedPermille_;
   R.Free_ = R.Usable_ ? freeResources() : Resources();
   R.AgentClock_ = microseconds(Now);
   R.SeenSequence_ = O.SeenSequence_;
@@ -425,7 +433,8 @@
 // Ended runs are sent at once, together with a report, so that the owner knows
 // the free resources before it places a task again. Reports without ended runs
 // are sent at a minimum interval, but for the begin and the end of isolation,
-// which decide whether an entry may use the endpoint at all.
+// which decide whether an entry may use the endpoint at all, and for those of a
+// cordon, which entries that have the agent on standby need as well.
 RunSupervisorOutputs RunSupervisor::takeOutputs(Time Now) {
   const Duration Pause = Limits_.MinReportInterval_ *
                          static_cast<std::int64_t>(1 + Owners_.size());
@@ -435,7 +444,7 @@
     const Duration Period =
         O.Standby_ ? Limits_.StandbyReportPeriod_ : Limits_.ReportPeriod_;
     if (Urgent || Since >= Period || (O.ReportDue_ && Since >= Pause) ||
-        (IsolationChanged_ && !O.Standby_)) {
+        (IsolationChanged_ && !O.Standby_) || CordonChanged_) {
       EndpointReport Report = report(O, Now);
       O.ReportedCpu_ = Report.Free_.Cpu_;
       Out_.push_back(MessageToEntry{Id, std::move(Report)});
@@ -450,6 +459,7 @@
     O.Slow_.clear();
   }
   IsolationChanged_ = false;
+  CordonChanged_ = false;
   RunSupervisorOutputs Result = std::move(Out_);
   Out_.clear();
   return Result;
--- a/src/run_supervisor.h
+++ b/src/run_supervisor.h
@@ -1,6 +1,8 @@
 #ifndef CHIVELANDING_RUN_SUPERVISOR_H
 #define CHIVELANDING_RUN_SUPERVISOR_H
 
+#include "cold_start.h"
+#include "cordon_set.h"
 #include "endpoint_port.h"
 #include "events.h"
 #include "lease_plan.h"
@@ -63,6 +65,8 @@
   /// by one plus the number of entries, since each entry gets such reports from
   /// all agents that it uses.
   Duration MinReportInterval_ = std::chrono::milliseconds(6);
+  /// No run starts before an entry has sent which zones are cordoned.
+  bool NeedsCordons_ = false;
 };
 
 /// Decides for an agent whose tasks run under leases and may be started again
@@ -111,7 +115,17 @@
   const std::optional<EndpointIncarnation> &endpoint() const {
     return Endpoint_;
   }
+  /// True if runs may start here.
   bool usable() const;
+  /// True if runs may start here or might but for a cordon of the zone.
+  bool ready() const;
+  /// The zone of the endpoint is cordoned.
+  bool cordoned() const;
+  /// Revision of the cordons that are in force here; zero if none is known.
+  std::uint64_t cordonRevision() const { return Cordons_.revision(); }
+  /// Share of the endpoint's capacity that is offered, in thousandths; less
+  /// than 1000 while it is cold.
+  std::uint32_t offeredPermille() const { return OfferedPermille_; }
   Resources held() const { return Held_; }
 
 private:
@@ -175,7 +189,21 @@
   void stopRun(const TaskKey &Key, Run &R, const char *Reason, Time Now);
   void makeStop(const TaskKey &Key, std::uint32_t Number, Time Now);
   void makePoll(Duration Wait, Time Now);
-  void refuseRun(const EntryId &To, RunRef Ref, RunEnding Ending);
+  void refuseRun(const EntryId &To, RunRef Ref, RunEnding Ending,
+                 const EventType &Event = events::RunRefused);
+  /// The conditions of usable() other than the zone.
+  bool operable() const;
+  /// True if the zone is cordoned, or if it must be known whether it is, and is
+  /// not.
+  bool zoneClosed() const;
+  /// Logs a change of the cordon and has it reported to all entries at once.
+  void updateCordoned();
+  /// Adapts the offered share of a cold endpoint to the time.
+  void updateOffered(Time Now);
+  Resources offeredResources() const;
+  /// True if there is room for runs that need this in total. A single run may
+  /// exceed the share that a cold endpoint offers if no other is there.
+  bool hasRoom(const Resources &Need, bool SingleRun) const;
   /// True if these runs and those at the endpoint tolerate each other.
   bool mayShareEndpoint(const StartRuns &M) const;
   /// Tells every entry which runs the endpoint had when it crashed.
@@ -240,6 +268,17 @@
   /// The endpoint's first isolated run was started or its last one has ended
   /// since the last reports.
   bool IsolationChanged_ = false;
+  CordonSet Cordons_;
+  /// cordoned() and zoneClosed() when they were last reported, and whether one
+  /// has changed since the last reports.
+  bool WasCordoned_ = false;
+  bool WasClosed_ = false;
+  bool CordonChanged_ = false;
+  ColdStart Cold_;
+  std::uint32_t OfferedPermille_ = WholeSharePermille;
+  /// Offered processor, in thousandths of a core, when a report was last sent
+  /// early because of it.
+  std::uint32_t ReportedOfferCpu_ = 0;
   /// Endpoint_ was saved by an earlier process, and the endpoint has not
   /// announced it yet.
   bool Restored_ = false;
