Find the entries faster after a loss of all power

Agents now look them up at their start. Addresses that a look-up finds are dialled for 10 s only, since the store also holds those of entries that are gone.

Jobs now wait for the first endpoint in the first 500 ms of the process, within their time to start.

--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -40,6 +40,9 @@
 constexpr std::uint32_t MaxLocalConnections = 64;
 // Pause between two look-ups of the entries while none is connected.
 constexpr Duration LookUpPause = std::chrono::milliseconds(1500);
+// Time for which the addresses found by a look-up are dialled. The store also
+// holds the addresses of entries that are gone for good.
+constexpr Duration LookUpSeedPeriod = std::chrono::seconds(10);
 // Share of the time until the process is killed in which active runs may end.
 constexpr double DrainShare = 0.9;
 
@@ -109,7 +112,9 @@
           [this] { return metrics(); }),
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
       Presence_(Io, Store_, Log,
-                [this](const SocketAddress &Entry) { Hub_.addSeed(Entry); }),
+                [this](const SocketAddress &Entry) {
+                  Hub_.addSeed(Entry, LookUpSeedPeriod);
+                }),
       PersistedEndpoint_(Io, Store_, Log, Self_.Name_), Timer_(Io) {}
 
 PeerHandler DispatchAgent::Impl::makeHandler() {
@@ -285,6 +290,8 @@
                                         {"agent", I.Self_.str()},
                                         {"listen", value(Local).str()}});
   I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
+  // After a loss of all power the seeds may be the last entries to return.
+  I.Presence_.lookUp();
   I.PersistedEndpoint_.load([&I](const EndpointIncarnation &Endpoint) {
     I.apply(I.Supervisor_.onRestored(Endpoint, steadyNow()));
   });
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -38,6 +38,10 @@
 // second or more to return. Shorter gaps are caused by a single lost answer of
 // an endpoint.
 constexpr Duration EndpointGapTolerance = std::chrono::milliseconds(300);
+// Time after the start of this process in which it waits for its first endpoint
+// of a service instead of refusing jobs. After a loss of all power, the VMs
+// return within 300 ms of each other and their links follow within 200 ms.
+constexpr Duration StartupPeriod = std::chrono::milliseconds(500);
 // Retry-After is at least 1 s, the unit of the header, and is spread over 2 s
 // more, so that refused callers do not return at the same time.
 constexpr Duration MinRetryAfter = std::chrono::seconds(1);
@@ -200,11 +204,9 @@
     refuse(J, "too_large", Now);
     return Number;
   }
-  const auto LastUsable = LastUsable_.find(S.Route_.Service_);
   if (T.UsableEndpoints_ > 0) {
     LastUsable_[S.Route_.Service_] = Now;
-  } else if (LastUsable == LastUsable_.end() ||
-             LastUsable->second + EndpointGapTolerance < Now) {
+  } else if (!expectsEndpoint(S.Route_.Service_, Now)) {
     refuse(J, "no_endpoint", Now);
     return Number;
   }
@@ -223,6 +225,14 @@
   return Number;
 }
 
+// True if a service without a usable endpoint is expected to have one soon.
+bool Dispatcher::expectsEndpoint(const ServiceName &Service, Time Now) const {
+  const auto LastUsable = LastUsable_.find(Service);
+  if (LastUsable == LastUsable_.end())
+    return StartedAt_ && Now < *StartedAt_ + StartupPeriod;
+  return Now <= LastUsable->second + EndpointGapTolerance;
+}
+
 void Dispatcher::enqueue(const Job &J) {
   Queue_.insert({J.Spec_.Route_.Class_, J.Number_});
 }
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -200,6 +200,7 @@
   /// Name of the agent at which every entry would rerun this suspect.
   std::optional<std::string> agentForSuspect(const Job &J,
                                              TaskIndex Task) const;
+  bool expectsEndpoint(const ServiceName &Service, Time Now) const;
   Duration expectedWait(const Job &J, Time Now) const;
   double cpuReleaseRate(const Job &J, Time Now) const;
   void recordReleasedCpu(std::uint32_t Cpu, Time Now);
@@ -249,6 +250,8 @@
   Time ReleasedAt_ = Time(std::chrono::hours(-1));
   /// When a job of the service last found a usable endpoint.
   std::map<ServiceName, Time> LastUsable_;
+  /// First call of onTimer.
+  std::optional<Time> StartedAt_;
   Time LastAgentCheck_;
   DispatchOutputs Out_;
 };
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -298,6 +298,8 @@
 }
 
 void Dispatcher::onTimer(Time Now) {
+  if (!StartedAt_)
+    StartedAt_ = Now;
   renewOwnerLeases(Now);
   const bool CheckDue = LastAgentCheck_ + AgentCheckPeriod <= Now;
   if (CheckDue) {
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -48,6 +48,8 @@
   struct Target {
     SocketAddress Address_;
     bool IsSeed_ = false;
+    /// When the address stops being a seed; never if not set.
+    std::optional<Time> SeedUntil_;
     std::optional<ConnectionId> Connection_;
     Time NextDialAt_;
     std::int64_t BackoffUs_ = MinDialBackoffUs;
@@ -248,7 +250,7 @@
   for (Target &T : Targets_)
     if (T.Address_.Host_ == Address.Host_ && T.Address_.Port_ == Address.Port_)
       return T;
-  Targets_.push_back({Address, false, {}, steadyNow()});
+  Targets_.push_back({Address, false, {}, {}, steadyNow()});
   return Targets_.back();
 }
 
@@ -268,6 +270,8 @@
   for (const EntryAddress &A : Directory_.entriesToDial(Now))
     dial(targetFor({A.Host_, A.Port_}), Now);
   for (Target &T : Targets_) {
+    if (T.SeedUntil_ && *T.SeedUntil_ <= Now)
+      T.IsSeed_ = false;
     const bool IsSelf = Listen_ && Listen_->str() == T.Address_.str();
     if (T.IsSeed_ && !IsSelf &&
         !Directory_.hasListenerAt(T.Address_.Host_, T.Address_.Port_))
@@ -379,8 +383,15 @@
   Impl_->Listen_ = Address;
 }
 
-void PeerHub::addSeed(const SocketAddress &Address) {
-  Impl_->targetFor(Address).IsSeed_ = true;
+// An address that is a seed for good stays one.
+void PeerHub::addSeed(const SocketAddress &Address,
+                      std::optional<Duration> Period) {
+  Impl::Target &T = Impl_->targetFor(Address);
+  const bool IsPermanent = T.IsSeed_ && !T.SeedUntil_;
+  T.SeedUntil_.reset();
+  if (Period && !IsPermanent)
+    T.SeedUntil_ = steadyNow() + *Period;
+  T.IsSeed_ = true;
 }
 
 void PeerHub::enableReachabilityReports() {
--- a/src/peer_hub.h
+++ b/src/peer_hub.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace boost::asio {
 class io_context;
@@ -43,8 +44,10 @@
   Result<SocketAddress> listen(const SocketAddress &Address);
   /// Makes peers dial this address instead of the one that is listened on.
   void advertise(const SocketAddress &Address);
-  /// Dials this address whenever no connected entry listens there.
-  void addSeed(const SocketAddress &Address);
+  /// Dials this address whenever no connected entry listens there; only for
+  /// this long, if a period is given.
+  void addSeed(const SocketAddress &Address,
+               std::optional<Duration> Period = std::nullopt);
   /// Makes this agent send EntriesHeard to each entry. Entries need it to
   /// recover the jobs of lost ones.
   void enableReachabilityReports();
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -75,6 +75,27 @@
 }
 
 // Guards against refusals after a single missed answer of the only endpoint.
+// Guards against refusing, after a loss of all power, every job that arrives in
+// the moment between the start of the entry and its first link to an agent.
+TEST_CASE("A job waits for the first endpoint after the start of the entry",
+          "[dispatcher]") {
+  DispatcherFixture B;
+  B.Dispatcher_.onTimer(at(0));
+  B.Dispatcher_.submit(B.job("a", 1), at(20));
+  B.take();
+  CHECK(B.Answers_.empty());
+  B.addAgent("w1", 4, at(60));
+  B.take();
+  CHECK(B.Starts_.size() == 1);
+
+  DispatcherFixture Late;
+  Late.Dispatcher_.onTimer(at(0));
+  Late.Dispatcher_.submit(Late.job("a", 1), at(501));
+  Late.take();
+  REQUIRE(Late.Answers_.size() == 1);
+  CHECK(Late.Answers_[0].Code_ == "no_endpoint");
+}
+
 TEST_CASE("A job waits for an endpoint that was there a moment ago",
           "[dispatcher]") {
   DispatcherFixture B;
