--- a/src/agent_pool.h
+++ b/src/agent_pool.h
@@ -1,7 +1,7 @@
 #ifndef CHIVELANDING_AGENT_POOL_H
 #define CHIVELANDING_AGENT_POOL_H
 
-#include "cordon_set.h"
+#include "cordon_table.h"
 #include "link.h"
 #include "message.h"
 
@@ -187,7 +187,7 @@
   ZoneName Zone_;
   std::mt19937_64 Random_;
   std::map<PeerId, AgentView> Agents_;
-  CordonSet Cordons_;
+  CordonTable Cordons_;
   std::size_t CordonedAgents_ = 0;
   double MedianSlowness_ = 1000;
 };
--- a/src/agent_pool_cordons.cpp
+++ b/src/agent_pool_cordons.cpp
@@ -17,9 +17,9 @@
 // that is ahead of this one.
 void AgentPool::updateCordoned(AgentView &A) {
   const bool Was = A.Cordoned_;
-  A.Cordoned_ = A.Report_.CordonRevision_ > Cordons_.revision()
+  A.Cordoned_ = A.Report_.CordonRevision_ > Cordons_.current().Revision_
                     ? A.Report_.Cordoned_
-                    : Cordons_.contains(A.Report_.Zone_);
+                    : Cordons_.isCordoned(A.Report_.Zone_);
   CordonedAgents_ += A.Cordoned_ ? 1 : 0;
   CordonedAgents_ -= Was ? 1 : 0;
 }
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -127,8 +127,6 @@
   void onEntryUp(const PeerId &Entry, Time Now);
   /// A message of another entry about tasks that crash endpoints.
   void onEntryMessage(const Message &M, Time Now);
-  /// The entry has adopted this set of cordoned zones.
-  void setCordons(const ZoneCordons &C, Time Now);
   void onTimer(Time Now);
   /// Zones in which no run may be dispatched. A set of a revision that is not
   /// higher than the last one is ignored.
@@ -206,6 +204,7 @@
   /// Name of the agent at which every entry would rerun this suspect.
   std::optional<std::string> agentForSuspect(const Job &J,
                                              TaskIndex Task) const;
+  bool expectsEndpoint(const ServiceName &Service, Time Now) const;
   Duration expectedWait(const Job &J, Time Now) const;
   double cpuReleaseRate(const Job &J, Time Now) const;
   void recordReleasedCpu(std::uint32_t Cpu, Time Now);
@@ -260,6 +259,8 @@
   Time ReleasedAt_ = Time(std::chrono::hours(-1));
   /// When a job of the service last found a usable endpoint.
   std::map<ServiceName, Time> LastUsable_;
+  /// First call of onTimer.
+  std::optional<Time> StartedAt_;
   Time LastAgentCheck_;
   DispatchOutputs Out_;
 };
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -305,6 +305,8 @@
 }
 
 void Dispatcher::onTimer(Time Now) {
+  if (!StartedAt_)
+    StartedAt_ = Now;
   renewOwnerLeases(Now);
   const bool CheckDue = LastAgentCheck_ + AgentCheckPeriod <= Now;
   if (CheckDue) {
@@ -326,6 +328,4 @@
   placeWaiting(Now);
 }
 
-void Dispatcher::setCordons(const ZoneCordons & /*C*/, Time /*Now*/) {}
-
 } // namespace chivelanding
--- a/src/run_supervisor.cpp
+++ b/src/run_supervisor.cpp
@@ -412,7 +412,7 @@
   }
   R.Usable_ = usable();
   R.CordonOnly_ = !R.Usable_ && operable();
-  R.CordonRevision_ = Cordons_.revision();
+  R.CordonRevision_ = Cordons_.current().Revision_;
   R.Cordoned_ = cordoned();
   R.OfferedPermille_ = OfferedPermille_;
   R.Free_ = R.Usable_ ? freeResources() : Resources();
--- a/src/run_supervisor.h
+++ b/src/run_supervisor.h
@@ -2,7 +2,7 @@
 #define CHIVELANDING_RUN_SUPERVISOR_H
 
 #include "cold_start.h"
-#include "cordon_set.h"
+#include "cordon_table.h"
 #include "endpoint_port.h"
 #include "events.h"
 #include "lease_plan.h"
@@ -122,7 +122,7 @@
   /// The zone of the endpoint is cordoned.
   bool cordoned() const;
   /// Revision of the cordons that are in force here; zero if none is known.
-  std::uint64_t cordonRevision() const { return Cordons_.revision(); }
+  std::uint64_t cordonRevision() const { return Cordons_.current().Revision_; }
   /// Share of the endpoint's capacity that is offered, in thousandths; less
   /// than 1000 while it is cold.
   std::uint32_t offeredPermille() const { return OfferedPermille_; }
@@ -268,7 +268,7 @@
   /// The endpoint's first isolated run was started or its last one has ended
   /// since the last reports.
   bool IsolationChanged_ = false;
-  CordonSet Cordons_;
+  CordonTable Cordons_;
   /// cordoned() and zoneClosed() when they were last reported, and whether one
   /// has changed since the last reports.
   bool WasCordoned_ = false;
--- a/src/run_supervisor_cordons.cpp
+++ b/src/run_supervisor_cordons.cpp
@@ -26,11 +26,12 @@
 }
 
 bool RunSupervisor::cordoned() const {
-  return Endpoint_ && Cordons_.contains(Endpoint_->Zone_);
+  return Endpoint_ && Cordons_.isCordoned(Endpoint_->Zone_);
 }
 
 bool RunSupervisor::zoneClosed() const {
-  return cordoned() || (Limits_.NeedsCordons_ && Cordons_.revision() == 0);
+  return cordoned() ||
+         (Limits_.NeedsCordons_ && Cordons_.current().Revision_ == 0);
 }
 
 // Also called when the endpoint has changed, since an endpoint of another zone
@@ -42,7 +43,7 @@
     log(Cordoned ? events::EndpointCordoned : events::EndpointCordonLifted,
         {{"endpoint", Endpoint_ ? Endpoint_->Id_ : ""},
          {"zone", Endpoint_ ? Endpoint_->Zone_.str() : ""},
-         {"revision", std::to_string(Cordons_.revision())},
+         {"revision", std::to_string(Cordons_.current().Revision_)},
          {"runs", std::to_string(Runs_.size())}});
   CordonChanged_ =
       CordonChanged_ || Cordoned != WasCordoned_ || Closed != WasClosed_;
