--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -184,7 +184,8 @@
 }
 
 // Guards against heartbeats of another sender, or incomplete ones, that make
-// the agent use a wrong endpoint or wrong capacity.
+// the agent use a wrong endpoint or wrong capacity, and against a cold time that
+// is not read, makes a heartbeat invalid or overflows.
 TEST_CASE("Only complete heartbeats of the own worker are accepted",
           "[platform]") {
   const auto Valid = decodeHeartbeat(heartbeat());
@@ -195,6 +196,15 @@
   CHECK(Incarnation.Rack_ == RackName("r1-3"));
   CHECK(Incarnation.Capacity_ == Resources{64000, 262144, 0});
   CHECK(!Incarnation.Leaving_);
+  CHECK(Incarnation.ColdRemaining_ == Duration(0));
+  const auto ColdTime = [](const json &Value) {
+    json Body = heartbeat();
+    Body["coldRemainingMs"] = Value;
+    return std::get<EndpointIncarnation>(decodeHeartbeat(Body)).ColdRemaining_;
+  };
+  CHECK(ColdTime(2500) == std::chrono::milliseconds(2500));
+  CHECK(ColdTime(nullptr) == Duration(0));
+  CHECK(ColdTime(9'000'000'000'000'000'000u) == std::chrono::hours(1));
   const auto IsRefused = [](const std::function<void(json &)> &Change) {
     json Body = heartbeat();
     Change(Body);
