Test that an agent's reports make the entry send the cordons again

A trial with the call of CordonExchange::onReport removed from the entry passed the tests. Now it fails two assertions of the test of the entry as a process.

No functional change.

--- a/tests/cordon_entry_test.cpp
+++ b/tests/cordon_entry_test.cpp
@@ -108,6 +108,9 @@
   Other.Hub_.send(*Other.Entry_, ZoneCordons{5, {ZoneName("z1")}});
   CHECK(RunUntil([&] { return !Agent.Received_.empty(); }));
   CHECK(Agent.Received_.front() == 5);
+  // The reports say that the agent has no set, so it gets the set again.
+  CHECK(RunUntil([&] { return Agent.Received_.size() > 1; }));
+  CHECK(Agent.Received_[1] == 5);
   CHECK(RunUntil(IsReady));
   CHECK(Get(S.Listen_, Job).Body_.find("cordons_unknown") == std::string::npos);
   const std::string Metrics =
