--- a/tests/cordon_enforcement_test.cpp
+++ b/tests/cordon_enforcement_test.cpp
@@ -61,10 +61,11 @@
   CHECK(B.outputs<MakeStop>().empty());
   CHECK_FALSE(B.starts(EntryB, "T/o/b", at(12)));
   B.record(B.Supervisor_.onTimer(at(20)));
-  B.record(B.Supervisor_.onMessage(EntryA, HoldRuns{clockAt(20)}, at(20)));
-  B.record(B.Supervisor_.onTimer(at(20)));
-  CHECK(B.Supervisor_.runs() == 1);
-  CHECK(B.outputs<MakeStop>().empty());
+  REQUIRE(B.outputs<MakePoll>().size() == 1);
+  CHECK(B.outputs<MakePoll>()[0].Call_.LeaseEndMs_);
+  B.answerPoll({}, {{1, {JobKey("T/o/a"), TaskIndex(0)}, 1, RunEnding::Done}},
+               at(100));
+  CHECK(B.ending(EntryA) == RunEnding::Done);
   CHECK(B.Supervisor_.ready());
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -184,8 +184,8 @@
 }
 
 // Guards against heartbeats of another sender, or incomplete ones, that make
-// the agent use a wrong endpoint or wrong capacity, and against a cold time that
-// is not read, makes a heartbeat invalid or overflows.
+// the agent use a wrong endpoint or wrong capacity, and against a cold time
+// that is not read, makes a heartbeat invalid or overflows.
 TEST_CASE("Only complete heartbeats of the own worker are accepted",
           "[platform]") {
   const auto Valid = decodeHeartbeat(heartbeat());
