--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -1,4 +1,6 @@
 #include "admin_api.h"
+#include "admin_cordons.h"
+#include "admin_response.h"
 #include "api.h"
 #include "bearer.h"
 #include "config_check.h"
@@ -14,18 +16,6 @@
 
 using Json = nlohmann::json;
 
-HttpResponse respond(unsigned Status, const Json &Body) {
-  HttpResponse R;
-  R.Status_ = Status;
-  R.Body_ = Body.dump(-1, ' ', false, Json::error_handler_t::replace);
-  return R;
-}
-
-HttpResponse refuse(unsigned Status, const std::string &Code,
-                    const std::string &Detail) {
-  return respond(Status, {{"code", Code}, {"detail", Detail}});
-}
-
 /// One request of an authenticated operator.
 struct AdminCall {
   const HttpRequest &Request_;
@@ -62,14 +52,14 @@
         {"foreign_records", P.counts().Foreign_},
         {"refused_changes", P.counts().Stale_ + P.counts().Invalid_}};
   }
-  return {respond(200, Body), std::nullopt};
+  return {adminResponse(200, Body), std::nullopt};
 }
 
 AdminResult showConfig(const AdminCall &Call) {
   const AcceptedPtr &State = Call.View_.InForce_;
-  return {respond(200, {{"version", State->Version_.value()},
-                        {"hash", toHex(State->Hash_)},
-                        {"toml", State->Toml_}}),
+  return {adminResponse(200, {{"version", State->Version_.value()},
+                              {"hash", toHex(State->Hash_)},
+                              {"toml", State->Toml_}}),
           std::nullopt};
 }
 
@@ -79,39 +69,23 @@
     for (const EvaluatedRecord &J :
          Call.View_.Follower_->stateMachine().history())
       List.push_back(evaluatedRecordJson(J));
-  return {respond(200, {{"changes", List},
-                        {"in_force", Call.View_.InForce_->Version_.value()}}),
-          std::nullopt};
-}
-
-HttpResponse invalidSetResponse(const std::vector<ConfigProblem> &Problems) {
-  return respond(422, {{"code", "invalid_set"},
-                       {"valid", false},
-                       {"problems", problemsJson(Problems)}});
+  return {
+      adminResponse(200, {{"changes", List},
+                          {"in_force", Call.View_.InForce_->Version_.value()}}),
+      std::nullopt};
 }
 
 AdminResult checkSet(const AdminCall &Call) {
   const ParsedConfig Config = checkConfig({{"request", Call.Request_.Body_}});
   if (!Config.Problems_.empty())
     return {invalidSetResponse(Config.Problems_), std::nullopt};
-  return {
-      respond(200, {{"valid", true},
+  return {adminResponse(
+              200, {{"valid", true},
                     {"objects", Config.Set_.Objects_.size()},
                     {"base", Call.View_.InForce_->Version_.value()},
                     {"changes", changesJson(diffSets(Call.View_.InForce_->Set_,
                                                      Config.Set_))}}),
-      std::nullopt};
-}
-
-Event makeActionEvent(const AdminCall &Call, const ChangeRecord &Change,
-                      const char *Outcome) {
-  return {&events::AdminAction,
-          {{"operator", Call.Operator_.Name_},
-           {"action", "publish"},
-           {"id", Change.Id_},
-           {"base", std::to_string(Change.Base_.value())},
-           {"reason", Change.Reason_},
-           {"outcome", Outcome}}};
+          std::nullopt};
 }
 
 // The author is the operator whose token was used; an author in the body is
@@ -147,48 +121,22 @@
   return Change;
 }
 
-// If the answer to a change was lost, the operator sends the request again. The
-// repeated request gets the outcome of the first instead of a stale-base
-// refusal.
-std::optional<PublishEnded> findAcceptedChange(const ConfigFollower &Follower,
-                                               const std::string &Id) {
-  for (const EvaluatedRecord &J : Follower.stateMachine().history()) {
-    if (J.Id_ != Id || J.Outcome_ != RecordOutcome::Accepted)
-      continue;
-    PublishEnded End;
-    End.Id_ = Id;
-    End.Outcome_ = PublishOutcome::Accepted;
-    End.Version_ = J.Version_;
-    return End;
-  }
-  return std::nullopt;
-}
-
 AdminResult publishChange(const AdminCall &Call) {
   Result<ChangeRecord> Parsed = parseChange(Call);
   if (!ok(Parsed))
-    return {refuse(400, error(Parsed).Code_, error(Parsed).Detail_),
+    return {adminRefusal(400, error(Parsed).Code_, error(Parsed).Detail_),
             std::nullopt};
   ChangeRecord &Change = value(Parsed);
-  if (Call.Operator_.text("role") != "publisher")
-    return {refuse(403, "forbidden", "the operator's role is reader"),
-            makeActionEvent(Call, Change, "forbidden")};
-  if (!Call.View_.Follower_)
-    return {refuse(503, "no_log",
-                   "this entry does not follow the log; use "
-                   "another or chivelanding publish"),
-            makeActionEvent(Call, Change, "no_log")};
-  if (const auto Earlier =
-          findAcceptedChange(*Call.View_.Follower_, Change.Id_))
-    return {makePublishResponse(*Earlier),
-            makeActionEvent(Call, Change, "repeated")};
+  if (auto Decided = checkPublication(Call.View_, Call.Operator_, Change))
+    return std::move(*Decided);
   const ParsedConfig Config = checkConfig({{"request", Change.Toml_}});
   if (!Config.Problems_.empty())
     return {invalidSetResponse(Config.Problems_),
-            makeActionEvent(Call, Change, "refused_invalid")};
+            makeActionEvent(Call.Operator_.Name_, Change, "refused_invalid")};
   Change.Toml_ = Config.Set_.toml();
-  Event Started = makeActionEvent(Call, Change, "started");
-  return {AdminPublish{std::move(Change)}, std::move(Started)};
+  Event Started = makeActionEvent(Call.Operator_.Name_, Change, "started");
+  return {AdminPublish{std::move(Change), std::nullopt, false},
+          std::move(Started)};
 }
 
 struct Route {
@@ -214,10 +162,15 @@
       IsKnown = true;
     }
     if (IsKnown)
-      return {refuse(405, "method_not_allowed", "use the documented method"),
-              std::nullopt};
+      return {
+          adminRefusal(405, "method_not_allowed", "use the documented method"),
+          std::nullopt};
   }
-  return {refuse(404, "not_found", "see docs/administration.md"), std::nullopt};
+  if (Path.size() >= 2 && Path[0] == "v1" && Path[1] == "cordons")
+    return handleCordonRequest(Call.Request_, Path, Call.View_, Call.Operator_,
+                               Call.NewId_);
+  return {adminRefusal(404, "not_found", "see docs/administration.md"),
+          std::nullopt};
 }
 
 } // namespace
@@ -228,28 +181,39 @@
   const ConfigObject *Operator =
       findByToken(View.InForce_->Set_, ObjectType::Operator, Request);
   if (!Operator)
-    return {refuse(401, "unauthorized", "a valid bearer token is required"),
-            std::nullopt};
+    return {
+        adminRefusal(401, "unauthorized", "a valid bearer token is required"),
+        std::nullopt};
   const auto T = Target::parse(Request.Target_);
   if (!ok(T))
-    return {refuse(400, error(T).Code_, error(T).Detail_), std::nullopt};
+    return {adminRefusal(400, error(T).Code_, error(T).Detail_), std::nullopt};
   return route({Request, View, *Operator, NewId, value(T)});
 }
 
-HttpResponse makePublishResponse(const PublishEnded &End) {
+namespace {
+
+const char *outcomeText(const PublishEnded &End, bool IsUnchanged) {
+  return IsUnchanged && End.Outcome_ == PublishOutcome::Accepted
+             ? "unchanged"
+             : publishOutcomeName(End.Outcome_);
+}
+
+} // namespace
+
+HttpResponse makePublishResponse(const PublishEnded &End, bool IsUnchanged) {
   static constexpr unsigned Statuses[] = {200, 409, 422, 503, 504};
-  return respond(Statuses[static_cast<std::size_t>(End.Outcome_)],
-                 {{"outcome", publishOutcomeName(End.Outcome_)},
-                  {"id", End.Id_},
-                  {"version", End.Version_.value()},
-                  {"detail", End.Detail_}});
+  return adminResponse(Statuses[static_cast<std::size_t>(End.Outcome_)],
+                       {{"outcome", outcomeText(End, IsUnchanged)},
+                        {"id", End.Id_},
+                        {"version", End.Version_.value()},
+                        {"detail", End.Detail_}});
 }
 
-Event makePublishEvent(const PublishEnded &End) {
+Event makePublishEvent(const PublishEnded &End, bool IsUnchanged) {
   return {&events::AdminAction,
           {{"action", "publish"},
            {"id", End.Id_},
-           {"outcome", publishOutcomeName(End.Outcome_)},
+           {"outcome", outcomeText(End, IsUnchanged)},
            {"version", std::to_string(End.Version_.value())}}};
 }
 
--- a/src/admin_api.h
+++ b/src/admin_api.h
@@ -2,11 +2,13 @@
 #define CHIVELANDING_ADMIN_API_H
 
 #include "config_follower.h"
+#include "cordons.h"
 #include "events.h"
 #include "http.h"
 
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace chivelanding {
@@ -31,6 +33,12 @@
 /// the response when the publication has ended.
 struct AdminPublish {
   ChangeRecord Change_;
+  /// Set if the change is one of a cordon. It is then made again on the version
+  /// in force if its base is stale.
+  std::optional<CordonEdit> Edit_;
+  /// The change would not alter the set: nothing is published, but the base is
+  /// confirmed with the log.
+  bool IsUnchanged_ = false;
 };
 
 /// Action_ is the response, or the change to publish, whose outcome determines
@@ -52,10 +60,12 @@
                                const AdminView &View, const std::string &NewId);
 
 /// The response to a change whose publication has ended. Statuses: 200
-/// accepted, 409 stale, 422 invalid, 503 not published, 504 unknown.
-HttpResponse makePublishResponse(const PublishEnded &End);
+/// accepted, 409 stale, 422 invalid, 503 not published, 504 unknown. The
+/// outcome of an accepted change that altered nothing is "unchanged".
+HttpResponse makePublishResponse(const PublishEnded &End,
+                                 bool IsUnchanged = false);
 /// The audit event of a change whose publication has ended.
-Event makePublishEvent(const PublishEnded &End);
+Event makePublishEvent(const PublishEnded &End, bool IsUnchanged = false);
 
 } // namespace chivelanding
 
--- /dev/null
+++ b/src/admin_cordons.h
@@ -0,0 +1,28 @@
+#ifndef CHIVELANDING_ADMIN_CORDONS_H
+#define CHIVELANDING_ADMIN_CORDONS_H
+
+#include "admin_api.h"
+
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// Handles an operator's request to /v1/cordons, whose path has been split.
+/// Statuses besides those of a change: 400 malformed body, 404 unknown path,
+/// 405 wrong method.
+AdminResult handleCordonRequest(const HttpRequest &Request,
+                                const std::vector<std::string> &Path,
+                                const AdminView &View,
+                                const ConfigObject &Operator,
+                                const std::string &NewId);
+
+/// Applies the edit to the version to which View.Follower_ has read: the change
+/// to publish on it, or the response if an earlier attempt was accepted or the
+/// set would be invalid. Follower_ must be set.
+std::variant<HttpResponse, AdminPublish> applyCordonEdit(const CordonEdit &Edit,
+                                                         const AdminView &View);
+
+} // namespace chivelanding
+
+#endif
--- /dev/null
+++ b/src/admin_response.h
@@ -0,0 +1,36 @@
+#ifndef CHIVELANDING_ADMIN_RESPONSE_H
+#define CHIVELANDING_ADMIN_RESPONSE_H
+
+#include "admin_api.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivelanding {
+
+/// Responses and audit events that the parts of the administration API share.
+HttpResponse adminResponse(unsigned Status, const nlohmann::json &Body);
+HttpResponse adminRefusal(unsigned Status, const std::string &Code,
+                          const std::string &Detail);
+/// Status 422 with every problem.
+HttpResponse invalidSetResponse(const std::vector<ConfigProblem> &Problems);
+Event makeActionEvent(const std::string &Operator, const ChangeRecord &Change,
+                      const char *Outcome);
+
+/// The outcome of the accepted change with this id, if the history has one.
+std::optional<PublishEnded> findAcceptedChange(const ConfigFollower &Follower,
+                                               const std::string &Id);
+
+/// Checks that come before any publication: the operator's role, the log, and
+/// the id. Returns the response if one of them decides: 403, 503, or the
+/// outcome of the accepted change with this id.
+std::optional<AdminResult> checkPublication(const AdminView &View,
+                                            const ConfigObject &Operator,
+                                            const ChangeRecord &Change);
+
+} // namespace chivelanding
+
+#endif
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -19,9 +19,18 @@
 
 } // namespace
 
+// A cordon lasts minutes, so the retry delay is that of a missing endpoint.
+AdmissionRefusal makeCordonRefusal() {
+  return {"zones_cordoned",
+          "every endpoint of the service is in a cordoned zone",
+          MaxRetryAfter / 6};
+}
+
 // The retry delay is the time in which half of the excess wait drains: a later
 // retry would leave slots idle, an earlier one would only be refused again.
 std::optional<AdmissionRefusal> admit(const AdmissionInput &In) {
+  if (In.IsCordoned_)
+    return makeCordonRefusal();
   if (In.NoEndpointFor_ && *In.NoEndpointFor_ >= In.NoEndpointWait_)
     return AdmissionRefusal{"no_endpoint",
                             "the service has had no endpoint for " +
--- a/src/admission.h
+++ b/src/admission.h
@@ -32,10 +32,15 @@
   /// How long the service has had no endpoint; not set if it has one.
   std::optional<Duration> NoEndpointFor_;
   Duration NoEndpointWait_{0};
+  /// Endpoints of the service are ready, but all of them in cordoned zones.
+  bool IsCordoned_ = false;
 };
 
+/// The refusal of a job whose service has endpoints only in cordoned zones.
+AdmissionRefusal makeCordonRefusal();
+
 /// Returns the refusal of a job that would wait too long, or nothing if the job
-/// is admitted. Codes: no_endpoint, queue_full, overloaded,
+/// is admitted. Codes: zones_cordoned, no_endpoint, queue_full, overloaded,
 /// deadline_unreachable.
 std::optional<AdmissionRefusal> admit(const AdmissionInput &In);
 
--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -3,6 +3,7 @@
 #include "api.h"
 #include "clock.h"
 #include "config_service.h"
+#include "cordons.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "metrics.h"
@@ -50,6 +51,7 @@
   void onAnnouncement(const HttpRequest &Request, const HttpReplyPtr &Reply);
   HttpResponse status() const;
   HttpResponse metrics();
+  void onConfig(const AcceptedConfig &Config);
   void apply(StartControllerOutputs Outputs);
   void startRun(RunTask Task);
   void onRunEnded(RunId Run, Time Started, const Result<HttpResponse> &R);
@@ -101,7 +103,7 @@
                  if (It != Peers_.end())
                    Hub_.send(It->second, std::move(M));
                },
-               {}}),
+               [this](const AcceptedPtr &State) { onConfig(*State); }}),
       Timer_(Io) {}
 
 PeerHandler AgentService::Impl::makeHandler() {
@@ -174,6 +176,7 @@
                       {"slots", Endpoint_.Slots_},
                       {"running", Controller_.running()},
                       {"queued", Controller_.queued()},
+                      {"cordoned", Controller_.cordoned()},
                       {"config_version", Config_.state()->Version_.value()}})
           .dump();
   return R;
@@ -186,6 +189,8 @@
                static_cast<double>(Controller_.running()));
   Metrics_.set("chivelanding_queued_tasks", "Tasks that wait at the agent.",
                static_cast<double>(Controller_.queued()));
+  Metrics_.set("chivelanding_cordoned", "1 if the agent's zone is cordoned.",
+               Controller_.cordoned() ? 1 : 0);
   return Metrics_.render();
 }
 
@@ -214,6 +219,22 @@
   Reply->send({200, "application/json", {}, "{}"});
 }
 
+void AgentService::Impl::onConfig(const AcceptedConfig &Config) {
+  const ZoneName &Zone = Settings_.Process_.Zone_;
+  const bool IsCordoned = cordonedZones(Config.Set_).count(Zone) != 0;
+  if (IsCordoned == Controller_.cordoned())
+    return;
+  const Event Change{IsCordoned ? &events::ZoneCordoned
+                                : &events::ZoneCordonLifted,
+                     {{"zone", Zone.str()},
+                      {"version", std::to_string(Config.Version_.value())},
+                      {"running", std::to_string(Controller_.running())},
+                      {"returned", std::to_string(Controller_.queued())}}};
+  Metrics_.count(*Change.Type_);
+  Log_.write(Change);
+  apply(Controller_.onCordoned(IsCordoned, steadyNow()));
+}
+
 void AgentService::Impl::apply(StartControllerOutputs Outputs) {
   for (StartControllerOutput &O : Outputs) {
     if (auto *Send = std::get_if<SendToEntry>(&O)) {
--- a/src/api.cpp
+++ b/src/api.cpp
@@ -147,15 +147,16 @@
 
 unsigned httpStatusFor(const JobAnswer &A) {
   static constexpr std::pair<const char *, unsigned> NotRun[] = {
-      {"bad_json", 400},         {"bad_job", 400},
-      {"bad_token", 400},        {"bad_target", 400},
-      {"bad_endpoint", 400},     {"duplicate_task_id", 400},
-      {"too_many_tasks", 413},   {"token_required", 428},
-      {"unauthorized", 401},     {"quota", 429},
-      {"overloaded", 503},       {"queue_full", 503},
-      {"no_endpoint", 503},      {"deadline_unreachable", 503},
-      {"draining", 503},         {"not_ready", 503},
-      {"owner_unreachable", 503}};
+      {"bad_json", 400},          {"bad_job", 400},
+      {"bad_token", 400},         {"bad_target", 400},
+      {"bad_endpoint", 400},      {"duplicate_task_id", 400},
+      {"too_many_tasks", 413},    {"token_required", 428},
+      {"unauthorized", 401},      {"quota", 429},
+      {"overloaded", 503},        {"queue_full", 503},
+      {"no_endpoint", 503},       {"deadline_unreachable", 503},
+      {"draining", 503},          {"not_ready", 503},
+      {"owner_unreachable", 503}, {"zones_cordoned", 503},
+      {"no_configuration", 503}};
   switch (A.Outcome_) {
   case Outcome::Completed:
     return 200;
--- a/src/cli.h
+++ b/src/cli.h
@@ -63,6 +63,8 @@
 int runHistory(const Arguments &Args);
 /// Prints a version of the configuration.
 int runShow(const Arguments &Args);
+/// Lists, sets and lifts the cordons of zones.
+int runCordon(const Arguments &Args);
 /// Shows which processes have which version of the configuration.
 int runVersions(const Arguments &Args);
 
--- a/src/cli_admin.cpp
+++ b/src/cli_admin.cpp
@@ -18,6 +18,8 @@
 constexpr char AddressVariable[] = "CHIVELANDING_ADMIN";
 constexpr char TokenVariable[] = "CHIVELANDING_TOKEN";
 constexpr Duration AnswerTimeout = std::chrono::seconds(5);
+// Above the time in which an entry ends a publication (30 s for each attempt).
+constexpr Duration ChangeTimeout = std::chrono::seconds(60);
 constexpr std::uint64_t MaxAnswerBytes = 64u << 20;
 // Short compared with the second within which a version comes into force.
 constexpr auto PollPeriod = std::chrono::milliseconds(50);
@@ -67,34 +69,70 @@
   return Session;
 }
 
-Result<Json> AdminSession::get(const std::string &Path) const {
+Result<HttpResponse> AdminSession::send(HttpRequest Request,
+                                        Duration Timeout) const {
   boost::asio::io_context Io(1);
   HttpClient Client(Io, MaxAnswerBytes);
-  HttpRequest Request;
-  Request.Target_ = Path;
   Request.Headers_.push_back({"Authorization", "Bearer " + Token_});
   std::optional<Result<HttpResponse>> Answer;
-  Client.send(Address_, std::move(Request), AnswerTimeout,
+  Client.send(Address_, std::move(Request), Timeout,
               [&](Result<HttpResponse> R) { Answer = std::move(R); });
   while (!Answer)
     Io.run_one();
-  if (!ok(*Answer))
-    return error(*Answer);
-  const HttpResponse &Response = value(*Answer);
-  const auto Refuse = [&](const char *Code, const std::string &Detail) {
-    return Error{Code, "ask entry", Address_.str(), Detail};
-  };
-  if (Response.Status_ == 401)
-    return Refuse("unauthorized",
-                  "the token is not that of an operator in force");
+  if (ok(*Answer) && value(*Answer).Status_ == 401)
+    return Error{"unauthorized", "ask entry", Address_.str(),
+                 "the token is not that of an operator in force"};
+  return *Answer;
+}
+
+Result<Json> AdminSession::get(const std::string &Path) const {
+  HttpRequest Request;
+  Request.Target_ = Path;
+  const auto Answer = send(std::move(Request), AnswerTimeout);
+  if (!ok(Answer))
+    return error(Answer);
+  const HttpResponse &Response = value(Answer);
   Json Body = Json::parse(Response.Body_, nullptr, false);
   if (Response.Status_ != 200 || !Body.is_object())
-    return Refuse("admin_error",
-                  "status " + std::to_string(Response.Status_) +
-                      "; is this the administration listener of an entry?");
+    return Error{"admin_error", "ask entry", Address_.str(),
+                 "status " + std::to_string(Response.Status_) +
+                     "; is this the administration listener of an entry?"};
   return Body;
 }
 
+// A change whose answer does not arrive may have been accepted, unless no
+// connection was made.
+Result<Json> AdminSession::change(const std::string &Method,
+                                  const std::string &Path,
+                                  const Json &Body) const {
+  HttpRequest Request;
+  Request.Method_ = Method;
+  Request.Target_ = Path;
+  Request.Body_ = Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  const auto Answer = send(std::move(Request), ChangeTimeout);
+  const auto MakeError = [&](const std::string &Code,
+                             const std::string &Detail) {
+    return Error{Code, "change configuration", Address_.str(), Detail};
+  };
+  if (!ok(Answer)) {
+    const bool IsCertain = error(Answer).Code_ == "connect_failed" ||
+                           error(Answer).Code_ == "unauthorized";
+    return IsCertain ? error(Answer)
+                     : MakeError("unknown", error(Answer).str());
+  }
+  const Json Result = Json::parse(value(Answer).Body_, nullptr, false);
+  const unsigned Status = value(Answer).Status_;
+  if (Status == 200 && Result.is_object())
+    return Result;
+  if (!Result.is_object())
+    return MakeError("admin_error", "status " + std::to_string(Status));
+  std::string Detail = Result.value("detail", "");
+  for (const Json &P : Result.value("problems", Json::array()))
+    Detail += (Detail.empty() ? "" : "; ") + P.value("problem", "");
+  return MakeError(Result.value("code", Result.value("outcome", "admin_error")),
+                   Detail);
+}
+
 bool waitUntilInForce(
     const AdminSession &Admin, std::uint64_t Version, Duration Timeout,
     const std::function<void(std::uint64_t, std::uint64_t)> &Progress) {
--- a/src/cli_admin.h
+++ b/src/cli_admin.h
@@ -2,6 +2,7 @@
 #define CHIVELANDING_CLI_ADMIN_H
 
 #include "cli_support.h"
+#include "http.h"
 
 #include <nlohmann/json.hpp>
 
@@ -21,8 +22,16 @@
 
   /// Error codes: those of HttpClient, unauthorized, admin_error.
   Result<nlohmann::json> get(const std::string &Path) const;
+  /// Sends a change and returns the body of its answer, whose outcome is
+  /// accepted or unchanged. Error codes: those of get and of the answer;
+  /// unknown if the change may have been accepted.
+  Result<nlohmann::json> change(const std::string &Method,
+                                const std::string &Path,
+                                const nlohmann::json &Body) const;
 
 private:
+  Result<HttpResponse> send(HttpRequest Request, Duration Timeout) const;
+
   SocketAddress Address_;
   std::string Token_;
 };
--- a/src/clock.cpp
+++ b/src/clock.cpp
@@ -20,6 +20,8 @@
 // times are taken from CLOCK_BOOTTIME.
 Time steadyNow() { return Time(readClock(CLOCK_BOOTTIME)); }
 
+std::int64_t unixMs() { return readClock(CLOCK_REALTIME).count() / 1000; }
+
 Duration suspendedTime() {
   return readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC);
 }
--- a/src/clock.h
+++ b/src/clock.h
@@ -3,6 +3,8 @@
 
 #include "types.h"
 
+#include <cstdint>
+
 namespace chivelanding {
 
 /// Current time on the process's monotonic time line, which goes on while the
@@ -10,6 +12,9 @@
 /// value as an argument.
 Time steadyNow();
 
+/// Current time of the wall clock in milliseconds since 1970, for display only.
+std::int64_t unixMs();
+
 /// Total time for which the VM has been suspended since its start.
 Duration suspendedTime();
 
--- a/src/config_check.cpp
+++ b/src/config_check.cpp
@@ -216,6 +216,15 @@
 
 } // namespace
 
+// Version 2 added the object type cordon and changed nothing else, so a set
+// without cordons is validated alike by version 1.
+std::uint32_t requiredRules(const std::string &Toml) {
+  const ParsedConfig Config = parseConfig({{"set", Toml}});
+  const bool IsOld =
+      Config.Problems_.empty() && Config.Set_.all(ObjectType::Cordon).empty();
+  return IsOld ? 1 : CheckRulesVersion;
+}
+
 ParsedConfig checkConfig(const std::vector<ConfigSource> &Sources) {
   ParsedConfig Config = parseConfig(Sources);
   SetChecker(Config).run();
--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -104,8 +104,13 @@
     NextSnapshotAt_.reset();
     SnapshotReadSequence_ = 0;
   }
-  if (PendingChanges_.empty() || Evaluated.Id_.empty() ||
-      Evaluated.Id_ != PendingChanges_.front().Change_.Id_)
+  if (PendingChanges_.empty() || Evaluated.Id_.empty())
+    return;
+  // A change that is made again on a new version keeps its id, so a late copy
+  // of its first record is told apart by the base.
+  const PendingChange &P = PendingChanges_.front();
+  if (P.Data_.empty() || Evaluated.Id_ != P.Change_.Id_ ||
+      Evaluated.Base_ != P.Change_.Base_)
     return;
   switch (Evaluated.Outcome_) {
   case RecordOutcome::Accepted:
@@ -139,17 +144,34 @@
 }
 
 FollowerOutputs ConfigFollower::publish(ChangeRecord Change, Time Now) {
+  PendingChange P;
+  Change.Rules_ = requiredRules(Change.Toml_);
+  P.Data_ = encodeRecord(Change);
+  P.Change_ = std::move(Change);
+  return enqueue(std::move(P), Now);
+}
+
+// The outstanding read may have been answered already, so that a record
+// accepted before this call could be missing from it: only a later read counts.
+FollowerOutputs ConfigFollower::confirm(ChangeRecord Change, Time Now) {
+  PendingChange P;
+  P.Change_ = std::move(Change);
+  P.Stage_ = Stage::ReadingBack;
+  P.LastStaleRead_ = Sequence_;
+  FollowerOutputs Out = enqueue(std::move(P), Now);
+  if (ReadOutstanding_)
+    read(Duration(0), Out);
+  return Out;
+}
+
+FollowerOutputs ConfigFollower::enqueue(PendingChange P, Time Now) {
   FollowerOutputs Out;
   if (PendingChanges_.size() >= MaxPendingChanges) {
-    Out.push_back(PublishEnded{Change.Id_, PublishOutcome::NotPublished,
+    Out.push_back(PublishEnded{P.Change_.Id_, PublishOutcome::NotPublished,
                                StateMachine_.version(),
                                "too many publications are waiting"});
     return Out;
   }
-  PendingChange P;
-  Change.Rules_ = CheckRulesVersion;
-  P.Data_ = encodeRecord(Change);
-  P.Change_ = std::move(Change);
   P.Deadline_ = Now + Options_.PublishTimeout_;
   P.RetryAt_ = Now;
   PendingChanges_.push_back(std::move(P));
@@ -192,6 +214,15 @@
     const bool ReadReachedEnd = CaughtUp_ && ReadSequence_ > P.LastStaleRead_ &&
                                 !ReadOutstanding_ &&
                                 StateMachine_.isStateKnown();
+    if (P.Data_.empty()) {
+      if (!ReadReachedEnd)
+        return;
+      const bool IsInForce = P.Change_.Base_ == StateMachine_.version();
+      endPublish(IsInForce ? PublishOutcome::Accepted
+                           : PublishOutcome::RefusedStale,
+                 IsInForce ? "" : "the base is not in force", Now, Out);
+      continue;
+    }
     if (P.Stage_ == Stage::ReadingBack && ReadReachedEnd)
       P.Stage_ = Stage::Waiting;
     if (P.Stage_ == Stage::Waiting && CaughtUp_ &&
@@ -321,7 +352,7 @@
   Snapshot.AsOf_ = StateMachine_.nextOffset();
   Snapshot.Writer_ = Options_.Name_;
   Snapshot.Toml_ = StateMachine_.state()->Toml_;
-  Snapshot.Rules_ = CheckRulesVersion;
+  Snapshot.Rules_ = requiredRules(Snapshot.Toml_);
   SnapshotSequence_ = ++Sequence_;
   Out.push_back(AppendLog{SnapshotSequence_, encodeRecord(Snapshot)});
   SnapshotReadSequence_ = 0;
--- a/src/config_follower.h
+++ b/src/config_follower.h
@@ -114,6 +114,10 @@
                                  bool NotWritten, Time Now);
   /// Publishes the change after those already pending; ends with PublishEnded.
   FollowerOutputs publish(ChangeRecord Change, Time Now);
+  /// Writes nothing: ends with PublishEnded, accepted if Change.Base_ is in
+  /// force at the end of the log as read after this call, else refused as
+  /// stale.
+  FollowerOutputs confirm(ChangeRecord Change, Time Now);
   FollowerOutputs tick(Time Now);
   /// When to call tick next.
   std::optional<Time> nextTimer() const;
@@ -138,6 +142,7 @@
   };
   struct PendingChange {
     ChangeRecord Change_;
+    /// The encoded record; empty if only the base is to be confirmed.
     std::string Data_;
     Time Deadline_;
     Stage Stage_ = Stage::Waiting;
@@ -158,6 +163,7 @@
                          FollowerOutputs &Out);
   void advancePublish(Time Now, FollowerOutputs &Out);
   void append(PendingChange &P, FollowerOutputs &Out);
+  FollowerOutputs enqueue(PendingChange P, Time Now);
   void endPublish(PublishOutcome Outcome, const std::string &Detail, Time Now,
                   FollowerOutputs &Out);
   bool scheduleRetry(PendingChange &P, Time Now);
--- a/src/config_follower_driver.cpp
+++ b/src/config_follower_driver.cpp
@@ -23,9 +23,14 @@
 void ConfigFollowerDriver::start() { perform(Follower_.start(steadyNow())); }
 
 void ConfigFollowerDriver::publish(ChangeRecord Change) {
+  Change.UnixMs_ = unixMs();
   perform(Follower_.publish(std::move(Change), steadyNow()));
 }
 
+void ConfigFollowerDriver::confirm(ChangeRecord Change) {
+  perform(Follower_.confirm(std::move(Change), steadyNow()));
+}
+
 void ConfigFollowerDriver::setSnapshotWriters(std::vector<std::string> Names) {
   Follower_.setSnapshotWriters(std::move(Names));
 }
--- a/src/config_follower_driver.h
+++ b/src/config_follower_driver.h
@@ -34,6 +34,8 @@
   void start();
   /// Publishes the change; ends with Callbacks::OnPublishEnded_.
   void publish(ChangeRecord Change);
+  /// Confirms the base of the change, as ConfigFollower::confirm does.
+  void confirm(ChangeRecord Change);
   void setSnapshotWriters(std::vector<std::string> Names);
   const ConfigFollower &follower() const { return Follower_; }
 
--- a/src/config_json.cpp
+++ b/src/config_json.cpp
@@ -49,7 +49,8 @@
           {"author", J.Author_},
           {"reason", J.Reason_},
           {"id", J.Id_},
-          {"detail", J.Detail_}};
+          {"detail", J.Detail_},
+          {"time_ms", J.UnixMs_}};
 }
 
 } // namespace chivelanding
--- a/src/config_objects.cpp
+++ b/src/config_objects.cpp
@@ -66,6 +66,8 @@
 const Rules OperatorRules = {{"token_sha256", FieldForm::Digest, Required},
                              {"role", FieldForm::OperatorRole, Required},
                              {"contact", FieldForm::Text}};
+const Rules CordonRules = {{"zone", FieldForm::PlainName, Required},
+                           {"note", FieldForm::Text}};
 
 struct TypeEntry {
   const char *Name_;
@@ -77,7 +79,7 @@
     {"team", &TeamRules},         {"quota", &QuotaRules},
     {"service", &ServiceRules},   {"kind", &KindRules},
     {"priority", &PriorityRules}, {"limit", &LimitRules},
-    {"operator", &OperatorRules}};
+    {"operator", &OperatorRules}, {"cordon", &CordonRules}};
 
 std::string quote(const std::string &Text) {
   std::string Out = "\"";
--- a/src/config_objects.h
+++ b/src/config_objects.h
@@ -18,7 +18,8 @@
   Kind,
   Priority,
   Limit,
-  Operator
+  Operator,
+  Cordon
 };
 
 /// Form of a field's value, and the unit of its number.
--- a/src/config_parse.cpp
+++ b/src/config_parse.cpp
@@ -167,7 +167,7 @@
     if (!Type) {
       addProblem(lineOf(Node), TypeName, "unknown object type",
                  "use one of team, quota, service, kind, priority, limit, "
-                 "operator");
+                 "operator, cordon");
       continue;
     }
     const toml::array *List = Node.as_array();
--- a/src/config_policy.cpp
+++ b/src/config_policy.cpp
@@ -1,4 +1,5 @@
 #include "config_policy.h"
+#include "cordons.h"
 
 #include <algorithm>
 
@@ -76,6 +77,7 @@
     if (const auto Percent = Service->number("retry_percent"))
       P.RetryBudget_ = static_cast<double>(*Percent) / 100;
   }
+  Base.Cordons_ = cordonedZones(Set);
   return Base;
 }
 
--- a/src/config_record.cpp
+++ b/src/config_record.cpp
@@ -20,7 +20,7 @@
   return {{"record", "change"},      {"id", C.Id_},
           {"base", C.Base_.value()}, {"author", C.Author_},
           {"reason", C.Reason_},     {"toml", C.Toml_},
-          {"rules", C.Rules_}};
+          {"rules", C.Rules_},       {"time_ms", C.UnixMs_}};
 }
 
 Json bodyToJson(const SnapshotRecord &S) {
@@ -47,6 +47,9 @@
     C.Reason_ = Body.at("reason").get<std::string>();
     C.Toml_ = Body.at("toml").get<std::string>();
     C.Rules_ = Rules;
+    const auto Time = Body.find("time_ms");
+    if (Time != Body.end() && Time->is_number_integer())
+      C.UnixMs_ = Time->get<std::int64_t>();
     return C;
   }
   if (Body.at("record") != "snapshot")
--- a/src/config_record.h
+++ b/src/config_record.h
@@ -20,6 +20,9 @@
   std::string Toml_;
   /// Version of the validation rules that the publisher applied.
   std::uint32_t Rules_ = 0;
+  /// When the change was published, by the publisher's clock, in milliseconds
+  /// since 1970; 0 if the record does not say.
+  std::int64_t UnixMs_ = 0;
 };
 
 /// The state after every record before the offset AsOf_.
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -174,18 +174,40 @@
              {{"log", Settings_.Log_.str()}, {"detail", R.Detail_}});
 }
 
-void ConfigService::publish(ChangeRecord Change,
-                            std::function<void(const PublishEnded &)> OnEnded) {
+bool ConfigService::awaitOutcome(
+    const ChangeRecord &Change,
+    std::function<void(const PublishEnded &)> &OnEnded) {
+  if (Driver_ && PublishCallbacks_.count(Change.Id_) == 0) {
+    PublishCallbacks_[Change.Id_] = std::move(OnEnded);
+    return true;
+  }
   PublishEnded Refused;
   Refused.Id_ = Change.Id_;
   Refused.Outcome_ = PublishOutcome::NotPublished;
   Refused.Version_ = state()->Version_;
   Refused.Detail_ = Driver_ ? "a change with this id is being published"
                             : "this process does not follow the log";
-  if (!Driver_ || PublishCallbacks_.count(Change.Id_) > 0)
-    return OnEnded(Refused);
-  PublishCallbacks_[Change.Id_] = std::move(OnEnded);
-  Driver_->publish(std::move(Change));
+  OnEnded(Refused);
+  return false;
+}
+
+void ConfigService::publish(ChangeRecord Change,
+                            std::function<void(const PublishEnded &)> OnEnded) {
+  if (awaitOutcome(Change, OnEnded))
+    Driver_->publish(std::move(Change));
+}
+
+void ConfigService::confirm(ChangeRecord Change,
+                            std::function<void(const PublishEnded &)> OnEnded) {
+  if (awaitOutcome(Change, OnEnded))
+    Driver_->confirm(std::move(Change));
+}
+
+bool ConfigService::isKnown() const {
+  if (!Driver_ || state()->Version_.value() > 0)
+    return true;
+  const ConfigFollower &F = Driver_->follower();
+  return F.caughtUp() && F.stateMachine().isStateKnown();
 }
 
 AdminView ConfigService::view() const {
--- a/src/config_service.h
+++ b/src/config_service.h
@@ -45,12 +45,21 @@
   /// it returns.
   void publish(ChangeRecord Change,
                std::function<void(const PublishEnded &)> OnEnded);
+  /// Confirms that the base of the change is in force at the end of the log,
+  /// and calls OnEnded as publish does. Writes nothing.
+  void confirm(ChangeRecord Change,
+               std::function<void(const PublishEnded &)> OnEnded);
+  /// True if the configuration in force is known: a version is in force, or the
+  /// log was read to its end and has none, or this process follows no log.
+  bool isKnown() const;
 
   const AcceptedPtr &state() const { return Sync_.state(); }
   AdminView view() const;
 
 private:
   void apply(const SyncOutputs &Outputs);
+  bool awaitOutcome(const ChangeRecord &Change,
+                    std::function<void(const PublishEnded &)> &OnEnded);
   void schedule();
   void updateSnapshotWriters();
   void onRecordEvaluated(const EvaluatedRecord &Evaluated);
--- a/src/config_state_machine.cpp
+++ b/src/config_state_machine.cpp
@@ -14,6 +14,17 @@
 // within seconds of its state, and 1,700 changes a day are one in 50 s.
 constexpr std::size_t MaxRecentVersions = 64;
 
+std::vector<std::string> addedCordons(const ConfigSet &Before,
+                                      const ConfigSet &After) {
+  std::vector<std::string> Names;
+  for (const ConfigObject *Cordon : After.all(ObjectType::Cordon)) {
+    const ConfigObject *Old = Before.find(ObjectType::Cordon, Cordon->Name_);
+    if (!Old || Old->text("zone") != Cordon->text("zone"))
+      Names.push_back(Cordon->Name_);
+  }
+  return Names;
+}
+
 } // namespace
 
 Result<AcceptedPtr> makeAcceptedConfig(ConfigVersion Version,
@@ -102,6 +113,7 @@
   Evaluated.Base_ = Change.Base_;
   Evaluated.Author_ = Change.Author_;
   Evaluated.Reason_ = Change.Reason_;
+  Evaluated.UnixMs_ = Change.UnixMs_;
   if (!StateKnown_) {
     Evaluated.Outcome_ = RecordOutcome::NotYetEvaluated;
     return Evaluated;
@@ -130,6 +142,7 @@
     Evaluated.Detail_ = error(State).Detail_;
     return Evaluated;
   }
+  Evaluated.Cordons_ = addedCordons(State_->Set_, value(State)->Set_);
   setState(value(std::move(State)));
   Evaluated.Outcome_ = RecordOutcome::Accepted;
   return Evaluated;
--- a/src/config_state_machine.h
+++ b/src/config_state_machine.h
@@ -7,6 +7,8 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace chivelanding {
 
@@ -61,6 +63,12 @@
   std::string Author_;
   std::string Reason_;
   std::string Detail_;
+  /// When the change was published, by the publisher's clock, in milliseconds
+  /// since 1970; 0 if unknown.
+  std::int64_t UnixMs_ = 0;
+  /// Names of the cordons that an accepted change added or moved to another
+  /// zone.
+  std::vector<std::string> Cordons_;
 };
 
 /// Number of records by outcome; only records read while the state was known
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -1,11 +1,11 @@
 #include "entry_service.h"
 
-#include "admin_api.h"
+#include "admin_publisher.h"
 #include "api.h"
-#include "bearer.h"
 #include "clock.h"
 #include "config_policy.h"
 #include "config_service.h"
+#include "cordons.h"
 #include "entry_core.h"
 #include "http_server.h"
 #include "metrics.h"
@@ -40,6 +40,7 @@
   bool onHealthRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
   void onAdminRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
   HttpResponse status() const;
+  HttpResponse readiness() const;
   HttpResponse metrics();
   void onApiRequest(HttpRequest &&Request, const Target &T,
                     const HttpReplyPtr &Reply);
@@ -50,8 +51,7 @@
                        const HttpReplyPtr &Reply);
   Result<TeamName> authorize(const HttpRequest &Request) const;
   ConfigService::Host makeConfigHost();
-  bool mayAdminister(const HttpRequest &Request, bool Changes) const;
-  void onConfigRequest(const HttpRequest &Request, const HttpReplyPtr &Reply);
+  void onConfig(const AcceptedConfig &Config);
   void submit(Result<JobSpec> Spec, const HttpReplyPtr &Reply, bool IsSingle);
   void sendReply(const HttpReplyPtr &Reply, HttpResponse Response);
   void sendAnswer(ReplyId To, const JobId &Job, const JobAnswer &Answer);
@@ -61,6 +61,7 @@
   PolicyConfig basePolicy() const;
   PeerHandler makeHandler();
   void rejoin();
+  void checkConfigKnown();
   void onTick(Time Now);
   void drain();
   void exitIfDrained(Time Now);
@@ -74,12 +75,16 @@
   boost::asio::io_context &Io_;
   EntrySettings Settings_;
   EventLog &Log_;
+  /// The configuration in force is known; nothing is placed before.
+  bool HasConfig_ = false;
+  std::set<ZoneName> Cordons_;
   std::unique_ptr<EntryCore> Core_;
   Metrics Metrics_;
   HttpServer Http_;
   HttpServer Admin_;
   PeerHub Hub_;
   ConfigService Config_;
+  AdminPublisher Publisher_;
   /// Connected peers, by their names in the configuration exchange.
   std::map<std::string, PeerId> Peers_;
   PeriodicTimer Timer_;
@@ -92,6 +97,7 @@
 PolicyConfig EntryService::Impl::basePolicy() const {
   PolicyConfig Policy;
   Policy.MaxWaiting_ = Settings_.MaxWaitingTasks_;
+  Policy.HoldsPlacements_ = !HasConfig_;
   return Policy;
 }
 
@@ -125,10 +131,18 @@
             if (It != Peers_.end())
               Hub_.send(It->second, std::move(M));
           },
-          [this](const AcceptedPtr &State) {
-            Core_->setPolicy(makePolicy(State->Set_, basePolicy()),
-                             steadyNow());
-          }};
+          [this](const AcceptedPtr &State) { onConfig(*State); }};
+}
+
+void EntryService::Impl::onConfig(const AcceptedConfig &Config) {
+  HasConfig_ = true;
+  std::set<ZoneName> Zones = cordonedZones(Config.Set_);
+  for (const Event &E : makeCordonEvents(Cordons_, Zones, Config.Version_)) {
+    Metrics_.count(*E.Type_);
+    Log_.write(E);
+  }
+  Cordons_ = std::move(Zones);
+  Core_->setPolicy(makePolicy(Config.Set_, basePolicy()), steadyNow());
 }
 
 PeerHandler EntryService::Impl::makeHandler() {
@@ -173,6 +187,7 @@
       Hub_(Io, Settings_.Process_, PeerId::of(Core_->self()), Log,
            makeHandler()),
       Config_(Io, Settings_.Process_, Role::Entry, Log, makeConfigHost()),
+      Publisher_(Config_, Log, Settings_.AdminListen_.isLoopback()),
       Timer_(Io) {}
 
 // The new incarnation relays the submissions of waiting callers to the entry
@@ -236,9 +251,7 @@
   if (Request.Target_ == "/healthz")
     Reply->send({200, "text/plain", {}, "ok\n"});
   else if (Request.Target_ == "/readyz")
-    Reply->send(DrainDeadline_
-                    ? HttpResponse{503, "text/plain", {}, "draining\n"}
-                    : HttpResponse{200, "text/plain", {}, "ok\n"});
+    Reply->send(readiness());
   else if (Request.Target_ == "/metrics")
     Reply->send(metrics());
   else
@@ -246,6 +259,15 @@
   return true;
 }
 
+HttpResponse EntryService::Impl::readiness() const {
+  if (DrainDeadline_ || !HasConfig_)
+    return {503,
+            "text/plain",
+            {},
+            DrainDeadline_ ? "draining\n" : "no configuration\n"};
+  return {200, "text/plain", {}, "ok\n"};
+}
+
 HttpResponse EntryService::Impl::metrics() {
   Metrics_.set("chivelanding_open_jobs", "Jobs without an answer.",
                static_cast<double>(Core_->openJobs()));
@@ -255,6 +277,8 @@
                static_cast<double>(WaitingCallers_.size()));
   Metrics_.set("chivelanding_connections", "Connections of callers.",
                static_cast<double>(Http_.connections()));
+  Metrics_.set("chivelanding_cordoned_zones", "Zones that are cordoned.",
+               static_cast<double>(Cordons_.size()));
   return Metrics_.render();
 }
 
@@ -279,7 +303,7 @@
       Request.Method_ == "GET" && Request.Target_ == "/v1/status";
   const bool IsDrain =
       Request.Method_ == "POST" && Request.Target_ == "/v1/drain";
-  if ((IsStatus || IsDrain) && !mayAdminister(Request, IsDrain)) {
+  if ((IsStatus || IsDrain) && !Publisher_.mayAdminister(Request, IsDrain)) {
     Reply->send({401, "application/json", {}, R"({"code":"unauthorized"})"});
   } else if (IsStatus) {
     Reply->send(status());
@@ -288,27 +312,10 @@
     drain();
     Reply->send(status());
   } else if (!onHealthRequest(Request, Reply)) {
-    onConfigRequest(Request, Reply);
+    Publisher_.onRequest(Request, Reply);
   }
 }
 
-void EntryService::Impl::onConfigRequest(const HttpRequest &Request,
-                                         const HttpReplyPtr &Reply) {
-  AdminResult Decision =
-      handleAdminRequest(Request, Config_.view(), newChangeId());
-  if (Decision.Event_)
-    Log_.write(*Decision.Event_);
-  if (auto *Response = std::get_if<HttpResponse>(&Decision.Action_)) {
-    Reply->send(std::move(*Response));
-    return;
-  }
-  Config_.publish(std::move(std::get<AdminPublish>(Decision.Action_).Change_),
-                  [this, Reply](const PublishEnded &End) {
-                    Log_.write(makePublishEvent(End));
-                    Reply->send(makePublishResponse(End));
-                  });
-}
-
 void EntryService::Impl::onApiRequest(HttpRequest &&Request, const Target &T,
                                       const HttpReplyPtr &Reply) {
   const std::string &Method = Request.Method_;
@@ -332,6 +339,8 @@
 
 Result<TeamName>
 EntryService::Impl::authorize(const HttpRequest &Request) const {
+  if (!HasConfig_)
+    return Error{"no_configuration", "submit", "", "not read from the log yet"};
   return authorizeTeam(Config_.state()->Set_, Request);
 }
 
@@ -403,29 +412,22 @@
                                  : renderAnswer(Job, Answer));
 }
 
+// A log without any version is noticed here, since no version comes into force.
+void EntryService::Impl::checkConfigKnown() {
+  if (!HasConfig_ && Config_.isKnown())
+    onConfig(*Config_.state());
+}
+
 void EntryService::Impl::onTick(Time Now) {
+  checkConfigKnown();
   Core_->onTimer(Now);
   Log_.flush();
   exitIfDrained(Now);
 }
 
-// Until operators are configured, administration is allowed only if the admin
-// listener is on a loopback address, that is to processes of the same VM.
-bool EntryService::Impl::mayAdminister(const HttpRequest &Request,
-                                       bool Changes) const {
-  const ConfigSet &Set = Config_.state()->Set_;
-  if (Set.all(ObjectType::Operator).empty())
-    return Settings_.AdminListen_.isLoopback();
-  const ConfigObject *Operator =
-      findByToken(Set, ObjectType::Operator, Request);
-  return Operator && (!Changes || Operator->text("role") == "publisher");
-}
-
 Result<SocketAddress> EntryService::Impl::listenAdmin() {
   const SocketAddress &Address = Settings_.AdminListen_;
-  if (Address.Host_.empty())
-    return Address;
-  return Admin_.listen(Address);
+  return Address.Host_.empty() ? Address : Admin_.listen(Address);
 }
 
 // Closes idle connections so that callers connect to another entry; connections
@@ -476,6 +478,7 @@
                                         {"admin", value(Admin).str()}});
   I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   const auto Config = I.Config_.start();
+  I.checkConfigKnown();
   return ok(Config) ? I.Hub_.start() : Config;
 }
 
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -88,6 +88,14 @@
     "The platform's store does not answer or its answer is an error."};
 const EventType StoreAvailable{607, "store_available", Severity::Info,
                                "The platform's store answers again."};
+const EventType ZoneCordoned{620, "zone_cordoned", Severity::Warning,
+                             "A configuration version cordons a zone: no task "
+                             "starts there until it is lifted."};
+const EventType ZoneCordonLifted{621, "zone_cordon_lifted", Severity::Info,
+                                 "Tasks may start in the zone again."};
+const EventType StartRefusedCordoned{
+    622, "start_refused_cordoned", Severity::Info,
+    "An agent refuses starts, because its zone is cordoned."};
 const EventType RunRefused{
     700, "run_refused", Severity::Info,
     "The agent refuses a start request; nothing was started."};
@@ -198,6 +206,9 @@
       &AdminAction,
       &StoreUnavailable,
       &StoreAvailable,
+      &ZoneCordoned,
+      &ZoneCordonLifted,
+      &StartRefusedCordoned,
       &RunRefused,
       &RunRejected,
       &RunStopping,
--- a/src/events.h
+++ b/src/events.h
@@ -83,6 +83,9 @@
 extern const EventType AdminAction;
 extern const EventType StoreUnavailable;
 extern const EventType StoreAvailable;
+extern const EventType ZoneCordoned;
+extern const EventType ZoneCordonLifted;
+extern const EventType StartRefusedCordoned;
 // 700-799: runs under leases.
 extern const EventType RunRefused;
 extern const EventType RunRejected;
--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -307,6 +307,7 @@
   OwnerOutputs Out;
   if (ClosedBy_)
     return Out;
+  refuseCordoned(Now, Out);
   for (const UnplaceableTask &W : Sched_.takeUnplaceable(Now)) {
     OwnedJob &J = *Jobs_.find(W.Task_.Job_);
     --J.QueuedTasks_;
@@ -323,6 +324,25 @@
   return Out;
 }
 
+// A task that was sent may run or be rejected; its job is looked at again when
+// this is known. A job that has run in part goes on waiting as for a service
+// without endpoints.
+void JobOwner::refuseCordoned(Time Now, OwnerOutputs &Out) {
+  for (const JobId &Id : Sched_.cordonedJobs()) {
+    OwnedJob &J = *Jobs_.find(Id);
+    const bool HasNotRun = std::all_of(
+        J.Tasks_.begin(), J.Tasks_.end(), [](const OwnedTask &Task) {
+          return Task.Phase_ == TaskPhase::Queued && !Task.MayHaveRun_;
+        });
+    if (!HasNotRun)
+      continue;
+    const AdmissionRefusal Refusal = makeCordonRefusal();
+    J.FailRetryAfter_ = Refusal.RetryAfter_;
+    fail(J, Refusal.Code_.c_str(), Refusal.Detail_, Now, Out);
+    answerIfDone(J, Now, Out);
+  }
+}
+
 void JobOwner::sendDemand(Time Now, OwnerOutputs &Out) {
   for (const auto &[Service, D] : Demand_.takeDue(Now))
     for (const AgentId &Agent : Agents_.ofService(Service))
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -110,6 +110,7 @@
                   OwnerOutputs &Out);
   void onRejected(const AgentId &Agent, const TasksRejected &Rejected, Time Now,
                   OwnerOutputs &Out);
+  void refuseCordoned(Time Now, OwnerOutputs &Out);
   void sendDemand(Time Now, OwnerOutputs &Out);
   void dropExpired(Time Now, OwnerOutputs &Out);
 
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -105,8 +105,10 @@
     else
       A.Outcome_ = Outcome::NotRun;
   }
-  if (A.Outcome_ == Outcome::NotRun)
+  if (A.Outcome_ == Outcome::NotRun) {
+    A.RetryAfter_ = Job.FailRetryAfter_;
     return A;
+  }
   for (std::size_t I = 0; I < Job.Tasks_.size(); ++I)
     A.Tasks_.push_back({Job.Spec_.Tasks_[I].Id_, stateOf(Job.Tasks_[I]),
                         AllFinished ? Job.Tasks_[I].Result_ : ""});
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -70,6 +70,8 @@
   bool Withdrawn_ = false;
   std::string FailCode_;
   std::string FailDetail_;
+  /// Retry delay in the answer if the job has not run.
+  std::optional<Duration> FailRetryAfter_;
   JobAnswer Answer_;
   /// Sequence number of the answer, which orders the kept results.
   std::uint64_t RetainedOrder_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
     {"history", "list the changes in the log", runHistory},
     {"show", "print a version of the configuration", runShow},
     {"versions", "show which processes have which version", runVersions},
+    {"cordon", "list, set and lift cordons of zones", runCordon},
     {"bench", "run a built-in benchmark", runBench},
     {"settings", "print the page of all settings", runSettings},
     {"events", "print the catalogue of log events", runEvents},
--- a/src/policy_config.h
+++ b/src/policy_config.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace chivelanding {
@@ -52,6 +53,10 @@
   Duration NoEndpointWait_ = std::chrono::seconds(10);
   /// Largest fraction of a service's endpoints that may be ejected.
   double MaxEjectedShare_ = 0.25;
+  /// Zones in which no task is placed.
+  std::set<ZoneName> Cordons_;
+  /// Nothing is placed at all, because the configuration is not known yet.
+  bool HoldsPlacements_ = false;
 };
 
 } // namespace chivelanding
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -30,8 +30,11 @@
     LeastUrgentClass_ = std::max(LeastUrgentClass_, Kind.Class_);
   Fair_.setConfig(isFair() ? Config_ : PolicyConfig());
   Health_.setMaxEjectedShare(Config_.MaxEjectedShare_);
-  for (std::uint32_t A = 0; A < Agents_.size(); ++A)
+  for (std::uint32_t A = 0; A < Agents_.size(); ++A) {
+    if (Agents_[A].Present_)
+      updateUsable(A, Now);
     updateCapacity(A, Now);
+  }
 }
 
 JobSlot Scheduler::findOrAddJob(const WaitingTask &Task, Time Now) {
@@ -168,6 +171,22 @@
   return Removed;
 }
 
+bool Scheduler::isCordoned(const ServiceName &Service) const {
+  const auto It = Services_.find(Service);
+  return It != Services_.end() && It->second.Usable_.empty() &&
+         !It->second.Cordoned_.empty();
+}
+
+std::vector<JobId> Scheduler::cordonedJobs() const {
+  std::vector<JobId> Found;
+  for (const auto &[Service, Slots] : JobsWithoutEndpoint_)
+    if (isCordoned(Service))
+      for (const JobSlot Slot : Slots)
+        if (!Jobs_[Slot].Waiting_.empty())
+          Found.push_back(Jobs_[Slot].Id_);
+  return Found;
+}
+
 void Scheduler::countStart(std::uint32_t Kind, Time Now) {
   KindRate &R = Rates_[Kind];
   const auto Us = static_cast<double>((Now - R.Updated_).count());
@@ -217,6 +236,7 @@
   const auto Service = Services_.find(Spec.Service_);
   if (Service != Services_.end() && Service->second.NoEndpointSince_)
     In.NoEndpointFor_ = Now - *Service->second.NoEndpointSince_;
+  In.IsCordoned_ = isCordoned(Spec.Service_);
   return admit(In);
 }
 
@@ -319,7 +339,7 @@
   if (Now >= NextEvaluation_)
     evaluate(Now);
   std::vector<Placement> Placements;
-  if (Waiting_ == 0)
+  if (Waiting_ == 0 || Config_.HoldsPlacements_)
     return Placements;
   const auto HasCapacity = [&](const ServiceName &Name) {
     return !Services_[Name].Index_.empty();
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -91,6 +91,9 @@
   /// Removes and returns waiting tasks that can never run: their deadline has
   /// passed, or their service has had no endpoint for NoEndpointWait_.
   std::vector<UnplaceableTask> takeUnplaceable(Time Now);
+  /// Jobs with waiting tasks whose service has endpoints only in cordoned
+  /// zones.
+  std::vector<JobId> cordonedJobs() const;
 
   void onFinished(const TaskRef &Task, const AgentId &Agent, RunOutcome Outcome,
                   Duration RunTime, Time Now);
@@ -128,6 +131,8 @@
     /// Ejected agents that may get a trial task.
     std::set<std::uint32_t> Trials_;
     std::set<std::uint32_t> Usable_;
+    /// Agents that would be usable if their zone were not cordoned.
+    std::set<std::uint32_t> Cordoned_;
     std::optional<Time> NoEndpointSince_;
   };
   struct JobState {
@@ -157,6 +162,10 @@
   static std::uint64_t inFlightKey(JobSlot Job, TaskIndex Index) {
     return (std::uint64_t{Job} << 32) | Index.value();
   }
+  bool isCordoned(const AgentState &A) const {
+    return Config_.Cordons_.count(A.Info_.Zone_) != 0;
+  }
+  bool isCordoned(const ServiceName &Service) const;
   bool isFair() const { return Config_.Order_ == "fair_share"; }
   JobSlot findOrAddJob(const WaitingTask &Task, Time Now);
   void releaseIdleJobs();
--- a/src/scheduler_agents.cpp
+++ b/src/scheduler_agents.cpp
@@ -86,7 +86,7 @@
 std::uint32_t Scheduler::availableCapacity(std::uint32_t Number,
                                            Time Now) const {
   const AgentState &A = Agents_[Number];
-  if (!A.Present_ || A.Info_.Leaving_)
+  if (!A.Present_ || A.Info_.Leaving_ || isCordoned(A))
     return 0;
   std::uint64_t Capacity = A.Report_.Credit_;
   if (isFair() && Config_.Placement_ == "credits") {
@@ -127,12 +127,17 @@
     It->second.Trials_.erase(Number);
 }
 
-// A service is without endpoints while it has no agent that has slots and is
-// not leaving.
+// A service is without endpoints while it has no agent that has slots, is not
+// leaving and is not in a cordoned zone.
 void Scheduler::updateUsable(std::uint32_t Number, Time Now) {
   const AgentState &A = Agents_[Number];
   ServiceState &S = Services_[A.Info_.Service_];
-  if (A.Present_ && !A.Info_.Leaving_ && A.Info_.Slots_ > 0) {
+  const bool IsReady = A.Present_ && !A.Info_.Leaving_ && A.Info_.Slots_ > 0;
+  if (IsReady && isCordoned(A))
+    S.Cordoned_.insert(Number);
+  else
+    S.Cordoned_.erase(Number);
+  if (IsReady && !isCordoned(A)) {
     S.Usable_.insert(Number);
     S.NoEndpointSince_.reset();
     JobsWithoutEndpoint_.erase(A.Info_.Service_);
--- a/src/start_controller.cpp
+++ b/src/start_controller.cpp
@@ -14,7 +14,7 @@
 }
 
 std::uint32_t StartController::slots() const {
-  if (!Endpoint_ || isLeaving())
+  if (!Endpoint_ || isLeaving() || Cordoned_)
     return 0;
   if (Endpoint_->Connections_ == 0)
     return Endpoint_->Slots_;
@@ -186,6 +186,11 @@
   if (answerFromRecords(From, Start.Job_, Task, Out))
     return;
   if (const auto Reason = checkStart(From, Start.Job_, Start.Class_)) {
+    if (Cordoned_ && *Reason == RejectReason::NoEndpoint)
+      Out.push_back(LogEvent{{&events::StartRefusedCordoned,
+                              {{"job", Start.Job_.str()},
+                               {"task", std::to_string(Task.Index_.value())},
+                               {"entry", From.str()}}}});
     rejectAndRecord(From, Start.Job_, Task.Index_, Task.Attempt_, *Reason, Now);
     return;
   }
@@ -396,6 +401,24 @@
   return Out;
 }
 
+// The zone gets no slots, so that every entry, also one that does not know the
+// cordon, sees no capacity here. A refusal gives an existing reason, which
+// entries of older versions understand. The reports are sent at once, since
+// sendReports would leave out those to entries without waiting tasks.
+StartControllerOutputs StartController::onCordoned(bool IsCordoned, Time Now) {
+  StartControllerOutputs Out;
+  if (Cordoned_ == IsCordoned)
+    return Out;
+  Cordoned_ = IsCordoned;
+  if (Cordoned_)
+    returnQueued([](const QueuedTask &) { return true; },
+                 RejectReason::NoEndpoint, Now);
+  for (auto &[Id, Entry] : Entries_)
+    Entry.LastReport_.reset();
+  finishInput(Now, Out);
+  return Out;
+}
+
 StartControllerOutputs StartController::onTimer(Time Now) {
   StartControllerOutputs Out;
   returnQueued(
--- a/src/start_controller.h
+++ b/src/start_controller.h
@@ -83,10 +83,14 @@
   StartControllerOutputs onEndpointFailed(Time Now);
   /// Accepts no new tasks from now on and rejects the queued ones.
   StartControllerOutputs onLeaving(Time Now);
+  /// The configuration in force cordons the endpoint's zone, or no longer does:
+  /// while it does, nothing starts. Running tasks are not affected.
+  StartControllerOutputs onCordoned(bool IsCordoned, Time Now);
   StartControllerOutputs onTimer(Time Now);
 
   /// True if the agent is leaving and no task is running or queued.
   bool drained() const;
+  bool cordoned() const { return Cordoned_; }
   std::size_t running() const { return Runs_.size(); }
   std::size_t queued() const { return Queue_.size(); }
   /// Number of job records, including those of ended jobs.
@@ -157,6 +161,7 @@
   StartControllerLimits Limits_;
   std::optional<EndpointInfo> Endpoint_;
   bool Leaving_ = false;
+  bool Cordoned_ = false;
   std::uint64_t NextRun_ = 1;
   std::uint64_t NextArrival_ = 1;
   /// Connected entries.
--- a/tests/fuzz_commands.cpp
+++ b/tests/fuzz_commands.cpp
@@ -39,7 +39,9 @@
                                   {Action::Silence, "Silence", 2},
                                   {Action::Disturb, "Disturb", 2},
                                   {Action::Isolate, "Isolate", 1},
-                                  {Action::FailAll, "FailAll", 1}};
+                                  {Action::FailAll, "FailAll", 1},
+                                  {Action::Cordon, "Cordon", 4},
+                                  {Action::Lift, "Lift", 4}};
 
 constexpr std::uint32_t MaxWait = 3000;
 // Time for the processes to connect before the first command.
@@ -155,6 +157,10 @@
   case Action::FailAll:
     W.failAll(M, C.B_ % 2 == 0);
     break;
+  case Action::Cordon:
+  case Action::Lift:
+    W.publishCordon(C.A_ % W.zones(), C.Action_ == Action::Cordon);
+    break;
   }
   W.run(milliseconds(C.WaitMs_));
 }
--- a/tests/fuzz_commands.h
+++ b/tests/fuzz_commands.h
@@ -29,7 +29,9 @@
   Silence,
   Disturb,
   Isolate,
-  FailAll
+  FailAll,
+  Cordon,
+  Lift
 };
 
 /// One step of a test: an action, and the numbers that choose its operands.
--- a/tests/fuzz_entry.cpp
+++ b/tests/fuzz_entry.cpp
@@ -1,4 +1,5 @@
 #include "fuzz_entry.h"
+#include "config_policy.h"
 
 namespace chivelanding::fuzz {
 namespace {
@@ -12,6 +13,28 @@
                      const std::string &Zone, std::vector<std::string> Seeds)
     : Node(Env, Self, Zone, std::move(Seeds)), Core_(makeCore()) {}
 
+// Like the real entry, places nothing before the configuration is known.
+PolicyConfig EntryNode::policy() const {
+  PolicyConfig Policy = makePolicy(Config_.state()->Set_);
+  Policy.HoldsPlacements_ = !HasConfig_;
+  return Policy;
+}
+
+void EntryNode::onInForce(const AcceptedConfig &) {
+  HasConfig_ = true;
+  Core_->setPolicy(policy(), now());
+}
+
+void EntryNode::onLogRead(const AcceptedPtr &State) {
+  if (State) {
+    applyConfig(Config_.onAccepted(State, now()));
+  } else if (!HasConfig_) {
+    HasConfig_ = true;
+    Core_->setPolicy(policy(), now());
+  }
+  flushLinks();
+}
+
 std::unique_ptr<EntryCore> EntryNode::makeCore() {
   EntryActions Actions{
       [this](const PeerId &To, Message M) { send(To, std::move(M)); },
@@ -20,7 +43,7 @@
       },
       [](const Event &) {}, [this](const EntryId &) { MustRejoin_ = true; }};
   return std::make_unique<EntryCore>(
-      Self_.entry(), OwnerLimits(), LinkLimits().LostAfter_, PolicyConfig(),
+      Self_.entry(), OwnerLimits(), LinkLimits().LostAfter_, policy(),
       ZoneName(), Self_.Incarnation_.value(), std::move(Actions), now());
 }
 
--- a/tests/fuzz_entry.h
+++ b/tests/fuzz_entry.h
@@ -18,6 +18,9 @@
   void submit(RequestId Request, JobSpec Spec);
   void cancel(const JobId &Job);
   void drain() override;
+  /// The log was read to its end; State is the newest version, and null if the
+  /// log has none.
+  void onLogRead(const AcceptedPtr &State);
   std::size_t openJobs() const { return Core_->openJobs(); }
   /// Continues as a new incarnation after the old one was closed. Requests that
   /// are relayed to another entry are kept; the others are answered with
@@ -31,9 +34,12 @@
   void onPeerLost(const PeerId &P) override;
   void onMessage(const PeerId &From, const Message &M) override;
   void onTick() override;
+  void onInForce(const AcceptedConfig &Config) override;
+  PolicyConfig policy() const;
   std::unique_ptr<EntryCore> makeCore();
   void sendAnswer(ReplyId Reply, const JobAnswer &Answer);
 
+  bool HasConfig_ = false;
   std::unique_ptr<EntryCore> Core_;
   std::map<ReplyId, RequestId> OpenRequests_;
   std::uint64_t NextReply_ = 1;
--- a/tests/fuzz_node.cpp
+++ b/tests/fuzz_node.cpp
@@ -1,4 +1,5 @@
 #include "fuzz_node.h"
+#include "cordons.h"
 
 namespace chivelanding::fuzz {
 namespace {
@@ -7,6 +8,13 @@
 constexpr Duration DialInterval = std::chrono::milliseconds(500);
 constexpr std::size_t MaxFrameBytes = 64u << 20;
 
+SyncOptions syncOptions(const PeerId &Self) {
+  SyncOptions Options;
+  Options.Role_ = Self.Role_;
+  Options.Seed_ = Self.Incarnation_.value();
+  return Options;
+}
+
 } // namespace
 
 Node::Node(Environment &Env, const PeerId &Self, const std::string &Zone,
@@ -14,7 +22,7 @@
     : Env_(Env), Self_(Self),
       Links_(Self, ZoneName(Zone), RegionName("region"), LinkLimits()),
       Directory_(Self.entry(), RegionName("region"), Self.Role_ == Role::Agent),
-      Seeds_(std::move(Seeds)), Zone_(Zone) {}
+      Config_(syncOptions(Self)), Seeds_(std::move(Seeds)), Zone_(Zone) {}
 
 void Node::onDialled(ConnectionId C) {
   apply(Links_.onDialled(C, now()));
@@ -52,6 +60,8 @@
     for (const EntryAddress &Address : Directory_.entriesToDial(now()))
       Env_.network().dial(Self_.Name_, Address.Host_);
   }
+  if (!HasExited_)
+    applyConfig(Config_.tick(now()));
   if (!HasExited_)
     onTick();
   flushLinks();
@@ -63,6 +73,9 @@
 
 void Node::restartLinks() {
   Env_.network().closeAll(Self_.Name_);
+  for (const auto &[Name, Peer] : ConfigPeers_)
+    Config_.onPeerDown(Name);
+  ConfigPeers_.clear();
   Links_ = Links(Self_, ZoneName(Zone_), RegionName("region"), LinkLimits());
   Directory_ = EntryDirectory(Self_.entry(), RegionName("region"),
                               Self_.Role_ == Role::Agent);
@@ -96,6 +109,8 @@
       if (Up->Peer_.Role_ == Role::Entry)
         Directory_.onUp(Up->Peer_.entry(), now());
       onPeerUp(Up->Peer_);
+      ConfigPeers_[Up->Peer_.str()] = Up->Peer_;
+      applyConfig(Config_.onPeerUp(Up->Peer_.str(), Up->Peer_.Role_, now()));
     } else if (auto *Suspected = std::get_if<PeerSuspected>(&O)) {
       onPeerSuspected(Suspected->Peer_);
     } else if (auto *Reachable = std::get_if<PeerReachable>(&O)) {
@@ -104,14 +119,45 @@
       if (Lost->Peer_.Role_ == Role::Entry)
         Directory_.onDown(Lost->Peer_.entry(), now());
       onPeerLost(Lost->Peer_);
+      Config_.onPeerDown(Lost->Peer_.str());
+      ConfigPeers_.erase(Lost->Peer_.str());
     } else if (auto *Delivered = std::get_if<Deliver>(&O)) {
-      onMessage(Delivered->From_, Delivered->Message_);
+      if (!onConfigMessage(Delivered->From_, Delivered->Message_))
+        onMessage(Delivered->From_, Delivered->Message_);
     } else if (std::holds_alternative<SelfSuperseded>(O)) {
       exitProcess(true);
     }
   }
 }
 
+void Node::applyConfig(const SyncOutputs &Out) {
+  for (const SyncOutput &O : Out) {
+    if (const auto *Send = std::get_if<SyncSend>(&O)) {
+      const auto It = ConfigPeers_.find(Send->Peer_);
+      if (It != ConfigPeers_.end())
+        send(PeerId(It->second), Send->Message_);
+    } else if (const auto *InForce = std::get_if<SyncInForce>(&O)) {
+      Env_.onInForce(Self_.Name_, InForce->State_->Version_);
+      onInForce(*InForce->State_);
+    }
+  }
+}
+
+bool Node::onConfigMessage(const PeerId &From, const Message &M) {
+  const std::string Peer = From.str();
+  if (const auto *Digest = std::get_if<ConfigDigest>(&M))
+    applyConfig(Config_.onDigest(Peer, *Digest, now()));
+  else if (const auto *Request = std::get_if<ConfigRequest>(&M))
+    applyConfig(Config_.onRequest(Peer, *Request, now()));
+  else if (const auto *State = std::get_if<ConfigState>(&M))
+    applyConfig(Config_.onState(Peer, *State, now()));
+  else if (const auto *Delta = std::get_if<ConfigDelta>(&M))
+    applyConfig(Config_.onDelta(Peer, *Delta, now()));
+  else
+    return false;
+  return true;
+}
+
 AgentNode::AgentNode(Environment &Env, const PeerId &Self,
                      const EndpointInfo &Info, std::vector<std::string> Seeds)
     : Node(Env, Self, Info.Zone_.str(), std::move(Seeds)),
@@ -130,6 +176,13 @@
   flushLinks();
 }
 
+void AgentNode::onInForce(const AcceptedConfig &Config) {
+  const ZoneName Zone(zone());
+  if (!Env_.ignoresCordons())
+    apply(Controller_.onCordoned(cordonedZones(Config.Set_).count(Zone) != 0,
+                                 now()));
+}
+
 void AgentNode::onPeerUp(const PeerId &P) {
   apply(Controller_.onEntryConnected(P.entry(), now()));
   send(P, EntriesHeard{ReportedEntries_});
--- a/tests/fuzz_node.h
+++ b/tests/fuzz_node.h
@@ -1,6 +1,7 @@
 #ifndef CHIVELANDING_TESTS_FUZZ_NODE_H
 #define CHIVELANDING_TESTS_FUZZ_NODE_H
 
+#include "config_sync.h"
 #include "fuzz_network.h"
 #include "fuzz_oracle.h"
 #include "job_owner.h"
@@ -29,6 +30,10 @@
   /// Returns the identity under which a process continues after its incarnation
   /// was closed.
   virtual PeerId newIncarnation(const PeerId &Old) = 0;
+  /// A configuration version is in force at the process from now on.
+  virtual void onInForce(const std::string &Name, ConfigVersion Version) = 0;
+  /// Defect of all agents: the start controller does not learn of cordons.
+  virtual bool ignoresCordons() const = 0;
   /// The process has exited: at the end of a drain or, if Rejoin, because a
   /// later process superseded it. A new process replaces it in both cases.
   virtual void onExited(const std::string &Name, bool Rejoin) = 0;
@@ -59,11 +64,17 @@
   virtual void onMessage(const PeerId &From, const Message &M) = 0;
   virtual void onTick() = 0;
 
+  const std::string &zone() const { return Zone_; }
   Time now() { return Env_.scheduler().now(); }
   void send(const PeerId &To, Message M);
   void apply(LinkOutputs Out);
   void flushLinks();
   void exitProcess(bool Rejoin);
+  /// Sends what the configuration exchange decided, and takes new versions.
+  void applyConfig(const SyncOutputs &Out);
+  /// Returns false if the message is not about the configuration.
+  bool onConfigMessage(const PeerId &From, const Message &M);
+  virtual void onInForce(const AcceptedConfig &Config) = 0;
   /// Closes every connection, discards every session and the directory, and
   /// starts again under the identity Self_.
   void restartLinks();
@@ -72,12 +83,14 @@
   PeerId Self_;
   Links Links_;
   EntryDirectory Directory_;
+  ConfigSync Config_;
   std::vector<std::string> Seeds_;
   bool HasExited_ = false;
 
 private:
   std::string Zone_;
   Time LastDial_;
+  std::map<std::string, PeerId> ConfigPeers_;
 };
 
 /// An agent that runs the production decision modules.
@@ -98,6 +111,7 @@
   void onPeerLost(const PeerId &P) override;
   void onMessage(const PeerId &From, const Message &M) override;
   void onTick() override;
+  void onInForce(const AcceptedConfig &Config) override;
   void apply(StartControllerOutputs Out);
 
   StartController Controller_;
--- a/tests/fuzz_oracle.cpp
+++ b/tests/fuzz_oracle.cpp
@@ -86,6 +86,8 @@
   if (LeavingSince != LeavingSince_.end() &&
       Now - LeavingSince->second > LeavingBound)
     report(6, Name + " started on " + Agent + ", which left before");
+  if (Cordoned_.count(Agent) != 0)
+    report(9, Name + " started on " + Agent + ", whose zone is cordoned");
 }
 
 void Oracle::onEnd(const JobId &Id, TaskIndex Index, bool Success,
@@ -116,6 +118,13 @@
   Latest = Version;
 }
 
+void Oracle::onCordoned(const std::string &Agent, bool IsCordoned) {
+  if (IsCordoned)
+    Cordoned_.insert(Agent);
+  else
+    Cordoned_.erase(Agent);
+}
+
 void Oracle::expectConfig(const std::string &Process, std::uint64_t Version,
                           std::uint64_t Wanted) {
   if (Version != Wanted)
--- a/tests/fuzz_oracle.h
+++ b/tests/fuzz_oracle.h
@@ -15,7 +15,8 @@
 /// Identifies one submission of a caller.
 using RequestId = std::uint64_t;
 
-/// A violated invariant, by its number in section 1.1 of the design page.
+/// A violated invariant, by its number in section 1.1 of the design page; 9 is
+/// that no task starts at an agent whose configuration cordons its zone.
 struct Violation {
   int Invariant_ = 0;
   std::string Text_;
@@ -35,12 +36,18 @@
              const std::string &Result);
   /// An operator or the endpoint announced that the endpoint is leaving.
   void onLeaving(const std::string &Agent, Time Now);
-  /// A new process replaced the agent that left.
-  void onReplaced(const std::string &Agent) { LeavingSince_.erase(Agent); }
+  /// A new process was started under this name.
+  void onReplaced(const std::string &Process) {
+    LeavingSince_.erase(Process);
+    ConfigVersions_.erase(Process);
+    Cordoned_.erase(Process);
+  }
   /// A process exited gracefully while this request or task was unfinished.
   void onInterrupted(const std::string &Process, const std::string &What);
   /// A configuration version took effect at a process.
   void onConfig(const std::string &Process, std::uint64_t Version);
+  /// The configuration in force at the agent cordons its zone, or does not.
+  void onCordoned(const std::string &Agent, bool IsCordoned);
   /// Reports a violation if Version, in force at the process, is not Wanted.
   void expectConfig(const std::string &Process, std::uint64_t Version,
                     std::uint64_t Wanted);
@@ -83,6 +90,7 @@
   std::map<RequestId, Request> Requests_;
   std::map<std::string, Time> LeavingSince_;
   std::map<std::string, std::uint64_t> ConfigVersions_;
+  std::set<std::string> Cordoned_;
   std::optional<Violation> Violation_;
   std::uint64_t Starts_ = 0;
   std::map<Outcome, std::uint64_t> Outcomes_;
--- a/tests/fuzz_oracle_test.cpp
+++ b/tests/fuzz_oracle_test.cpp
@@ -121,3 +121,9 @@
   checkDetected(7, "a drained process ends at once",
                 [](FuzzSimulation &W) { W.Defects_.ExitsAtOnce_ = true; });
 }
+
+// Guards against an oracle that accepts starts in a cordoned zone.
+TEST_CASE("The oracle sees starts in a cordoned zone", "[fuzz-oracle]") {
+  checkDetected(9, "an agent ignores that its zone is cordoned",
+                [](FuzzSimulation &W) { W.Defects_.IgnoresCordons_ = true; });
+}
--- a/tests/fuzz_simulation.cpp
+++ b/tests/fuzz_simulation.cpp
@@ -6,6 +6,8 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 // Time until the platform starts a new process in place of one that exited.
 constexpr Duration ReplacementDelay = std::chrono::seconds(2);
+// Longest time until an entry has read a record from the log.
+constexpr Duration MaxLogDelay = std::chrono::milliseconds(500);
 constexpr Duration DrainTimeout = std::chrono::seconds(30);
 // Longest time for open requests to be answered once all faults are over:
 // several times the sum of the lost time, the wait of a recovery and the
@@ -46,7 +48,7 @@
 };
 
 FuzzSimulation::FuzzSimulation(SimulationConfig Config)
-    : Config_(Config), Random_(Config.Seed_),
+    : Config_(Config), Random_(Config.Seed_), LogRandom_(Config.Seed_ + 2),
       Network_(Scheduler_, Config.Seed_ + 1, Config.Delays_) {
   for (std::size_t I = 0; I < Config.Entries_ + Config.Agents_; ++I) {
     auto M = std::make_unique<Machine>();
@@ -121,6 +123,7 @@
   Vm.Paused_ = false;
   Vm.Deferred_.clear();
   Vm.DrainedAt_.reset();
+  Oracle_.onReplaced(Vm.Name_);
   std::vector<std::string> Seeds;
   for (std::size_t I = 0; I < Config_.Entries_; ++I)
     Seeds.push_back(Machines_[I]->Name_);
@@ -129,8 +132,8 @@
   Network_.attach(Vm.Name_, Vm.Zone_, Receivers_[M].get());
   if (Vm.Role_ == Role::Entry) {
     Vm.Node_ = std::make_unique<EntryNode>(*this, Self, Vm.Zone_, Seeds);
+    readLog(M);
   } else {
-    Oracle_.onReplaced(Vm.Name_);
     EndpointInfo Info;
     Info.EndpointName_ = Vm.Name_;
     Info.Service_ = ServiceName("service");
@@ -333,6 +336,39 @@
     Oracle_.onAnswer(Request, Answer, Scheduler_.now());
 }
 
+void FuzzSimulation::readLog(std::size_t M) {
+  const auto Delay = static_cast<std::int64_t>(
+      LogRandom_() % static_cast<std::uint64_t>(MaxLogDelay.count()));
+  post(M, Duration(Delay), [this, M, State = Published_] {
+    if (EntryNode *Process = entry(M))
+      Process->onLogRead(State);
+  });
+}
+
+void FuzzSimulation::publishCordon(std::size_t Zone, bool IsCordoned) {
+  const std::string Name = "zone" + std::to_string(Zone);
+  const ConfigVersion Last =
+      Published_ ? Published_->Version_ : ConfigVersion();
+  std::set<std::string> Zones = Cordons_[Last];
+  if (IsCordoned ? !Zones.insert(Name).second : Zones.erase(Name) == 0)
+    return;
+  std::string Toml;
+  for (const std::string &Z : Zones)
+    Toml += "[[cordon]]\nname = \"" + Z + "\"\nzone = \"" + Z + "\"\n";
+  const ConfigVersion Version(Last.value() + 1);
+  Published_ = value(makeAcceptedConfig(Version, Toml));
+  Cordons_[Version] = std::move(Zones);
+  for (std::size_t M = 0; M < Config_.Entries_; ++M)
+    readLog(M);
+}
+
+void FuzzSimulation::onInForce(const std::string &Name, ConfigVersion Version) {
+  Oracle_.onConfig(Name, Version.value());
+  const Machine &Vm = *Machines_[indexOf(Name)];
+  if (Vm.Role_ == Role::Agent)
+    Oracle_.onCordoned(Name, Cordons_[Version].count(Vm.Zone_) != 0);
+}
+
 void FuzzSimulation::settle() {
   Network_.heal();
   Network_.setFrameFaults(0, 0, Duration(0));
@@ -342,6 +378,8 @@
     if (!Machines_[I]->Node_)
       start(I);
   }
+  for (std::size_t Zone = 0; Zone < Config_.Zones_; ++Zone)
+    publishCordon(Zone, false);
   const Time Deadline = Scheduler_.now() + SettleTimeout;
   while (Scheduler_.now() < Deadline && !OpenRequests_.empty() &&
          !Oracle_.violation())
--- a/tests/fuzz_simulation.h
+++ b/tests/fuzz_simulation.h
@@ -23,6 +23,8 @@
   bool IgnoresDrain_ = false;
   /// A process exits as soon as it is asked to drain.
   bool ExitsAtOnce_ = false;
+  /// The start controllers of agents do not learn of cordons.
+  bool IgnoresCordons_ = false;
 };
 
 /// Size of the simulated system and behaviour of its endpoints.
@@ -77,6 +79,10 @@
   void failAll(std::size_t M, bool Fails) { Machines_[M]->FailsAll_ = Fails; }
   void partition(std::size_t A, std::size_t B, bool BothWays);
   void dropTraffic(std::size_t A, std::size_t B, bool BothWays);
+  /// Publishes a version that cordons the zone, or lifts the cordon. Entries
+  /// read it from the log after a random delay.
+  void publishCordon(std::size_t Zone, bool IsCordoned);
+  std::size_t zones() const { return Config_.Zones_; }
   void run(Duration Length);
   /// Ends every fault, waits up to 60 s until the open requests are answered,
   /// and reports those without an answer to the oracle.
@@ -101,6 +107,8 @@
   PeerId newIncarnation(const PeerId &Old) override {
     return {Old.Role_, Old.Name_, Incarnation(Random_() | 1)};
   }
+  void onInForce(const std::string &Name, ConfigVersion Version) override;
+  bool ignoresCordons() const override { return Defects_.IgnoresCordons_; }
   void onExited(const std::string &Name, bool Rejoin) override;
 
 private:
@@ -129,11 +137,15 @@
   void remove(std::size_t M, bool Abrupt);
   void resume(std::size_t M);
   void endRun(const RunKey &Key, RunOutcome Outcome);
+  void readLog(std::size_t M);
   void sendRequest(std::size_t Entry, const JobSpec &Spec);
   std::uint64_t random(std::uint64_t Below) { return Random_() % Below; }
 
   SimulationConfig Config_;
   std::mt19937_64 Random_;
+  /// Delays of the log, apart from Random_, so that they do not change the
+  /// other choices of a seed.
+  std::mt19937_64 LogRandom_;
   EventScheduler Scheduler_;
   Network Network_;
   Oracle Oracle_;
@@ -144,6 +156,10 @@
   RequestId NextRequest_ = 1;
   std::map<RunKey, Run> Runs_;
   std::uint64_t NextResult_ = 1;
+  /// Newest published version; null if there is none.
+  AcceptedPtr Published_;
+  /// Cordoned zones of each published version.
+  std::map<ConfigVersion, std::set<std::string>> Cordons_;
 };
 
 } // namespace chivelanding::fuzz
