--- a/tests/fuzz_oracle.h
+++ b/tests/fuzz_oracle.h
@@ -15,8 +15,7 @@
 /// Identifies one submission of a caller.
 using RequestId = std::uint64_t;
 
-/// A violated invariant, by its number in section 1.1 of the design page; 9 is
-/// that no task starts at an agent whose configuration cordons its zone.
+/// A violated invariant, by its number in section 1.1 of the design page.
 struct Violation {
   int Invariant_ = 0;
   std::string Text_;
--- a/tests/fuzz_simulation.cpp
+++ b/tests/fuzz_simulation.cpp
@@ -354,7 +354,11 @@
     return;
   std::string Toml;
   for (const std::string &Z : Zones)
-    Toml += "[[cordon]]\nname = \"" + Z + "\"\nzone = \"" + Z + "\"\n";
+    Toml.append("[[cordon]]\nname = \"")
+        .append(Z)
+        .append("\"\nzone = \"")
+        .append(Z)
+        .append("\"\n");
   const ConfigVersion Version(Last.value() + 1);
   Published_ = value(makeAcceptedConfig(Version, Toml));
   Cordons_[Version] = std::move(Zones);
