Show the time of each change in history

history did not say when a change was published, which an operator needs to tell since when a zone is cordoned. The column is - for changes of older versions.

--- a/src/cli_config_log.cpp
+++ b/src/cli_config_log.cpp
@@ -21,6 +21,7 @@
           std::to_string(J.Base_.value()),
           recordOutcomeName(J.Outcome_),
           J.Author_,
+          formatUnixMs(J.UnixMs_),
           J.Reason_,
           J.Id_};
 }
@@ -76,7 +77,7 @@
     return ExitOk;
   }
   std::vector<std::vector<std::string>> Rows = {
-      {"VERSION", "BASE", "JUDGEMENT", "AUTHOR", "REASON", "ID"}};
+      {"VERSION", "BASE", "JUDGEMENT", "AUTHOR", "TIME", "REASON", "ID"}};
   for (const EvaluatedRecord &J : Last)
     Rows.push_back(evaluatedRecordRow(J));
   printTable(Rows);
--- a/src/cli_cordon.cpp
+++ b/src/cli_cordon.cpp
@@ -2,7 +2,6 @@
 #include "cli_admin.h"
 
 #include <cstdio>
-#include <ctime>
 
 namespace chivelanding {
 
@@ -18,15 +17,7 @@
 }
 
 std::string formatTime(const Json &UnixMs) {
-  if (!UnixMs.is_number_integer())
-    return "-";
-  const std::time_t Seconds = UnixMs.get<std::int64_t>() / 1000;
-  std::tm Utc{};
-  char Text[32];
-  if (!gmtime_r(&Seconds, &Utc) ||
-      std::strftime(Text, sizeof Text, "%Y-%m-%dT%H:%M:%SZ", &Utc) == 0)
-    return "-";
-  return Text;
+  return formatUnixMs(UnixMs.is_null() ? 0 : UnixMs.get<std::int64_t>());
 }
 
 std::string formatCell(const Json &Value) {
--- a/src/cli_support.cpp
+++ b/src/cli_support.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -87,6 +88,16 @@
   }
 }
 
+std::string formatUnixMs(std::int64_t UnixMs) {
+  const std::time_t Seconds = UnixMs / 1000;
+  std::tm Utc{};
+  char Text[32];
+  if (UnixMs == 0 || !gmtime_r(&Seconds, &Utc) ||
+      std::strftime(Text, sizeof Text, "%Y-%m-%dT%H:%M:%SZ", &Utc) == 0)
+    return "-";
+  return Text;
+}
+
 void printJson(const nlohmann::json &Value) {
   std::puts(Value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
                 .c_str());
--- a/src/cli_support.h
+++ b/src/cli_support.h
@@ -9,6 +9,7 @@
 #include <boost/program_options.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -47,6 +48,9 @@
 
 /// Prints a table with a header; columns are as wide as their longest cell.
 void printTable(const std::vector<std::vector<std::string>> &Rows);
+/// UTC time such as "2026-01-31T12:00:00Z" of milliseconds since 1970; "-" for
+/// 0, which means unknown.
+std::string formatUnixMs(std::int64_t UnixMs);
 /// Prints a value as JSON on one line.
 void printJson(const nlohmann::json &Value);
 /// Prints an error as text on standard error, or as JSON on standard output,
--- a/tests/process/cordon.sh
+++ b/tests/process/cordon.sh
@@ -101,6 +101,9 @@
 grep -q 'unchanged' <<<"$(eve set "z$RUNS_AT" --note "power work")" ||
   fail "a set cordon must be unchanged"
 grep -q "z$RUNS_AT .*ada .*power work" <<<"$(eve list)" || fail "list: $(eve list)"
+CHANGES=$("$BIN" history)
+grep -qE "ada +20[0-9-]*T[0-9:]*Z +set cordon z$RUNS_AT " <<<"$CHANGES" ||
+  fail "history: $CHANGES"
 grep -q forbidden <<<"$(cordon bob-token "$ADMIN1" set z9)" || fail "bob may set"
 for E in e1 e2; do
   check_answer "$(run_job $E "away$E" 12 1000)" 12
