--- a/src/events.cpp
+++ b/src/events.cpp
@@ -92,6 +92,14 @@
     608, "cordons_adopted", Severity::Info,
     "The set of cordoned zones of this revision is in force; no run starts in "
     "these zones."};
+const EventType ZoneCordoned{620, "zone_cordoned", Severity::Warning,
+                             "A configuration version cordons a zone: no task "
+                             "starts there until it is lifted."};
+const EventType ZoneCordonLifted{621, "zone_cordon_lifted", Severity::Info,
+                                 "Tasks may start in the zone again."};
+const EventType StartRefusedCordoned{
+    622, "start_refused_cordoned", Severity::Info,
+    "An agent refuses starts, because its zone is cordoned."};
 const EventType RunRefused{
     700, "run_refused", Severity::Info,
     "The agent refuses a start request; nothing was started."};
@@ -219,6 +227,9 @@
       &StoreUnavailable,
       &StoreAvailable,
       &CordonsAdopted,
+      &ZoneCordoned,
+      &ZoneCordonLifted,
+      &StartRefusedCordoned,
       &RunRefused,
       &RunRejected,
       &RunStopping,
