Check zone cordons in the soak

The soak had one zone and no operator, so nothing observed whether a cordon holds. Workers now announce three zones, an operator writes and removes evacuate/ZONE at random in the store, and CordonOracle checks from the workers' side that no run starts in a zone from 4 s after its cordon to its lift, as far as the agent was linked to an entry that could read the store. The store can also be slow, forget its history (410) and reject one entry. Workers are cold for 3 s after a lift. After the faults, the remaining cordons must hold for another 8 s; after the last lift every worker gets runs and all of 20 jobs are completed. --no-cordons keeps the earlier soak, which the fixed seeds of tests/process/soak.sh use as before.

No functional change.

--- a/tests/process/soak.sh
+++ b/tests/process/soak.sh
@@ -9,7 +9,8 @@
 BUILD=$1
 PIDS=()
 for SEED in 2 14 31 608; do
-  python3 tests/soak/soak.py "$BUILD/chivelanding" "$SEED" 10 &
+  python3 tests/soak/soak.py "$BUILD/chivelanding" "$SEED" 10 \
+    --no-cordons &
   PIDS+=($!)
 done
 STATUS=0
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -49,13 +49,101 @@
             self.report(f"{job} was refused every time and has run")
 
 
+class CordonOracle:
+    """Checks that no run starts in a zone from 4 s after its cordon to its lift.
+
+    A start is a violation if, after the cordon and the start of the agent's
+    process, neither the agent nor one entry nor any connection between store,
+    entry and agent was disturbed for 4 s. It is one at any time if all entries
+    knew the cordon when the agent's process started.
+    """
+
+    BOUND_S = 4.0
+    # Time for which something counts as disturbed after its fault: a process has
+    # started and is linked, and a call to the store has timed out after 1.6 s.
+    SETTLE_S = 2.0
+    LINK_SETTLE_S = 3.0  # a peer is lost after 2.5 s of silence
+
+    def __init__(self, oracle, zones, entries):
+        self.oracle, self.zones, self.entries = oracle, zones, entries
+        self.cordoned_at = {}    # zone -> time; zones that are not lifted
+        self.disturbances = []   # [subject, from, to]; subject: (kind, number)
+        self.started = {}        # process subject -> time of its last start
+        self.known_at_start = {}  # agent number -> zones that all entries knew
+        self.reported = set()     # (zone, time of the cordon) with a violation
+
+    def begin(self, subject):
+        """Records the begin of a disturbance, to be passed to end()."""
+        self.disturbances.append([subject, now(), float("inf")])
+        return self.disturbances[-1]
+
+    def end(self, disturbance):
+        is_link = disturbance[0][0] == "link"
+        disturbance[2] = now() + (self.LINK_SETTLE_S if is_link
+                                  else self.SETTLE_S)
+
+    def set(self, zone):
+        self.cordoned_at.setdefault(zone, now())
+
+    def lift(self, zone):
+        self.cordoned_at.pop(zone, None)
+        for zones in self.known_at_start.values():
+            zones.discard(zone)
+
+    def on_process_start(self, subject):
+        self.started[subject] = now()
+        if subject[0] == "agent":
+            self.known_at_start[subject[1]] = {
+                zone for zone in self.cordoned_at
+                if all(self.was_quiet(zone, [], e, now())
+                       for e in self.entries)}
+
+    def was_quiet(self, zone, subjects, entry, until):
+        """True if there were BOUND_S without disturbance since the cordon."""
+        subjects = subjects + [("entry", entry), ("store", 0),
+                               ("store link", entry)]
+        time = max([self.cordoned_at[zone]] +
+                   [self.started.get(s, 0) for s in subjects])
+        for subject, begin, end in sorted(self.disturbances,
+                                          key=lambda d: d[1]):
+            if subject in subjects and end > time and begin < until:
+                if begin - time >= self.BOUND_S:
+                    return True
+                time = max(time, end)
+        return until - time >= self.BOUND_S
+
+    def forbids_start(self, agent, at):
+        zone = self.zones[agent]
+        if zone not in self.cordoned_at:
+            return False
+        # A call that the connection to the worker held back was made earlier.
+        if any(d[0] == ("worker link", agent) and d[1] <= at < d[2]
+               for d in self.disturbances):
+            return False
+        return zone in self.known_at_start.get(agent, ()) or any(
+            self.was_quiet(zone, [("agent", agent), ("link", e)], e, at)
+            for e in self.entries)
+
+    def on_run_start(self, agent, task, called_at):
+        zone = self.zones[agent]
+        cordon = (zone, self.cordoned_at.get(zone))
+        if cordon not in self.reported and self.forbids_start(agent, called_at):
+            self.reported.add(cordon)
+            self.oracle.report(
+                f"{task} starts at worker {agent} in zone {zone}, which has "
+                f"been cordoned for {called_at - self.cordoned_at[zone]:.2f} s")
+
+
 class Store:
     """The platform's store: topics with records by key, and faults."""
 
+    SLOW_S = 0.2  # 50 times the usual 4 ms of an answer
+
     def __init__(self, rng):
         self.rng = rng
         self.topics = {}
         self.mode = "up"
+        self.rejected = set()  # numbers of entries whose calls are refused
         self.changed = asyncio.Event()
 
     def put(self, topic, key, value):
@@ -63,21 +151,25 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def handle(self, request):
-        if self.mode == "refusing":
+    async def handle(self, request, caller=0):
+        if self.mode == "refusing" or caller in self.rejected:
             return response(503)
         if self.mode == "silent":
             return None
+        if self.mode == "slow":
+            await asyncio.sleep(self.SLOW_S)
         topic = request.query.get("topic", "")
         records = self.topics.get(topic, [])
         if request.path == "/log-newest":
             newest = dict(records)
             items = [{"key": k, "value": base64.b64encode(v).decode(),
-                      "offset": 0} for k, v in newest.items()]
+                      "offset": 0} for k, v in newest.items() if v]
             return response(200, json.dumps(
                 {"items": items, "morePages": False,
                  "end": len(records)}).encode())
         if request.path == "/log-read":
+            if self.mode == "forgetting":
+                return response(410)
             start = int(request.query["from"])
             if start >= len(records):
                 wait = int(request.query.get("waitMs", "0")) / 1000
@@ -105,6 +197,8 @@
     """A worker with leases. It ends its runs when the lease is over."""
 
     MAX_LEASE_S = 1.0
+    COLD_S = 3.0  # time after the lift of a cordon for which it stays slower
+    COLD_RATE = 0.5
 
     def __init__(self, name, address, agent, oracle, rng, cpu):
         self.name, self.address, self.agent = name, address, agent
@@ -113,6 +207,9 @@
         self.mode = "up"
         self.server = None
         self.incarnation = 0
+        self.zone = "z1"
+        self.cold_until = 0.0
+        self.on_start = lambda task, called_at: None
 
     def clock_ms(self):
         return int((now() - self.started_at) * 1000 * self.clock_rate) + 1
@@ -146,8 +243,9 @@
         while self.alive and self.incarnation == incarnation:
             self.heartbeat_seq += 1
             body = {"service": "svc", "address": self.advertised,
-                    "zone": "z1", "version": "v1", "slots": 8,
-                    "state": "ready", "coldRemainingMs": 0,
+                    "zone": self.zone, "version": "v1", "slots": 8,
+                    "state": "ready", "coldRemainingMs":
+                        max(0, int((self.cold_until - now()) * 1000)),
                     "capacity": {"cpu": self.cpu, "memMb": 10000, "gpu": 0},
                     "labels": ["a", "r1"], "clockMs": self.clock_ms(),
                     "born": self.started_unix_ms, "seq": self.heartbeat_seq}
@@ -174,6 +272,7 @@
                     self.end_run(task, "lapsed")
                     continue
                 rate = {"slow": 0.15, "stalled": 0.0}.get(self.mode, 1.0)
+                rate *= self.COLD_RATE if now() < self.cold_until else 1.0
                 run["left"] -= elapsed_s * rate
                 if run["left"] <= 0:
                     failed = self.mode == "failing" or self.rng.random() < 0.01
@@ -184,7 +283,7 @@
         longest = now() + self.MAX_LEASE_S / self.clock_rate
         self.lease_end = max(self.lease_end, min(lease_end, longest))
 
-    def start_run(self, body):
+    def start_run(self, body, called_at):
         task, run = body["task"], body["run"]
         if body.get("fencingToken", 0) < self.fencing_token:
             return 409, "fence"
@@ -201,12 +300,14 @@
         length = float(body["spec"].split()[0]) / 1000
         self.running[task] = {"run": run, "left": length, "all": length}
         self.oracle.on_run_start(self.id, task, run)
+        self.on_start(task, called_at)
         return 200, ""
 
     async def start_run_late(self, body, incarnation):
+        called_at = now()
         await asyncio.sleep(self.rng.uniform(0.5, 4.0))
         if self.alive and self.incarnation == incarnation:
-            self.start_run(body)
+            self.start_run(body, called_at)
 
     async def handle(self, request):
         if not self.alive:
@@ -223,7 +324,7 @@
                 asyncio.ensure_future(self.start_run_late(body, incarnation))
             return None
         if request.path == "/run-start":
-            status, reason = self.start_run(body)
+            status, reason = self.start_run(body, now())
             return self.reply(status, {"reason": reason} if reason else {})
         if request.path == "/run-stop":
             if body.get("fencingToken", 0) < self.fencing_token:
@@ -266,8 +367,9 @@
 class Proxy:
     """A TCP proxy between two loopback addresses, with faults."""
 
-    def __init__(self, listen, target, rng):
+    def __init__(self, listen, target, rng, subject):
         self.listen, self.target, self.rng = listen, target, rng
+        self.subject = subject  # names the connection in CordonOracle
         self.mode = "open"
         self.writers = set()
 
