--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -127,8 +127,6 @@
   void onEntryUp(const PeerId &Entry, Time Now);
   /// A message of another entry about tasks that crash endpoints.
   void onEntryMessage(const Message &M, Time Now);
-  /// The entry has adopted this set of cordoned zones.
-  void setCordons(const ZoneCordons &C, Time Now);
   void onTimer(Time Now);
   /// Zones in which no run may be dispatched. A set of a revision that is not
   /// higher than the last one is ignored.
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -326,6 +326,4 @@
   placeWaiting(Now);
 }
 
-void Dispatcher::setCordons(const ZoneCordons & /*C*/, Time /*Now*/) {}
-
 } // namespace chivelanding
