Refuse no jobs for suspected agents outside cordoned zones

Cause: after a pause of the entry all agents are suspected; the first report of a cordoned agent then made the service count as cordoned, and waiting jobs were refused although open agents had room. The same held for an endpoint that was unusable for a moment. Result: the new test failed before (job refused) and passes; [cordon] and [dispatcher] pass.

--- a/src/agent_pool.cpp
+++ b/src/agent_pool.cpp
@@ -81,6 +81,8 @@
 }
 
 void AgentPool::onReport(AgentView &A, const EndpointReport &R, Time Now) {
+  if (A.Report_.Usable_ && !R.Usable_)
+    A.UnusableSince_ = Now;
   A.Report_ = R;
   A.ReportedAt_ = Now;
   updateCordoned(A);
--- a/src/agent_pool.h
+++ b/src/agent_pool.h
@@ -29,6 +29,8 @@
   bool Cordoned_ = false;
   /// When it was last taken into use.
   Time InUseSince_;
+  /// When its endpoint was last reported to be usable no longer.
+  Time UnusableSince_ = Time(std::chrono::hours(-1));
   /// Ejected as an outlier: gets one run at a time, because it fails or is far
   /// slower than the others.
   bool Ejected_ = false;
@@ -59,10 +61,8 @@
   bool readyButForCordon() const {
     return Cordoned_ && !Suspected_ && (Report_.Usable_ || Report_.CordonOnly_);
   }
-  /// True if the agent only has to learn that its zone is not cordoned.
-  bool isOpening() const {
-    return !Cordoned_ && !Suspected_ && Report_.CordonOnly_;
-  }
+  /// The zone is not cordoned any more, but the agent has not confirmed it yet.
+  bool awaitsLift() const { return !Cordoned_ && Report_.CordonOnly_; }
 };
 
 /// The agents known to an entry, and the choice among them. Performs no I/O.
@@ -80,11 +80,14 @@
   /// Number of agents whose zone is cordoned.
   std::size_t cordoned() const { return CordonedAgents_; }
   /// True if the service has endpoints that might be used but for cordons, and
-  /// no other that is usable.
-  bool isCordoned(const ServiceName &Service) const;
+  /// no other that is usable, was so within Gap before Now, or awaits its lift.
+  bool isCordoned(const ServiceName &Service, Duration Gap, Time Now) const;
+  bool isCordoned(const ZoneName &Zone) const {
+    return Cordons_.isCordoned(Zone);
+  }
   /// True if an endpoint of the service is expected to be usable within
   /// milliseconds, because its zone is not cordoned any more.
-  bool isOpening(const ServiceName &Service) const;
+  bool awaitsLift(const ServiceName &Service) const;
   /// Capacity of the agents that are ready, in thousandths of a core.
   double readyCpu() const;
   /// Puts the agent on standby, or takes it into use from its next report on.
--- a/src/agent_pool_cordons.cpp
+++ b/src/agent_pool_cordons.cpp
@@ -24,25 +24,29 @@
   CordonedAgents_ -= Was ? 1 : 0;
 }
 
-// An agent on standby or ejected counts as usable: it can be taken into use.
-bool AgentPool::isCordoned(const ServiceName &Service) const {
+// An agent on standby or ejected counts as usable: it can be taken into use. So
+// does a suspected one: all are suspected for a moment after a pause of this
+// process. An endpoint may be unusable because of a single lost answer.
+bool AgentPool::isCordoned(const ServiceName &Service, Duration Gap,
+                           Time Now) const {
   if (CordonedAgents_ == 0)
     return false;
   bool Found = false;
   for (const auto &[Peer, A] : Agents_) {
     if (A.Report_.Service_ != Service)
       continue;
-    if (A.isOpening() || (A.isOpen() && !A.Suspected_))
+    if (A.isOpen() || A.awaitsLift() ||
+        (!A.Cordoned_ && Now <= A.UnusableSince_ + Gap))
       return false;
     Found = Found || A.readyButForCordon();
   }
   return Found;
 }
 
-bool AgentPool::isOpening(const ServiceName &Service) const {
+bool AgentPool::awaitsLift(const ServiceName &Service) const {
   return std::any_of(Agents_.begin(), Agents_.end(), [&](const auto &Item) {
     const AgentView &A = Item.second;
-    return A.Report_.Service_ == Service && A.isOpening();
+    return A.Report_.Service_ == Service && A.awaitsLift() && !A.Suspected_;
   });
 }
 
--- a/src/agent_subset.cpp
+++ b/src/agent_subset.cpp
@@ -17,7 +17,7 @@
 // it was taken into use is eligible too: its report is due shortly. So is one
 // whose cordon was lifted and that does not know it yet.
 bool isEligible(const AgentView &A) {
-  return (A.isOpen() || A.isOpening()) && !A.Ejected_ && !A.Suspected_;
+  return (A.isOpen() || A.awaitsLift()) && !A.Ejected_ && !A.Suspected_;
 }
 
 } // namespace
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -199,11 +199,11 @@
     refuse(J, "too_large", Now);
     return Number;
   }
-  if (T.UsableEndpoints_ == 0 && Agents_.isCordoned(S.Route_.Service_)) {
+  if (T.UsableEndpoints_ == 0 && isCordoned(S.Route_.Service_, Now)) {
     refuse(J, "zones_cordoned", Now);
     return Number;
   }
-  if (T.UsableEndpoints_ > 0 || Agents_.isOpening(S.Route_.Service_)) {
+  if (T.UsableEndpoints_ > 0 || Agents_.awaitsLift(S.Route_.Service_)) {
     LastUsable_[S.Route_.Service_] = Now;
   } else if (!expectsEndpoint(S.Route_.Service_, Now)) {
     refuse(J, "no_endpoint", Now);
@@ -224,6 +224,10 @@
   return Number;
 }
 
+bool Dispatcher::isCordoned(const ServiceName &Service, Time Now) const {
+  return Agents_.isCordoned(Service, EndpointGapTolerance, Now);
+}
+
 // True if a service without a usable endpoint is expected to have one soon.
 bool Dispatcher::expectsEndpoint(const ServiceName &Service, Time Now) const {
   const auto LastUsable = LastUsable_.find(Service);
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -204,6 +204,9 @@
   /// Name of the agent at which every entry would rerun this suspect.
   std::optional<std::string> agentForSuspect(const Job &J,
                                              TaskIndex Task) const;
+  /// True if no endpoint of the service is expected to be usable until a cordon
+  /// is lifted.
+  bool isCordoned(const ServiceName &Service, Time Now) const;
   bool expectsEndpoint(const ServiceName &Service, Time Now) const;
   Duration expectedWait(const Job &J, Time Now) const;
   double cpuReleaseRate(const Job &J, Time Now) const;
--- a/src/dispatcher_cordons.cpp
+++ b/src/dispatcher_cordons.cpp
@@ -44,7 +44,7 @@
     const ServiceName &Service = J.Spec_.Route_.Service_;
     const auto [It, New] = Cordoned.try_emplace(Service, false);
     if (New)
-      It->second = Agents_.isCordoned(Service);
+      It->second = isCordoned(Service, Now);
     if (It->second)
       Refused.push_back(Number);
   }
--- a/tests/cordon_dispatch_test.cpp
+++ b/tests/cordon_dispatch_test.cpp
@@ -146,6 +146,35 @@
   CHECK(F.Starts_.size() == 10);
 }
 
+// Guards against jobs that are refused because the agents outside the cordoned
+// zone are suspected after a pause of the entry, or unusable for a moment.
+TEST_CASE("A short gap outside the cordoned zone refuses no jobs", "[cordon]") {
+  ZonesFixture F;
+  F.Dispatcher_.onTimer(at(0));
+  for (const char *Name : {"a1", "b1", "c1"})
+    F.up(Name, at(0));
+  F.cordon(5, {F.A_}, at(1));
+  F.submit("T/o/running", 8, at(800));
+  F.submit("T/o/waits", 1, at(800));
+  REQUIRE(F.Starts_.size() == 8);
+  F.Dispatcher_.onTimer(at(801));
+  F.Dispatcher_.onMessage(agentId("a1"), F.zoneReport("a1", 4, at(801)),
+                          at(801));
+  F.take();
+  CHECK(F.Answers_.empty());
+  for (const char *Name : {"b1", "c1"}) {
+    EndpointReport R = F.zoneReport(Name, 0, at(802));
+    R.Usable_ = false;
+    F.Dispatcher_.onMessage(agentId(Name), R, at(802));
+  }
+  F.take();
+  CHECK(F.Answers_.empty());
+  F.Dispatcher_.onMessage(agentId("b1"), F.zoneReport("b1", 1, at(803)),
+                          at(803));
+  F.take();
+  CHECK(F.Starts_.size() == 9);
+}
+
 // Guards against a cordon in the zone of a restarted agent that makes entries
 // wait for the leases, although no run of its earlier process is left.
 TEST_CASE("A cordon does not prolong the wait for a restarted agent",
