Wait for open agents in a starting entry whose first links are cordoned

Cause: an entry that linked first to agents of a cordoned zone became ready and refused jobs with zones_cordoned before its other links were up. Change: agents that are ready but for a cordon do not count for 500 ms.

--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -337,7 +337,7 @@
 // and knows the cordoned zones if there may be any.
 bool DispatchEntry::Impl::isReady() {
   return Config_.current() && Cordons_.mayStartRuns() && !Drain_ &&
-         Dispatcher_.hasReadyAgent();
+         Dispatcher_.hasReadyAgent(steadyNow());
 }
 
 void DispatchEntry::Impl::checkReady() {
@@ -458,6 +458,7 @@
                 {"zone", I.Settings_.Process_.Zone_.str()},
                 {"cordons_apply_within_ms",
                  millisecondsText(I.Settings_.Cordons_.ApplyWithin_)}});
+  I.Dispatcher_.onTimer(steadyNow());
   I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   I.ConfigFeed_.start();
   I.Presence_.announce(I.Self_.Name_, Advertised);
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -225,14 +225,19 @@
 }
 
 bool Dispatcher::isCordoned(const ServiceName &Service, Time Now) const {
-  return Agents_.isCordoned(Service, EndpointGapTolerance, Now);
+  return !isStarting(Now) &&
+         Agents_.isCordoned(Service, EndpointGapTolerance, Now);
+}
+
+bool Dispatcher::isStarting(Time Now) const {
+  return StartedAt_ && Now < *StartedAt_ + StartupPeriod;
 }
 
 // True if a service without a usable endpoint is expected to have one soon.
 bool Dispatcher::expectsEndpoint(const ServiceName &Service, Time Now) const {
   const auto LastUsable = LastUsable_.find(Service);
   if (LastUsable == LastUsable_.end())
-    return StartedAt_ && Now < *StartedAt_ + StartupPeriod;
+    return isStarting(Now);
   return Now <= LastUsable->second + EndpointGapTolerance;
 }
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -139,8 +139,9 @@
   /// Jobs of the route of which no task can have run and none is dispatched.
   std::size_t waiting(const std::string &Route) const;
   std::size_t waiting() const { return Queue_.size(); }
-  /// True if an agent is ready or would be but for a cordon of its zone.
-  bool hasReadyAgent() const;
+  /// True if an agent is ready or would be but for a cordon of its zone. The
+  /// latter do not count for a moment after the start of this process.
+  bool hasReadyAgent(Time Now) const;
   /// True if a job with this key is live. Running is then set to whether any of
   /// its runs was dispatched and may have started.
   bool find(const JobKey &Key, bool &Running) const;
@@ -207,6 +208,8 @@
   /// True if no endpoint of the service is expected to be usable until a cordon
   /// is lifted.
   bool isCordoned(const ServiceName &Service, Time Now) const;
+  /// True while the first links to agents are expected.
+  bool isStarting(Time Now) const;
   bool expectsEndpoint(const ServiceName &Service, Time Now) const;
   Duration expectedWait(const Job &J, Time Now) const;
   double cpuReleaseRate(const Job &J, Time Now) const;
--- a/src/dispatcher_cordons.cpp
+++ b/src/dispatcher_cordons.cpp
@@ -19,12 +19,13 @@
   placeWaiting(Now);
 }
 
-bool Dispatcher::hasReadyAgent() const {
-  return std::any_of(Agents_.all().begin(), Agents_.all().end(),
-                     [](const auto &Item) {
-                       const AgentView &A = Item.second;
-                       return A.ready() || A.readyButForCordon();
-                     });
+// After a start, the links to agents in other zones may be missing yet.
+bool Dispatcher::hasReadyAgent(Time Now) const {
+  return std::any_of(
+      Agents_.all().begin(), Agents_.all().end(), [&](const auto &Item) {
+        const AgentView &A = Item.second;
+        return A.ready() || (A.readyButForCordon() && !isStarting(Now));
+      });
 }
 
 bool Dispatcher::releasesUsableCpu(const PeerId &Agent) const {
--- a/tests/cordon_dispatch_test.cpp
+++ b/tests/cordon_dispatch_test.cpp
@@ -122,7 +122,7 @@
     CHECK(A.Code_ == "zones_cordoned");
     CHECK(A.RetryAfter_);
   }
-  CHECK(F.Dispatcher_.hasReadyAgent());
+  CHECK(F.Dispatcher_.hasReadyAgent(at(3)));
   for (std::size_t I = 0; I < 8; ++I)
     F.end(F.Starts_[I], RunEnding::Done, at(100));
   F.Dispatcher_.onTimer(at(110));
@@ -175,6 +175,29 @@
   CHECK(F.Starts_.size() == 9);
 }
 
+// Guards against an entry that refuses jobs after its start, because its first
+// links are to agents of a cordoned zone.
+TEST_CASE("A starting entry waits for agents that are not cordoned",
+          "[cordon]") {
+  ZonesFixture F;
+  F.Dispatcher_.onTimer(at(0));
+  F.cordon(5, {F.A_}, at(10));
+  F.up("a1", at(20));
+  CHECK_FALSE(F.Dispatcher_.hasReadyAgent(at(21)));
+  F.submit("T/o/1", 1, at(450));
+  CHECK(F.Answers_.empty());
+  const bool Linked = GENERATE(true, false);
+  if (Linked)
+    F.up("b1", at(460));
+  F.Dispatcher_.onTimer(at(500));
+  F.take();
+  CHECK(F.startsAt("b1") == (Linked ? 1 : 0));
+  REQUIRE(F.Answers_.size() == (Linked ? 0 : 1));
+  if (!Linked)
+    CHECK(F.Answers_[0].Code_ == "zones_cordoned");
+  CHECK(F.Dispatcher_.hasReadyAgent(at(500)));
+}
+
 // Guards against a cordon in the zone of a restarted agent that makes entries
 // wait for the leases, although no run of its earlier process is left.
 TEST_CASE("A cordon does not prolong the wait for a restarted agent",
