--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -195,12 +195,13 @@
 
 // Moves a slow run to another endpoint. A move costs the stop and a whole run
 // elsewhere, so the run's remaining time must be at least MinMoveGain times
-// that, and the new run must end before the deadline.
+// that, and the new run must end before the deadline. Runs at a cordoned
+// endpoint run to completion.
 void Dispatcher::onSlowRun(const PeerId &From, const SlowRun &S, Time Now) {
   Task *T = nullptr;
   Job *J = findRun(From, S.Run_, T);
   if (!J || T->State_ != State::Dispatched || T->Moves_ >= MaxMoves ||
-      isConfined(*J))
+      isConfined(*J) || Agents_.all().at(From).Cordoned_)
     return;
   const Duration MovedLength =
       J->Estimate_ + Limits_.Leases_.StopTime_ + MoveCost;
