Derive the rate of released CPU from the zones that are open

Cause: each cordon scaled the rate down and no lift restored it, so that quick cycles of both reduced admission without bound. Change: the rate is kept by zone and cordoned zones are left out; a set with the same zones skips the check of agents.

--- a/src/agent_pool.h
+++ b/src/agent_pool.h
@@ -77,6 +77,10 @@
   /// Takes the cordoned zones as this entry knows them. False if it has had
   /// this revision or a later one.
   bool setCordons(const ZoneCordons &C);
+  /// The cordoned zones as this entry knows them, sorted.
+  const std::vector<ZoneName> &cordonedZones() const {
+    return Cordons_.current().Zones_;
+  }
   /// Number of agents whose zone is cordoned.
   std::size_t cordoned() const { return CordonedAgents_; }
   /// True if the service has endpoints that might be used but for cordons, and
@@ -88,8 +92,6 @@
   /// True if an endpoint of the service is expected to be usable within
   /// milliseconds, because its zone is not cordoned any more.
   bool awaitsLift(const ServiceName &Service) const;
-  /// Capacity of the agents that are ready, in thousandths of a core.
-  double readyCpu() const;
   /// Puts the agent on standby, or takes it into use from its next report on.
   static void setStandby(AgentView &A, bool Standby, Time Now);
   void remove(const PeerId &Peer);
@@ -124,8 +126,9 @@
   /// share that a cold endpoint offers if no other is there.
   static bool hasRoom(const AgentView &A, const Resources &Need);
 
-  /// Capacity of the usable endpoints of a service that are open to runs
-  /// without isolation, and what these use of it, in thousandths of a core.
+  /// Offered capacity of the usable endpoints of a service that are open to
+  /// runs without isolation, and what these use of it, in thousandths of a
+  /// core.
   struct OpenCpu {
     double Capacity_ = 0;
     double Used_ = 0;
--- a/src/agent_pool_cordons.cpp
+++ b/src/agent_pool_cordons.cpp
@@ -50,11 +50,4 @@
   });
 }
 
-double AgentPool::readyCpu() const {
-  double Cpu = 0;
-  for (const auto &[Peer, A] : Agents_)
-    Cpu += A.ready() ? A.Report_.Capacity_.Cpu_ : 0;
-  return Cpu;
-}
-
 } // namespace chivelanding
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -122,12 +122,20 @@
 }
 
 // If no run has ended for ReleaseRateMaxAge, the rate is derived from the
-// outstanding runs and the estimated run time of this job.
+// outstanding runs and the estimated run time of this job. What runs in a
+// cordoned zone release is of no use to waiting jobs.
 double Dispatcher::cpuReleaseRate(const Job &J, Time Now) const {
-  if (ReleasedAt_ + ReleaseRateMaxAge > Now)
-    return ReleasedCpu_ *
-           std::exp(-seconds(Now - ReleasedAt_) / ReleaseRateTimeConstantS) /
-           ReleaseRateTimeConstantS;
+  double Released = 0;
+  bool IsRecent = false;
+  for (const auto &[Zone, R] : ReleasedCpu_) {
+    if (Agents_.isCordoned(Zone))
+      continue;
+    Released +=
+        R.Sum_ * std::exp(-seconds(Now - R.At_) / ReleaseRateTimeConstantS);
+    IsRecent = IsRecent || R.At_ + ReleaseRateMaxAge > Now;
+  }
+  if (IsRecent)
+    return Released / ReleaseRateTimeConstantS;
   double Running = 0;
   for (const auto &[Peer, A] : Agents_.all())
     Running += A.Cordoned_ ? 0 : A.OutstandingRuns_;
@@ -135,13 +143,15 @@
   return Running * static_cast<double>(J.Spec_.Need_.Cpu_) / Length;
 }
 
-// Maintains an exponentially decaying sum of the released CPU with the time
-// constant ReleaseRateTimeConstantS.
-void Dispatcher::recordReleasedCpu(std::uint32_t Cpu, Time Now) {
-  ReleasedCpu_ = ReleasedCpu_ * std::exp(-seconds(Now - ReleasedAt_) /
-                                         ReleaseRateTimeConstantS) +
-                 static_cast<double>(Cpu);
-  ReleasedAt_ = Now;
+// Maintains an exponentially decaying sum of the released CPU of each zone with
+// the time constant ReleaseRateTimeConstantS. A cordon thus leaves out exactly
+// the share of its zone, and a lift restores it.
+void Dispatcher::recordReleasedCpu(const ZoneName &Zone, std::uint32_t Cpu,
+                                   Time Now) {
+  ReleasedCpu &R = ReleasedCpu_[Zone];
+  R.Sum_ = R.Sum_ * std::exp(-seconds(Now - R.At_) / ReleaseRateTimeConstantS) +
+           static_cast<double>(Cpu);
+  R.At_ = Now;
 }
 
 Duration Dispatcher::drawRetryAfter() {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -177,6 +177,12 @@
     /// A run was dispatched that is not proved never to have started.
     bool MayHaveRun_ = false;
   };
+  /// Thousandths of a core, as a sum that decays over time.
+  struct ReleasedCpu {
+    double Sum_ = 0;
+    /// Time of the last release, as of which the sum is stated.
+    Time At_ = Time(std::chrono::hours(-1));
+  };
   using QueueKey = std::pair<PriorityClass, JobNumber>;
 
   void enqueue(const Job &J);
@@ -213,12 +219,10 @@
   bool expectsEndpoint(const ServiceName &Service, Time Now) const;
   Duration expectedWait(const Job &J, Time Now) const;
   double cpuReleaseRate(const Job &J, Time Now) const;
-  void recordReleasedCpu(std::uint32_t Cpu, Time Now);
+  void recordReleasedCpu(const ZoneName &Zone, std::uint32_t Cpu, Time Now);
   /// Refuses the waiting jobs of which nothing has run if all zones with
   /// endpoints of their service are cordoned.
   void refuseCordonedJobs(Time Now);
-  /// False if what a run at this agent releases is of no use to waiting jobs.
-  bool releasesUsableCpu(const PeerId &Agent) const;
   void refuse(Job &J, const char *Code, Time Now);
   void answer(Job &J, JobEnding Ending, const char *Code,
               std::optional<Duration> RetryAfter, Time Now);
@@ -259,10 +263,8 @@
   /// Mean ratio of run time to declared run time per route, learned from runs
   /// that succeeded.
   std::map<std::string, double> LengthFactor_;
-  /// CPU released by runs of this entry, in thousandths of a core, as a sum
-  /// that decays over time; as of ReleasedAt_.
-  double ReleasedCpu_ = 0;
-  Time ReleasedAt_ = Time(std::chrono::hours(-1));
+  /// CPU released by runs of this entry, by zone.
+  std::map<ZoneName, ReleasedCpu> ReleasedCpu_;
   /// When a job of the service last found a usable endpoint.
   std::map<ServiceName, Time> LastUsable_;
   /// First call of onTimer.
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -140,9 +140,11 @@
 
 void Dispatcher::handleRunEnd(Job &J, Task &T, const EndedRun &E, Time Now) {
   releaseRun(T.Agent_, J);
+  const AgentView *A = Agents_.find(T.Agent_);
   if (E.Ending_ != RunEnding::Lost && !neverStarted(E.Ending_) &&
-      releasesUsableCpu(T.Agent_))
-    recordReleasedCpu(J.Spec_.Need_.Cpu_, Now);
+      !(A && A->Cordoned_))
+    recordReleasedCpu(A ? A->Report_.Zone_ : ZoneName(), J.Spec_.Need_.Cpu_,
+                      Now);
   T.LeasesExpireAt_.reset();
   J.MayHaveRun_ = J.MayHaveRun_ || !neverStarted(E.Ending_);
   if (E.Ending_ == RunEnding::Done) {
--- a/src/dispatcher_cordons.cpp
+++ b/src/dispatcher_cordons.cpp
@@ -5,16 +5,14 @@
 // Zones that are cordoned: no run is dispatched there.
 namespace chivelanding {
 
-// The agents of the zone release no CPU any more that waiting jobs could use.
-// Until the measured rate shows that, the expected wait would be too short.
+// The state of single agents may change although the set of zones does not: a
+// later revision replaces what they have reported.
 void Dispatcher::setCordons(const ZoneCordons &C, Time Now) {
-  const double Before = Agents_.readyCpu();
+  const std::vector<ZoneName> Before = Agents_.cordonedZones();
   if (!Agents_.setCordons(C))
     return;
-  const double After = Agents_.readyCpu();
-  if (After < Before)
-    ReleasedCpu_ *= After / Before;
-  checkAgents(Now);
+  if (Agents_.cordonedZones() != Before)
+    checkAgents(Now);
   refuseCordonedJobs(Now);
   placeWaiting(Now);
 }
@@ -28,11 +26,6 @@
       });
 }
 
-bool Dispatcher::releasesUsableCpu(const PeerId &Agent) const {
-  const auto It = Agents_.all().find(Agent);
-  return It == Agents_.all().end() || !It->second.Cordoned_;
-}
-
 void Dispatcher::refuseCordonedJobs(Time Now) {
   if (Queue_.empty() || Agents_.cordoned() == 0)
     return;
--- a/tests/cordon_dispatch_test.cpp
+++ b/tests/cordon_dispatch_test.cpp
@@ -198,6 +198,36 @@
   CHECK(F.Dispatcher_.hasReadyAgent(at(500)));
 }
 
+// Guards against jobs that are refused for a rate of released CPU that cordons
+// have reduced and their lifts have not restored.
+TEST_CASE("Cordons that were lifted do not reduce admission", "[cordon]") {
+  ZonesFixture F;
+  F.up("a1", at(0));
+  F.up("b1", at(0));
+  F.submit("T/o/ended", 8, at(1));
+  REQUIRE(F.Starts_.size() == 8);
+  for (std::size_t I = 0; I < 8; ++I)
+    F.end(F.Starts_[I], RunEnding::Done, at(100));
+  for (const char *Name : {"a1", "b1"})
+    F.Dispatcher_.onMessage(agentId(Name), F.zoneReport(Name, 4, at(100)),
+                            at(100));
+  F.submit("T/o/running", 8, at(101));
+  F.submit("T/o/waits", 2, at(101));
+  REQUIRE(F.Starts_.size() == 16);
+  const bool Lifted = GENERATE(true, false);
+  for (std::uint64_t Revision = 1; Revision < 20; Revision += 2) {
+    F.cordon(Revision, {F.A_}, at(102));
+    F.cordon(Revision + 1, {}, at(102));
+  }
+  if (!Lifted)
+    F.cordon(21, {F.A_}, at(102));
+  F.Answers_.clear();
+  F.submit("T/o/next", 1, at(103));
+  REQUIRE(F.Answers_.size() == (Lifted ? 0 : 1));
+  if (!Lifted)
+    CHECK(F.Answers_[0].Code_ == "overloaded");
+}
+
 // Guards against a cordon in the zone of a restarted agent that makes entries
 // wait for the leases, although no run of its earlier process is left.
 TEST_CASE("A cordon does not prolong the wait for a restarted agent",
