Repeat look-ups of entries; omit cordon gauges without [cordons]

Cause: an agent linked to a part of the entries when the looked-up addresses expired did not dial the others again. Change: in the first minute it looks them up again every 10 s while fewer are connected than were found. Start lines and gauges about cordons need [cordons]; the agent exports the bound too.

--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -18,6 +18,8 @@
 
 #include <chrono>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace chivelanding {
@@ -43,6 +45,10 @@
 // Time for which the addresses found by a look-up are dialled. The store also
 // holds the addresses of entries that are gone for good.
 constexpr Duration LookUpSeedPeriod = std::chrono::seconds(10);
+// Age of the process up to which they are looked up again while fewer entries
+// are connected than were found. Entries that are not reachable at once after a
+// loss of power return within seconds.
+constexpr Duration LookUpRepeatPeriod = std::chrono::minutes(1);
 // Share of the time until the process is killed in which active runs may end.
 constexpr double DrainShare = 0.9;
 
@@ -93,6 +99,9 @@
   PersistedEndpoint PersistedEndpoint_;
   PeriodicTimer Timer_;
   std::size_t ConnectedEntries_ = 0;
+  /// Addresses that look-ups have found.
+  std::set<std::string> FoundEntries_;
+  Time StartedAt_;
   Time LastLookUp_;
   /// Total suspension that the supervisor has been told of.
   Duration Suspended_ = suspendedTime();
@@ -120,6 +129,7 @@
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
       Presence_(Io, Store_, Log,
                 [this](const SocketAddress &Entry) {
+                  FoundEntries_.insert(Entry.str());
                   Hub_.addSeed(Entry, LookUpSeedPeriod);
                 }),
       PersistedEndpoint_(Io, Store_, Log, Self_.Name_), Timer_(Io) {}
@@ -236,12 +246,18 @@
                Supervisor_.held().Cpu_);
   Metrics_.set("chivelanding_usable", "1 if runs may be started here.",
                Supervisor_.usable() ? 1 : 0);
-  Metrics_.set("chivelanding_cordoned",
-               "1 if the zone of the endpoint is cordoned.",
-               Supervisor_.cordoned() ? 1 : 0);
-  Metrics_.set("chivelanding_cordon_revision",
-               "Revision of the cordons in force here; 0 if none is known.",
-               static_cast<double>(Supervisor_.cordonRevision()));
+  if (Settings_.Cordons_.enabled()) {
+    Metrics_.set("chivelanding_cordoned",
+                 "1 if the zone of the endpoint is cordoned.",
+                 Supervisor_.cordoned() ? 1 : 0);
+    Metrics_.set("chivelanding_cordon_revision",
+                 "Revision of the cordons in force here; 0 if none is known.",
+                 static_cast<double>(Supervisor_.cordonRevision()));
+    Metrics_.set(
+        "chivelanding_cordon_apply_within_seconds",
+        "Time from the settings within which a cordon is in force everywhere.",
+        seconds(Settings_.Cordons_.ApplyWithin_));
+  }
   Metrics_.set(
       "chivelanding_offered_share",
       "Offered share of the capacity; below 1 if the endpoint is cold.",
@@ -270,7 +286,10 @@
   checkSuspension();
   apply(Supervisor_.onTimer(Now));
   // None of the seeds may exist any more, so the entries are looked up again.
-  if (ConnectedEntries_ == 0 && LastLookUp_ + LookUpPause <= Now) {
+  const bool IsIncomplete = ConnectedEntries_ < FoundEntries_.size() &&
+                            Now < StartedAt_ + LookUpRepeatPeriod;
+  if ((ConnectedEntries_ == 0 && LastLookUp_ + LookUpPause <= Now) ||
+      (IsIncomplete && LastLookUp_ + LookUpSeedPeriod <= Now)) {
     LastLookUp_ = Now;
     Presence_.lookUp();
   }
@@ -305,13 +324,14 @@
       return error(Metrics);
   }
   addSeeds(I.Settings_.Seeds_);
-  I.LastLookUp_ = steadyNow();
-  I.Log_.write(events::ProcessStarted,
-               {{"role", "dispatch-agent"},
-                {"agent", I.Self_.str()},
-                {"listen", value(Local).str()},
-                {"cordons_within_ms",
-                 millisecondsText(I.Settings_.Cordons_.ApplyWithin_)}});
+  I.StartedAt_ = I.LastLookUp_ = steadyNow();
+  std::vector<EventField> Fields{{"role", "dispatch-agent"},
+                                 {"agent", I.Self_.str()},
+                                 {"listen", value(Local).str()}};
+  if (I.Settings_.Cordons_.enabled())
+    Fields.emplace_back("cordons_apply_within_ms",
+                        millisecondsText(I.Settings_.Cordons_.ApplyWithin_));
+  I.Log_.write(events::ProcessStarted, std::move(Fields));
   I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   // After a loss of all power the seeds may be the last entries to return.
   I.Presence_.lookUp();
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -360,7 +360,8 @@
   Metrics_.set("chivelanding_config_age_seconds",
                "Time since that version came into force.",
                Config_.current() ? seconds(Now - Config_.adoptedAt()) : 0);
-  setCordonMetrics(Metrics_, Settings_.Cordons_, Cordons_.table().current());
+  setCordonMetrics(Metrics_, Settings_.Cordons_, Cordons_.table().current(),
+                   Dispatcher_.agents());
   Metrics_.set("chivelanding_store_available",
                "1 if the last call to the store was answered.",
                ConfigFeed_.available() ? 1 : 0);
@@ -450,14 +451,15 @@
   if (!ok(Callers))
     return error(Callers);
   addSeeds(I.Settings_.Seeds_);
-  I.Log_.write(events::ProcessStarted,
-               {{"role", "dispatch-entry"},
-                {"entry", I.Self_.str()},
-                {"listen", value(Callers).str()},
-                {"peers", value(Peers).str()},
-                {"zone", I.Settings_.Process_.Zone_.str()},
-                {"cordons_apply_within_ms",
-                 millisecondsText(I.Settings_.Cordons_.ApplyWithin_)}});
+  std::vector<EventField> Fields{{"role", "dispatch-entry"},
+                                 {"entry", I.Self_.str()},
+                                 {"listen", value(Callers).str()},
+                                 {"peers", value(Peers).str()},
+                                 {"zone", I.Settings_.Process_.Zone_.str()}};
+  if (I.Settings_.Cordons_.enabled())
+    Fields.emplace_back("cordons_apply_within_ms",
+                        millisecondsText(I.Settings_.Cordons_.ApplyWithin_));
+  I.Log_.write(events::ProcessStarted, std::move(Fields));
   I.Dispatcher_.onTimer(steadyNow());
   I.Timer_.start(TickPeriod, [&I](Time Now) { I.onTick(Now); });
   I.ConfigFeed_.start();
--- a/src/dispatch_metrics.cpp
+++ b/src/dispatch_metrics.cpp
@@ -42,8 +42,6 @@
         static_cast<double>(D.waiting()));
   M.set("chivelanding_agents", "Agents linked to this entry.",
         static_cast<double>(D.agents().all().size()));
-  M.set("chivelanding_cordoned_agents", "Agents whose zone is cordoned.",
-        static_cast<double>(D.agents().cordoned()));
   M.set("chivelanding_agents_in_use", "Agents that get runs of this entry.",
         static_cast<double>(ReportAges.size()));
   M.setEach("chivelanding_report_age_seconds",
@@ -58,9 +56,11 @@
 }
 
 void setCordonMetrics(Metrics &M, const CordonSettings &S,
-                      const ZoneCordons &Current) {
+                      const ZoneCordons &Current, const AgentPool &Agents) {
   if (!S.enabled())
     return;
+  M.set("chivelanding_cordoned_agents", "Agents whose zone is cordoned.",
+        static_cast<double>(Agents.cordoned()));
   M.set("chivelanding_cordon_revision",
         "Revision of the set of cordoned zones; 0 if none is known.",
         static_cast<double>(Current.Revision_));
--- a/src/dispatch_metrics.h
+++ b/src/dispatch_metrics.h
@@ -22,10 +22,10 @@
 /// Sets the gauges of jobs, resources and agents from the present state of the
 /// dispatcher.
 void setDispatchMetrics(Metrics &M, const Dispatcher &D, Time Now);
-/// Sets the gauges of the cordons that are in force; none if they have no
-/// effect by the settings.
+/// Sets the gauges of the cordons that are in force. Sets nothing if the
+/// settings do not enable cordons.
 void setCordonMetrics(Metrics &M, const CordonSettings &S,
-                      const ZoneCordons &Current);
+                      const ZoneCordons &Current, const AgentPool &Agents);
 
 } // namespace chivelanding
 
--- a/src/entry_presence.h
+++ b/src/entry_presence.h
@@ -28,7 +28,7 @@
   /// other entries once.
   void announce(const std::string &Name, const SocketAddress &Address);
   /// Looks up the entries once; the caller repeats it while it is connected to
-  /// none.
+  /// none, or soon after its start to fewer than were found.
   void lookUp();
   void stop();
 
