--- a/src/cold_start.h
+++ b/src/cold_start.h
@@ -24,8 +24,8 @@
 
 private:
   Time EndsAt_;
-  /// Cold time from its begin to its end; zero if the endpoint was not cold
-  /// since it last announced so.
+  /// Length of the current cold period; zero after an announcement of 0 or
+  /// before the first.
   Duration Whole_{0};
 };
 
--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -87,7 +87,8 @@
 }
 
 // The offset is discarded on the first error: records written meanwhile may
-// have been deleted, but the newest version never is.
+// have been deleted, but the newest version and the newest record of each
+// cordon key are kept.
 void ConfigFeed::Impl::retry(const Error &E) {
   if (Available_ != false)
     Log_.write(events::StoreUnavailable,
--- a/src/cordon_exchange.cpp
+++ b/src/cordon_exchange.cpp
@@ -32,7 +32,7 @@
 
 // The answer to an older set ends a difference with an entry that the store
 // does not serve. An entry with the same revision gets none, so that two
-// entries never answer each other without end.
+// entries do not answer each other endlessly.
 void CordonExchange::onEntrySet(const PeerId &From, const ZoneCordons &C,
                                 Time Now) {
   if (adopt(C, From.Name_, Now) || !Table_.known() ||
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -170,8 +170,8 @@
                               "The route may use all endpoints again."};
 const EventType EndpointCordoned{
     750, "endpoint_cordoned", Severity::Warning,
-    "The endpoint's zone is cordoned: no run starts here, the present ones go "
-    "on to their ends."};
+    "The endpoint's zone is cordoned: no run starts here, runs in progress "
+    "run to completion."};
 const EventType EndpointCordonLifted{751, "endpoint_cordon_lifted",
                                      Severity::Info,
                                      "Runs may start at this endpoint again."};
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -383,7 +383,7 @@
   Impl_->Listen_ = Address;
 }
 
-// An address that is a seed for good stays one.
+// A permanent seed stays permanent.
 void PeerHub::addSeed(const SocketAddress &Address,
                       std::optional<Duration> Period) {
   Impl::Target &T = Impl_->targetFor(Address);
--- a/src/run_supervisor.cpp
+++ b/src/run_supervisor.cpp
@@ -235,7 +235,7 @@
   for (std::size_t I = 0; I < M.Runs_.size(); ++I)
     Need += M.Need_;
   if (M.Isolation_ != Isolation::Any && usable() &&
-      !hasRoom(Need, M.Runs_.size() == 1)) {
+      !hasRoom(Need, M.Runs_.size())) {
     for (const RunStart &R : M.Runs_)
       refuseRun(From, {M.Job_, R.Index_, R.Attempt_, M.Submission_},
                 RunEnding::NoRoom);
@@ -274,7 +274,7 @@
               zoneClosed() ? events::RunRefusedByCordon : events::RunRefused);
     return;
   }
-  if (!hasRoom(M.Need_, true) || !mayShareEndpoint(M)) {
+  if (!hasRoom(M.Need_, 1) || !mayShareEndpoint(M)) {
     refuseRun(From, Ref, RunEnding::NoRoom);
     return;
   }
@@ -433,8 +433,9 @@
 // Ended runs are sent at once, together with a report, so that the owner knows
 // the free resources before it places a task again. Reports without ended runs
 // are sent at a minimum interval, but for the begin and the end of isolation,
-// which decide whether an entry may use the endpoint at all, and for those of a
-// cordon, which entries that have the agent on standby need as well.
+// which decide whether an entry may use the endpoint at all. Begin and end of a
+// cordon are also reported at once, including to entries that have the agent on
+// standby.
 RunSupervisorOutputs RunSupervisor::takeOutputs(Time Now) {
   const Duration Pause = Limits_.MinReportInterval_ *
                          static_cast<std::int64_t>(1 + Owners_.size());
--- a/src/run_supervisor.h
+++ b/src/run_supervisor.h
@@ -193,17 +193,18 @@
                  const EventType &Event = events::RunRefused);
   /// The conditions of usable() other than the zone.
   bool operable() const;
-  /// True if the zone is cordoned, or if it must be known whether it is, and is
-  /// not.
+  /// True if the zone is cordoned, or if a set of cordons is required and none
+  /// is known.
   bool zoneClosed() const;
   /// Logs a change of the cordon and has it reported to all entries at once.
   void updateCordoned();
   /// Adapts the offered share of a cold endpoint to the time.
   void updateOffered(Time Now);
   Resources offeredResources() const;
-  /// True if there is room for runs that need this in total. A single run may
-  /// exceed the share that a cold endpoint offers if no other is there.
-  bool hasRoom(const Resources &Need, bool SingleRun) const;
+  /// True if there is room for this number of runs that need this in total. A
+  /// single run may exceed the share that a cold endpoint offers if no other is
+  /// there.
+  bool hasRoom(const Resources &Need, std::size_t Runs) const;
   /// True if these runs and those at the endpoint tolerate each other.
   bool mayShareEndpoint(const StartRuns &M) const;
   /// Tells every entry which runs the endpoint had when it crashed.
--- a/src/run_supervisor_cordons.cpp
+++ b/src/run_supervisor_cordons.cpp
@@ -89,9 +89,9 @@
 
 // A run larger than the share of a cold endpoint would otherwise find room
 // nowhere while all endpoints are cold.
-bool RunSupervisor::hasRoom(const Resources &Need, bool SingleRun) const {
+bool RunSupervisor::hasRoom(const Resources &Need, std::size_t Runs) const {
   return fits(Need, freeResources()) ||
-         (SingleRun && Held_ == Resources() &&
+         (Runs == 1 && Held_ == Resources() &&
           OfferedPermille_ < WholeSharePermille &&
           fits(Need, Endpoint_->Capacity_));
 }
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -74,7 +74,6 @@
   CHECK(B.Answers_[0].Code_ == "no_endpoint");
 }
 
-// Guards against refusals after a single missed answer of the only endpoint.
 // Guards against refusing, after a loss of all power, every job that arrives in
 // the moment between the start of the entry and its first link to an agent.
 TEST_CASE("A job waits for the first endpoint after the start of the entry",
@@ -96,6 +95,7 @@
   CHECK(Late.Answers_[0].Code_ == "no_endpoint");
 }
 
+// Guards against refusals after a single missed answer of the only endpoint.
 TEST_CASE("A job waits for an endpoint that was there a moment ago",
           "[dispatcher]") {
   DispatcherFixture B;
