Reproduce refusals by slow entries in the load replay

Cause: entries with less processor time lose nearly every race for free resources, and the load replay had only entries of equal speed.

Change: the load replay delays each message and job that an entry handles, varies the endpoints' sizes, loses endpoints for some time, and counts jobs by route and by entry and the age of refused jobs.

--- a/src/message.cpp
+++ b/src/message.cpp
@@ -184,7 +184,7 @@
   return static_cast<std::uint64_t>(TaskState::Unknown);
 }
 std::uint64_t maxValueOf(RunEnding) {
-  return static_cast<std::uint64_t>(RunEnding::Withdrawn);
+  return static_cast<std::uint64_t>(RunEnding::Expired);
 }
 std::uint64_t maxValueOf(Isolation) {
   return static_cast<std::uint64_t>(Isolation::SameJob);
@@ -311,9 +311,8 @@
 }
 
 const char *runEndingName(RunEnding E) {
-  static constexpr const char *Names[] = {"done",    "failed",   "stopped",
-                                          "lost",    "no_room",  "unavailable",
-                                          "expired", "withdrawn"};
+  static constexpr const char *Names[] = {
+      "done", "failed", "stopped", "lost", "no_room", "unavailable", "expired"};
   return Names[static_cast<std::size_t>(E)];
 }
 
--- a/src/run_message.h
+++ b/src/run_message.h
@@ -105,12 +105,6 @@
   /// Name of the job's route.
   std::string Route_;
   Isolation Isolation_ = Isolation::Any;
-  PriorityClass Class_;
-  /// Age of the job when the message was sent.
-  Duration Age_{0};
-  /// Time from receipt within which the runs may wait in the agent's queue. If
-  /// zero, a run for which there is no room is refused at once.
-  Duration StartWithin_{0};
   static constexpr auto fields() {
     return std::make_tuple(
         &StartRuns::Job_, &StartRuns::Submission_, &StartRuns::Payload_,
@@ -149,9 +143,7 @@
   /// The endpoint refuses runs, drains or is unreachable.
   Unavailable,
   /// The owner lease had expired when the start request arrived.
-  Expired,
-  /// The entry stopped the run while it waited in the agent's queue.
-  Withdrawn
+  Expired
 };
 
 /// Name of an ending in logs; never changes.
@@ -192,16 +184,6 @@
   static constexpr auto fields() { return std::make_tuple(&SlowRuns::Runs_); }
 };
 
-/// Processor need of the queued runs of one class at an agent.
-struct QueuedCpu {
-  PriorityClass Class_;
-  /// Thousandths of a core.
-  std::uint32_t Cpu_ = 0;
-  static constexpr auto fields() {
-    return std::make_tuple(&QueuedCpu::Class_, &QueuedCpu::Cpu_);
-  }
-};
-
 /// Agent to entry: state of the endpoint, sent on change and periodically.
 struct EndpointReport {
   /// Id of the endpoint's current incarnation; empty if none is known.
@@ -232,14 +214,6 @@
   std::uint64_t CordonRevision_ = 0;
   /// The endpoint's zone is cordoned, as far as the agent knows.
   bool Cordoned_ = false;
-  /// Dispatches without room wait in the agent's queue if their entry allows
-  /// it.
-  bool Queues_ = false;
-  /// Queued runs by class, the most urgent class first.
-  std::vector<QueuedCpu> Queue_;
-  /// Thousandths of a core that runs at this endpoint release per second, a
-  /// decaying average.
-  std::uint32_t ReleaseRate_ = 0;
   /// Usable_ is false only because the zone is cordoned, or because the agent
   /// does not know yet which zones are. Like Usable_, it means that no run of
   /// an earlier process of this agent is left at the endpoint.
@@ -256,9 +230,8 @@
         &EndpointReport::Usable_, &EndpointReport::SlownessPermille_,
         &EndpointReport::FailedPermille_, &EndpointReport::Isolation_,
         &EndpointReport::Route_, &EndpointReport::CordonRevision_,
-        &EndpointReport::Cordoned_, &EndpointReport::Queues_,
-        &EndpointReport::Queue_, &EndpointReport::ReleaseRate_,
-        &EndpointReport::CordonOnly_, &EndpointReport::OfferedPermille_);
+        &EndpointReport::Cordoned_, &EndpointReport::CordonOnly_,
+        &EndpointReport::OfferedPermille_);
   }
 };
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -132,9 +132,6 @@
   /// port.
   SocketAddress PeerListen_;
   std::vector<SocketAddress> Seeds_;
-  /// Number of linked entries from which on runs without room are queued; 0:
-  /// never.
-  std::uint32_t StartQueueEntries_ = 0;
   Duration Grace_ = std::chrono::milliseconds(6000);
 };
 
--- a/src/settings_keys.cpp
+++ b/src/settings_keys.cpp
@@ -147,9 +147,6 @@
        "address for peers; the entries listen at this port"},
       {"seeds", &S::Seeds_, 0, 64, false,
        "addresses on the VMs of entries; the port is that of `peer_listen`"},
-      {"start_queue_entries", &S::StartQueueEntries_, 0, 1000, false,
-       "number of linked entries from which on runs without room wait in the "
-       "agent's queue; 0: never"},
       {"grace_ms", &S::Grace_, 100, HourMs, false,
        "time from SIGTERM until the process is killed"},
   };
--- a/tests/load_replay.cpp
+++ b/tests/load_replay.cpp
@@ -31,7 +31,15 @@
   double Used = 0;
   for (const JobPattern &P : Jobs_)
     Used += P.JobsPerSecond_ * P.Tasks_ * P.Cpu_ * seconds(P.Length_);
-  return Used / (static_cast<double>(Agents_) * AgentCpu_);
+  double Capacity = 0;
+  for (std::size_t A = 0; A < Agents_; ++A)
+    Capacity += cpuOf(A);
+  return Used / Capacity;
+}
+
+Duration LoadPattern::callerTimeout(const JobPattern &P) const {
+  return WaitBeyondRun_ > Duration(0) ? P.Length_ + WaitBeyondRun_
+                                      : CallerTimeout;
 }
 
 LoadReplay::LoadReplay(LoadPattern Pattern)
@@ -43,6 +51,20 @@
   Events_.emplace(When, std::move(Do));
 }
 
+void LoadReplay::atEntry(std::size_t E, Time Arrival,
+                         std::function<void()> Do) {
+  at(Arrival, [this, E, Do = std::move(Do)] {
+    const Duration Handling = Pattern_.handlingTime(E);
+    if (Handling == Duration(0)) {
+      Do();
+      return;
+    }
+    Time &Busy = Entries_[E].BusyUntil_;
+    Busy = std::max(Busy, Now_) + Handling;
+    at(Busy, Do);
+  });
+}
+
 PeerId LoadReplay::agentPeer(std::size_t A) const {
   return {Role::Agent, "agent-" + std::to_string(A), Incarnation(1)};
 }
@@ -85,7 +107,7 @@
   O.Fail_ = [](const std::string &) {};
   X.Endpoint_.startIncarnation(
       "w" + std::to_string(A) + "-" + std::to_string(Number), Number, 1,
-      {Pattern_.AgentCpu_, 1u << 20, 0}, O, Now_);
+      {Pattern_.cpuOf(A), 1u << 20, 0}, O, Now_);
   X.Announcements_ = 0;
   announce(A);
 }
@@ -140,7 +162,7 @@
   const double Share = std::max(
       0.25, 1 - seconds(Remaining) / seconds(Pattern_.Cordon_->ColdTime_));
   const auto Offered =
-      std::max(static_cast<std::int64_t>(Share * Pattern_.AgentCpu_),
+      std::max(static_cast<std::int64_t>(Share * Pattern_.cpuOf(A)),
                static_cast<std::int64_t>(Pattern_.Jobs_.front().Cpu_));
   Result_.MostCpuAboveColdShare_ = std::max(
       Result_.MostCpuAboveColdShare_,
@@ -156,6 +178,14 @@
   at(Now_ + Pattern_.RestartTime_, [this, A] { startEndpoint(A); });
 }
 
+void LoadReplay::loseEndpoint(std::size_t A, Time Return) {
+  Agent &X = Agents_[A];
+  if (!X.Endpoint_.alive())
+    return;
+  X.Endpoint_.crash(Now_);
+  at(Return, [this, A] { startEndpoint(A); });
+}
+
 void LoadReplay::startAgent(std::size_t A) {
   RunSupervisorLimits Limits;
   Limits.NeedsCordons_ = Pattern_.Cordon_.has_value();
@@ -173,10 +203,12 @@
     if (const auto *M = std::get_if<MessageToEntry>(&O)) {
       for (std::size_t E = 0; E < Entries_.size(); ++E)
         if (M->To_ == entryId(E))
-          at(Now_ + Pattern_.LinkDelay_, [this, A, E, Message = M->Message_] {
-            Entries_[E].Dispatcher_->onMessage(agentPeer(A), Message, Now_);
-            applyEntry(E);
-          });
+          atEntry(E, Now_ + Pattern_.LinkDelay_,
+                  [this, A, E, Message = M->Message_] {
+                    Entries_[E].Dispatcher_->onMessage(agentPeer(A), Message,
+                                                       Now_);
+                    applyEntry(E);
+                  });
     } else if (const auto *Start = std::get_if<MakeStart>(&O)) {
       at(Now_ + CallDelay, [this, A, S = *Start] {
         const JobPattern &P = Specs_.at(S.Call_.Task_.Job_).Pattern_;
@@ -198,7 +230,13 @@
     } else if (const auto *Poll = std::get_if<MakePoll>(&O)) {
       X.Poll_ = {*Poll, Now_ + Poll->Call_.Wait_};
     } else if (const auto *L = std::get_if<LogEvent>(&O)) {
-      Result_.RefusedRuns_ += L->Event_.Type_ == &events::RunRefused ? 1 : 0;
+      if (L->Event_.Type_ == &events::RunRefused)
+        for (const EventField &F : L->Event_.Fields_)
+          Result_.RefusedRuns_ +=
+              std::string("reason") == F.first &&
+                      F.second == runEndingName(RunEnding::NoRoom)
+                  ? 1
+                  : 0;
     }
   }
 }
@@ -218,11 +256,11 @@
     } else if (const auto *ToEntries = std::get_if<MessageToEntries>(&O)) {
       for (std::size_t Other = 0; Other < Entries_.size(); ++Other)
         if (Other != E)
-          at(Now_ + Pattern_.LinkDelay_,
-             [this, Other, M = ToEntries->Message_] {
-               Entries_[Other].Dispatcher_->onEntryMessage(M, Now_);
-               applyEntry(Other);
-             });
+          atEntry(Other, Now_ + Pattern_.LinkDelay_,
+                  [this, Other, M = ToEntries->Message_] {
+                    Entries_[Other].Dispatcher_->onEntryMessage(M, Now_);
+                    applyEntry(Other);
+                  });
     } else if (const auto *Answer = std::get_if<AnswerJob>(&O)) {
       onAnswer(E, *Answer);
     }
@@ -239,18 +277,26 @@
   const JobSpec &Spec = Specs_.at(S.Key_);
   const double Worth = Spec.Pattern_.Worth_;
   const bool InTime = Now_ - Spec.Sent_ <= S.Objective_;
+  JobCounts &OfRoute = Result_.ByRoute_[Spec.Pattern_.Route_];
+  JobCounts &OfEntry = Result_.ByEntry_[E];
   if (Answer.Ending_ == JobEnding::Completed) {
     ++(InTime ? Result_.InTime_ : Result_.Late_);
+    OfRoute.InTime_ += InTime ? 1 : 0;
+    OfEntry.InTime_ += InTime ? 1 : 0;
     const double Earned = Worth * (InTime ? 1 : LateWorth);
     Credits_[Spec.Pattern_.Route_].Earned_ += Earned;
     for (std::size_t W = 0; W < WindowCredits_.size(); ++W)
       if (isInWindow(Spec.Sent_, W))
         WindowCredits_[W].Earned_ += Earned;
   } else if (Answer.Ending_ == JobEnding::Unknown &&
-             Now_ + ResubmitPause < Spec.Sent_ + CallerTimeout) {
+             Now_ + ResubmitPause <
+                 Spec.Sent_ + Pattern_.callerTimeout(Spec.Pattern_)) {
     at(Now_ + ResubmitPause, [this, Key = S.Key_] { submit(Key); });
   } else {
     ++Result_.Refused_;
+    ++OfRoute.Refused_;
+    ++OfEntry.Refused_;
+    Result_.RefusedAgeMs_.push_back(seconds(Now_ - S.Sent_) * 1000);
     Result_.WronglyFailed_ +=
         Answer.Ending_ == JobEnding::Failed && !Spec.CrashDelay_ ? 1 : 0;
   }
@@ -291,13 +337,18 @@
   J.Tasks_ = P.Tasks_;
   J.Need_ = {P.Cpu_, 64, 0};
   J.Estimate_ = P.Length_;
-  J.CallerTimeout_ = CallerTimeout - (Now_ - Spec.Sent_);
+  J.CallerTimeout_ = Pattern_.callerTimeout(P) - (Now_ - Spec.Sent_);
   std::uniform_int_distribution<std::size_t> Pick(0, Entries_.size() - 1);
   const std::size_t E = Pick(Random_);
   const Duration Objective = J.objective(P.Length_);
-  const JobNumber Number = Entries_[E].Dispatcher_->submit(std::move(J), Now_);
-  Entries_[E].Waiting_[Number] = {Key, Now_, Objective};
-  applyEntry(E);
+  ++Result_.ByRoute_[P.Route_].Jobs_;
+  ++Result_.ByEntry_[E].Jobs_;
+  atEntry(E, Now_, [this, E, Key, Objective, Sent = Now_, Job = std::move(J)] {
+    Entry &X = Entries_[E];
+    const JobNumber Number = X.Dispatcher_->submit(Job, Now_);
+    X.Waiting_[Number] = {Key, Sent, Objective};
+    applyEntry(E);
+  });
 }
 
 void LoadReplay::scheduleArrivals() {
@@ -353,9 +404,12 @@
     Waiting += E.Dispatcher_->waiting();
   const std::uint32_t Need = Pattern_.Jobs_.front().Cpu_;
   std::size_t Free = 0;
-  for (const Agent &A : Agents_)
-    Free += (Pattern_.AgentCpu_ - A.Supervisor_->held().Cpu_) / Need;
-  const std::size_t Slots = Pattern_.AgentCpu_ / Need * Agents_.size();
+  std::size_t Slots = 0;
+  for (std::size_t A = 0; A < Agents_.size(); ++A) {
+    Slots += Pattern_.cpuOf(A) / Need;
+    if (Agents_[A].Endpoint_.alive() && Agents_[A].Supervisor_->usable())
+      Free += (Pattern_.cpuOf(A) - Agents_[A].Supervisor_->held().Cpu_) / Need;
+  }
   Result_.IdleWhileWaiting_ +=
       static_cast<double>(std::min(Free, Waiting)) / static_cast<double>(Slots);
   ++IdleSamples_;
@@ -375,6 +429,9 @@
     at(C->From_, [this] { publishCordons(2, true); });
     at(C->To_, [this] { publishCordons(3, false); });
   }
+  for (const EndpointLoss &L : Pattern_.Losses_)
+    for (std::size_t A = 0; A < Agents_.size(); A += L.Every_)
+      at(L.From_, [this, A, To = L.To_] { loseEndpoint(A, To); });
   scheduleArrivals();
   at(Now_ + Tick, [this] { tick(); });
   const Time End = Time(WarmUp + Pattern_.Length_ + CoolDown);
--- a/tests/load_replay.h
+++ b/tests/load_replay.h
@@ -55,14 +55,28 @@
   double SlowFactor_ = 1;
 };
 
-/// A load on a fleet, without other faults than crashes by tasks.
+/// Every Every_-th endpoint is down from From_ to To_.
+struct EndpointLoss {
+  Time From_;
+  Time To_;
+  std::size_t Every_ = 7;
+};
+
+/// A load on a fleet, without other faults than crashes by tasks and the loss
+/// of endpoints.
 struct LoadPattern {
   std::size_t Entries_ = 1;
   std::size_t Agents_ = 1;
   std::uint32_t AgentCpu_ = 64000;
+  /// CPU of the endpoints in turn, in place of AgentCpu_.
+  std::vector<std::uint32_t> AgentCpus_;
+  /// Time that an entry needs for one message or job, by entry, in turn; zero
+  /// if empty. An entry handles one at a time.
+  std::vector<Duration> HandlingTimes_;
   std::vector<JobPattern> Jobs_;
   std::vector<Burst> Bursts_;
   std::vector<CrashingJobs> Crashing_;
+  std::vector<EndpointLoss> Losses_;
   /// Time from the crash of an endpoint to its return.
   Duration RestartTime_ = std::chrono::milliseconds(3300);
   Duration Length_ = std::chrono::seconds(8);
@@ -74,11 +88,29 @@
   /// Times of submission whose worth is reported apart.
   std::vector<std::pair<Time, Time>> Windows_;
   std::uint64_t Seed_ = 1;
+  /// If above zero, callers wait for the run time and this; otherwise 2 s.
+  Duration WaitBeyondRun_{0};
 
+  /// CPU of the endpoint beside this agent.
+  std::uint32_t cpuOf(std::size_t A) const {
+    return AgentCpus_.empty() ? AgentCpu_ : AgentCpus_[A % AgentCpus_.size()];
+  }
+  Duration handlingTime(std::size_t E) const {
+    return HandlingTimes_.empty() ? Duration(0)
+                                  : HandlingTimes_[E % HandlingTimes_.size()];
+  }
+  Duration callerTimeout(const JobPattern &P) const;
   /// Cores that all jobs use on average, over the cores of the fleet.
   double utilization() const;
 };
 
+/// Jobs of one class or one entry.
+struct JobCounts {
+  std::size_t Jobs_ = 0;
+  std::size_t Refused_ = 0;
+  std::size_t InTime_ = 0;
+};
+
 struct LoadResult {
   std::size_t Jobs_ = 0;
   /// Completed within the objective of their route.
@@ -98,6 +130,10 @@
   /// Jobs that could be done and were answered as failed.
   std::size_t WronglyFailed_ = 0;
   std::size_t Runs_ = 0;
+  std::map<std::string, JobCounts> ByRoute_;
+  std::map<std::size_t, JobCounts> ByEntry_;
+  /// Time from submission to the answer of refused jobs, in milliseconds.
+  std::vector<double> RefusedAgeMs_;
   /// Runs that an agent refused for lack of room.
   std::size_t RefusedRuns_ = 0;
   /// CPU time that was free at endpoints while jobs that would have fitted
@@ -139,6 +175,7 @@
   };
   struct Entry {
     std::unique_ptr<Dispatcher> Dispatcher_;
+    Time BusyUntil_;
     std::map<JobNumber, Submission> Waiting_;
   };
   struct Agent {
@@ -150,6 +187,10 @@
   };
 
   void at(Time When, std::function<void()> Do);
+  /// Has the entry handle a message that arrives at this time, after those
+  /// that arrived before it.
+  void atEntry(std::size_t E, Time Arrival, std::function<void()> Do);
+  void loseEndpoint(std::size_t A, Time Return);
   void startAgent(std::size_t A);
   void startEndpoint(std::size_t A);
   std::size_t zoneOf(std::size_t A) const { return A % Pattern_.Zones_; }
