--- a/src/run_message.h
+++ b/src/run_message.h
@@ -106,12 +106,11 @@
   std::string Route_;
   Isolation Isolation_ = Isolation::Any;
   static constexpr auto fields() {
-    return std::make_tuple(
-        &StartRuns::Job_, &StartRuns::Submission_, &StartRuns::Payload_,
-        &StartRuns::Need_, &StartRuns::Estimate_, &StartRuns::Sequence_,
-        &StartRuns::AgentClock_, &StartRuns::Runs_, &StartRuns::Route_,
-        &StartRuns::Isolation_, &StartRuns::Class_, &StartRuns::Age_,
-        &StartRuns::StartWithin_);
+    return std::make_tuple(&StartRuns::Job_, &StartRuns::Submission_,
+                           &StartRuns::Payload_, &StartRuns::Need_,
+                           &StartRuns::Estimate_, &StartRuns::Sequence_,
+                           &StartRuns::AgentClock_, &StartRuns::Runs_,
+                           &StartRuns::Route_, &StartRuns::Isolation_);
   }
 };
 
