Refuse as not run only what cannot have run without a configuration

An entry without a configuration answered every submission and cancellation no_configuration (not run) before it looked at the token, also for jobs that may run at another entry or under an earlier incarnation of its own.

The owner now refuses new jobs while placement is held, which covers relayed submissions too. A submission with a foreign token is answered owner_unreachable (unknown, Retry-After): before the configuration is known its caller cannot be authenticated. Cancellations are passed on, with the team of the header.

--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -3,8 +3,6 @@
 namespace chivelanding {
 namespace {
 
-// Retry-After of an answer that the owner of the token is unreachable.
-constexpr Duration OwnerRetryAfter = std::chrono::seconds(1);
 // Time limit for connecting to the entry that a submission is relayed to.
 constexpr Duration RelayTimeout = std::chrono::seconds(5);
 // Period of usage summaries to the other entries. Quotas shared by several
@@ -48,8 +46,13 @@
     Actions_.Send_(PeerId::of(Peer), Usage);
 }
 
+// A job of another entry or of an earlier incarnation may have run. Before the
+// configuration is known, its caller cannot be authenticated and the limits of
+// its kind are not applied, so it is neither attached nor passed on.
 void EntryCore::onSubmit(JobSpec Spec, ReplyId Reply, Time Now) {
-  if (Spec.Id_.Token_.Owner_ == Self_ || Owner_.hasRecord(Spec.Id_))
+  if (Sched_.holdsPlacements() && Spec.Id_.Token_.Owner_ != Self_)
+    answer(Reply, Spec.Id_, ownerUnreachable(NoConfigurationDetail));
+  else if (Spec.Id_.Token_.Owner_ == Self_ || Owner_.hasRecord(Spec.Id_))
     apply(Owner_.onSubmit(std::move(Spec), Reply, Now), Now);
   else
     route(std::move(Spec), Reply, std::nullopt, Now);
@@ -74,12 +77,9 @@
 
 void EntryCore::answerOwnerUnreachable(ReplyId Reply, const JobId &Job,
                                        const EntryId &Owner) {
-  JobAnswer A;
-  A.Outcome_ = Outcome::Unknown;
-  A.Code_ = "owner_unreachable";
-  A.Detail_ = "entry " + Owner.str() + " does not respond; submit again";
-  A.RetryAfter_ = OwnerRetryAfter;
-  answer(Reply, Job, A);
+  answer(Reply, Job,
+         ownerUnreachable("entry " + Owner.str() +
+                          " does not respond; submit again"));
 }
 
 void EntryCore::relay(PendingRelay Relay) {
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -49,7 +49,7 @@
                        const HttpReplyPtr &Reply);
   void onCancelRequest(const HttpRequest &Request, const Target &T,
                        const HttpReplyPtr &Reply);
-  Result<TeamName> authorize(const HttpRequest &Request) const;
+  HttpResponse refusal(const Error &E) const;
   ConfigService::Host makeConfigHost();
   void onConfig(const AcceptedConfig &Config);
   void submit(Result<JobSpec> Spec, const HttpReplyPtr &Reply, bool IsSingle);
@@ -213,9 +213,8 @@
     WaitingCallers_.insert(Unanswered.extract(It));
     Core_->resumeRelay(std::move(Relay), Now);
   }
-  JobAnswer Unknown;
-  Unknown.Code_ = "owner_unreachable";
-  Unknown.Detail_ = "this entry was closed and rejoins; submit again";
+  const JobAnswer Unknown =
+      ownerUnreachable("this entry was closed and rejoins; submit again");
   for (const auto &[Id, W] : Unanswered)
     sendReply(W.Http_, renderAnswer({}, Unknown));
   if (DrainDeadline_)
@@ -337,16 +336,17 @@
     sendReply(Reply, notFound());
 }
 
-Result<TeamName>
-EntryService::Impl::authorize(const HttpRequest &Request) const {
-  if (!HasConfig_)
-    return Error{"no_configuration", "submit", "", "not read from the log yet"};
-  return authorizeTeam(Config_.state()->Set_, Request);
+// Without the configuration the team of a bearer token is unknown, and with it
+// whether the job has run, so the caller is told to submit again.
+HttpResponse EntryService::Impl::refusal(const Error &E) const {
+  if (HasConfig_ || E.Code_ != "team_required")
+    return renderRefusal(E);
+  return renderAnswer({}, ownerUnreachable(NoConfigurationDetail));
 }
 
 void EntryService::Impl::onJobRequest(const HttpRequest &Request,
                                       const HttpReplyPtr &Reply) {
-  const auto Team = authorize(Request);
+  const auto Team = authorizeTeam(Config_.state()->Set_, Request);
   submit(ok(Team)
              ? parseJob(Request.Body_, value(Team), Settings_.MaxTasksPerJob_)
              : error(Team),
@@ -355,7 +355,7 @@
 
 void EntryService::Impl::onSingleRequest(HttpRequest &&Request, const Target &T,
                                          const HttpReplyPtr &Reply) {
-  const auto Team = authorize(Request);
+  const auto Team = authorizeTeam(Config_.state()->Set_, Request);
   submit(ok(Team) ? parseSingle(std::move(Request), T, value(Team))
                   : error(Team),
          Reply, true);
@@ -364,10 +364,10 @@
 void EntryService::Impl::onCancelRequest(const HttpRequest &Request,
                                          const Target &T,
                                          const HttpReplyPtr &Reply) {
-  const auto Team = authorize(Request);
+  const auto Team = authorizeTeam(Config_.state()->Set_, Request);
   const auto Token = OwnerToken::parse(T.query("token"));
   if (!ok(Team) || !ok(Token)) {
-    sendReply(Reply, renderRefusal(ok(Team) ? error(Token) : error(Team)));
+    sendReply(Reply, refusal(ok(Team) ? error(Token) : error(Team)));
     return;
   }
   const JobId Job{value(Team), value(Token), JobKey(T.Path_[2])};
@@ -385,7 +385,7 @@
   }
   if (!ok(Spec)) {
     Log_.write(events::JobRefused, {{"code", error(Spec).Code_}});
-    sendReply(Reply, renderRefusal(error(Spec)));
+    sendReply(Reply, refusal(error(Spec)));
     return;
   }
   const ReplyId Id(NextReply_++);
--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -8,6 +8,9 @@
 
 /// Delay after which a caller may retry at another entry while this one drains.
 constexpr Duration DrainRetryAfter = std::chrono::seconds(1);
+/// Delay after which the configuration is usually known, from a peer or from
+/// the log.
+constexpr Duration ConfigRetryAfter = std::chrono::seconds(1);
 
 } // namespace
 
@@ -35,6 +38,12 @@
     A.RetryAfter_ = DrainRetryAfter;
     return A;
   }
+  if (Sched_.holdsPlacements()) {
+    auto A = plainAnswer(Outcome::NotRun, "no_configuration",
+                         NoConfigurationDetail);
+    A.RetryAfter_ = ConfigRetryAfter;
+    return A;
+  }
   const auto Check = checkSpec(Spec, Limits_.MaxTasksPerJob_);
   if (!ok(Check))
     return plainAnswer(Outcome::NotRun, error(Check).Code_,
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Retry-After of an answer that the owner of the token is unreachable.
+constexpr Duration OwnerRetryAfter = std::chrono::seconds(1);
+
 // FNV-1a over the length and the characters of each text. The length keeps
 // different splits of the same characters apart.
 void hashText(std::uint64_t &Hash, const std::string &Text) {
@@ -58,6 +61,13 @@
   return A;
 }
 
+JobAnswer ownerUnreachable(std::string Detail) {
+  JobAnswer A =
+      plainAnswer(Outcome::Unknown, "owner_unreachable", std::move(Detail));
+  A.RetryAfter_ = OwnerRetryAfter;
+  return A;
+}
+
 // The outcome is unknown, because a job of an epoch that is no longer accepted
 // may have run and its record been dropped.
 std::optional<JobAnswer> checkToken(const OwnerToken &Token,
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -88,6 +88,14 @@
 /// Builds an answer without tasks.
 JobAnswer plainAnswer(Outcome O, std::string Code, std::string Detail);
 
+/// Detail of a refusal while the configuration is not known.
+constexpr char NoConfigurationDetail[] =
+    "this entry does not know the configuration yet; submit again";
+
+/// Builds the answer to a submission whose owner cannot be asked: its outcome is
+/// unknown, and the caller is to submit it again.
+JobAnswer ownerUnreachable(std::string Detail);
+
 /// Returns the refusal of a new job whose token Self does not accept. Current
 /// is the epoch of Self. Error codes: not_owner, bad_token, token_expired.
 std::optional<JobAnswer> checkToken(const OwnerToken &Token,
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -106,6 +106,8 @@
   std::vector<Placement> place(Time Now);
 
   std::size_t waiting() const { return Waiting_; }
+  /// True while nothing is placed, since the configuration is not known.
+  bool holdsPlacements() const { return Config_.HoldsPlacements_; }
 
   /// Usage at another entry, for quotas that apply to all entries together;
   /// empty if the entry is lost.
