Keep jobs that have run in part while every zone is cordoned

Ten seconds after the last usable zone of a service was cordoned, a job that had run in part failed with no_endpoint and its running tasks were stopped at the agents. A service whose endpoints are all in cordoned zones now does not count as one without endpoints; the wait of 10 s starts when the last cordoned endpoint is gone. The deadline of a job still ends it.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -144,6 +144,8 @@
   return Expired;
 }
 
+// A service whose endpoints are all in cordoned zones is not without endpoints:
+// its running tasks end, and what waits starts when a cordon is lifted.
 std::vector<UnplaceableTask> Scheduler::takeUnplaceable(Time Now) {
   std::vector<UnplaceableTask> Removed;
   for (TaskRef &Task : expire(Now))
@@ -151,7 +153,7 @@
         {std::move(Task), "deadline", "deadline passed before start"});
   for (auto &[Name, Jobs] : JobsWithoutEndpoint_) {
     const auto &Since = Services_[Name].NoEndpointSince_;
-    if (!Since || *Since + Config_.NoEndpointWait_ > Now)
+    if (!Since || *Since + Config_.NoEndpointWait_ > Now || isCordoned(Name))
       continue;
     for (auto It = Jobs.begin(); It != Jobs.end();) {
       const JobSlot Slot = *It;
--- a/src/scheduler_agents.cpp
+++ b/src/scheduler_agents.cpp
@@ -128,15 +128,16 @@
 }
 
 // A service is without endpoints while it has no agent that has slots, is not
-// leaving and is not in a cordoned zone.
+// leaving and is not in a cordoned zone. The wait for an endpoint starts anew
+// when the last cordoned agent is gone.
 void Scheduler::updateUsable(std::uint32_t Number, Time Now) {
   const AgentState &A = Agents_[Number];
   ServiceState &S = Services_[A.Info_.Service_];
   const bool IsReady = A.Present_ && !A.Info_.Leaving_ && A.Info_.Slots_ > 0;
   if (IsReady && isCordoned(A))
     S.Cordoned_.insert(Number);
-  else
-    S.Cordoned_.erase(Number);
+  else if (S.Cordoned_.erase(Number) > 0 && S.Cordoned_.empty())
+    S.NoEndpointSince_.reset();
   if (IsReady && !isCordoned(A)) {
     S.Usable_.insert(Number);
     S.NoEndpointSince_.reset();
--- a/tests/cordon_owner_test.cpp
+++ b/tests/cordon_owner_test.cpp
@@ -128,22 +128,56 @@
   CHECK(Withdrawn(Owner_.onTimer(T0)) == std::vector<JobId>{Sent.Id_});
 }
 
-// Guards against a job that has run in part and is refused as not run.
+// Guards against a job that has run in part and is refused as not run, or that
+// is ended, with its running tasks, as if the service had no endpoint.
 TEST_CASE_METHOD(OwnerFixture, "A job that has run in part waits on",
                  "[cordon]") {
   const JobSpec Job = spec("a", 9);
-  Owner_.onSubmit(Job, ReplyId(1), T0);
-  Sched_.setConfig(policy({"z1", "z2"}), T0);
-  for (std::uint32_t I = 0; I < 8; ++I)
+  const auto Finish = [&](std::uint32_t I) {
     for (const char *Zone : {"z1", "z2"})
       Owner_.onAgentMessage(
           agent(Zone),
           TaskFinished{Job.Id_, TaskIndex(I), RunOutcome::Success, "r", {}},
           T0);
-  CHECK(outputs<SendAnswer>(Owner_.onTimer(T0)).empty());
+  };
+  Owner_.onSubmit(Job, ReplyId(1), T0);
+  Sched_.setConfig(policy({"z1", "z2"}), T0);
+  for (std::uint32_t I = 0; I < 7; ++I)
+    Finish(I);
+  for (int Second = 0; Second <= 60; ++Second) {
+    const auto Out = Owner_.onTimer(T0 + std::chrono::seconds(Second));
+    CHECK(outputs<SendAnswer>(Out).empty());
+    for (const SendToAgent &S : outputs<SendToAgent>(Out))
+      CHECK_FALSE(std::holds_alternative<CancelTasks>(S.Message_));
+  }
+  CHECK(Sched_.waiting() == 1);
+  Finish(7);
   CHECK(Owner_.openJobs() == 1);
-  Sched_.setConfig(policy({"z1"}), T0);
-  Owner_.onAgentMessage(agent("z2"), AgentReport{4, 0, 4, 8}, T0);
+  const Time Lifted = T0 + std::chrono::seconds(61);
+  Sched_.setConfig(policy({"z1"}), Lifted);
+  Owner_.onAgentMessage(agent("z2"), AgentReport{4, 0, 4, 8}, Lifted);
+  CHECK(Sched_.waiting() == 0);
+}
+
+// Guards against a job that waits on for ever once the cordon has ended without
+// an endpoint, and against a wait that counts the time of the cordon.
+TEST_CASE_METHOD(OwnerFixture, "Without cordoned endpoints the wait starts",
+                 "[cordon]") {
+  const JobSpec Job = spec("a", 9);
+  Owner_.onSubmit(Job, ReplyId(1), T0);
+  Sched_.setConfig(policy({"z1", "z2"}), T0);
+  const Time Gone = T0 + std::chrono::seconds(30);
+  for (const char *Zone : {"z1", "z2"}) {
+    EndpointInfo Info;
+    Info.Service_ = ServiceName("service");
+    Info.Zone_ = ZoneName(Zone);
+    Info.Slots_ = 4;
+    Info.Leaving_ = true;
+    Owner_.onAgentUp(agent(Zone), Info, Gone);
+  }
+  Owner_.onTimer(Gone + std::chrono::seconds(9));
+  CHECK(Sched_.waiting() == 1);
+  Owner_.onTimer(Gone + std::chrono::seconds(10));
   CHECK(Sched_.waiting() == 0);
 }
 
