Check right and id again on each attempt to change a cordon

A repeated attempt did not look at the author's right in the version on which it was made, and its audit event named the stale base instead of the answered outcome. An id that another edit had used was answered as accepted.

Each attempt now checks the right in the version that it changes (403 and the event forbidden), the event names the outcome and version that are answered, and a used id with another author or reason is answered 409 id_used.

--- a/src/admin_cordons.cpp
+++ b/src/admin_cordons.cpp
@@ -92,26 +92,32 @@
   const ChangeRecord Change = prepareCordon(Edit, *View.InForce_).Change_;
   if (auto Decided = checkPublication(View, Operator, Change))
     return std::move(*Decided);
-  auto Action = applyCordonEdit(Edit, View);
-  const bool IsRefused = std::holds_alternative<HttpResponse>(Action);
-  return {std::move(Action),
-          makeActionEvent(Operator.Name_, Change,
-                          IsRefused ? "refused_invalid" : "started")};
+  AdminResult Result = applyCordonEdit(Edit, View);
+  if (!Result.Event_)
+    Result.Event_ = makeActionEvent(Operator.Name_, Change, "started");
+  return Result;
 }
 
 } // namespace
 
 // Another operator may have reverted an earlier attempt that was accepted, so
-// it is looked for before the edit is applied once more.
-std::variant<HttpResponse, AdminPublish>
-applyCordonEdit(const CordonEdit &Edit, const AdminView &View) {
-  if (const auto Earlier = findAcceptedChange(*View.Follower_, Edit.Id_))
-    return makePublishResponse(*Earlier);
-  PreparedCordon Prepared =
-      prepareCordon(Edit, *View.Follower_->stateMachine().state());
+// it is looked for before the edit is applied once more. The change that made
+// the earlier attempt stale may have withdrawn the author's right.
+AdminResult applyCordonEdit(const CordonEdit &Edit, const AdminView &View) {
+  const AcceptedConfig &State = *View.Follower_->stateMachine().state();
+  PreparedCordon Prepared = prepareCordon(Edit, State);
+  if (auto Repeated = findRepeated(*View.Follower_, Prepared.Change_))
+    return std::move(*Repeated);
+  if (auto Forbidden = checkPublisher(
+          State.Set_.find(ObjectType::Operator, Edit.Author_),
+          Prepared.Change_))
+    return std::move(*Forbidden);
   if (!Prepared.Problems_.empty())
-    return invalidSetResponse(Prepared.Problems_);
-  return AdminPublish{std::move(Prepared.Change_), Edit, Prepared.IsUnchanged_};
+    return {invalidSetResponse(Prepared.Problems_),
+            makeActionEvent(Edit.Author_, Prepared.Change_, "refused_invalid")};
+  return {
+      AdminPublish{std::move(Prepared.Change_), Edit, Prepared.IsUnchanged_},
+      std::nullopt};
 }
 
 AdminResult handleCordonRequest(const HttpRequest &Request,
--- a/src/admin_publisher.cpp
+++ b/src/admin_publisher.cpp
@@ -56,11 +56,13 @@
   const bool IsRepeated = Publish.Edit_ && Attempt < MaxAttempts &&
                           End.Outcome_ == PublishOutcome::RefusedStale;
   if (IsRepeated) {
-    auto Action = applyCordonEdit(*Publish.Edit_, Config_.view());
-    if (auto *Next = std::get_if<AdminPublish>(&Action))
-      return publish(std::move(*Next), Attempt + 1, Reply);
-    Log_.write(makePublishEvent(End));
-    return Reply->send(std::move(std::get<HttpResponse>(Action)));
+    AdminResult Next = applyCordonEdit(*Publish.Edit_, Config_.view());
+    if (Next.Event_)
+      Log_.write(*Next.Event_);
+    if (auto *Response = std::get_if<HttpResponse>(&Next.Action_))
+      return Reply->send(std::move(*Response));
+    return publish(std::move(std::get<AdminPublish>(Next.Action_)), Attempt + 1,
+                   Reply);
   }
   Log_.write(makePublishEvent(End, Publish.IsUnchanged_));
   Reply->send(makePublishResponse(End, Publish.IsUnchanged_));
--- a/src/admin_response.cpp
+++ b/src/admin_response.cpp
@@ -40,40 +40,49 @@
 
 // If the answer to a change was lost, the operator sends the request again. The
 // repeated request gets the outcome of the first instead of a stale-base
-// refusal.
-std::optional<PublishEnded> findAcceptedChange(const ConfigFollower &Follower,
-                                               const std::string &Id) {
+// refusal. Another edit with this id must not be answered as accepted.
+std::optional<AdminResult> findRepeated(const ConfigFollower &Follower,
+                                        const ChangeRecord &Change) {
   for (const EvaluatedRecord &J : Follower.stateMachine().history()) {
-    if (J.Id_ != Id || J.Outcome_ != RecordOutcome::Accepted)
+    if (J.Id_ != Change.Id_ || J.Outcome_ != RecordOutcome::Accepted)
       continue;
+    if (J.Author_ != Change.Author_ || J.Reason_ != Change.Reason_)
+      return AdminResult{
+          adminRefusal(409, "id_used", "another change has this id"),
+          makeActionEvent(Change.Author_, Change, "id_used")};
     PublishEnded End;
-    End.Id_ = Id;
+    End.Id_ = Change.Id_;
     End.Outcome_ = PublishOutcome::Accepted;
     End.Version_ = J.Version_;
-    return End;
+    Event Repeated = makeActionEvent(Change.Author_, Change, "repeated");
+    Repeated.Fields_.push_back(
+        {"version", std::to_string(J.Version_.value())});
+    return AdminResult{makePublishResponse(End), std::move(Repeated)};
   }
   return std::nullopt;
 }
 
+std::optional<AdminResult> checkPublisher(const ConfigObject *Operator,
+                                          const ChangeRecord &Change) {
+  if (Operator && Operator->text("role") == "publisher")
+    return std::nullopt;
+  return AdminResult{adminRefusal(403, "forbidden",
+                                  Operator ? "the operator's role is reader"
+                                           : "the operator was removed"),
+                     makeActionEvent(Change.Author_, Change, "forbidden")};
+}
+
 std::optional<AdminResult> checkPublication(const AdminView &View,
                                             const ConfigObject &Operator,
                                             const ChangeRecord &Change) {
-  const auto Decide = [&](HttpResponse Response, const char *Outcome) {
-    return AdminResult{std::move(Response),
-                       makeActionEvent(Operator.Name_, Change, Outcome)};
-  };
-  if (Operator.text("role") != "publisher")
-    return Decide(
-        adminRefusal(403, "forbidden", "the operator's role is reader"),
-        "forbidden");
+  if (auto Forbidden = checkPublisher(&Operator, Change))
+    return Forbidden;
   if (!View.Follower_)
-    return Decide(adminRefusal(503, "no_log",
-                               "this entry does not follow the log; use "
-                               "another or chivelanding publish"),
-                  "no_log");
-  if (const auto Earlier = findAcceptedChange(*View.Follower_, Change.Id_))
-    return Decide(makePublishResponse(*Earlier), "repeated");
-  return std::nullopt;
+    return AdminResult{adminRefusal(503, "no_log",
+                                    "this entry does not follow the log; use "
+                                    "another or chivelanding publish"),
+                       makeActionEvent(Operator.Name_, Change, "no_log")};
+  return findRepeated(*View.Follower_, Change);
 }
 
 } // namespace chivelanding
--- a/src/admin_response.h
+++ b/src/admin_response.h
@@ -20,12 +20,18 @@
 Event makeActionEvent(const std::string &Operator, const ChangeRecord &Change,
                       const char *Outcome);
 
-/// The outcome of the accepted change with this id, if the history has one.
-std::optional<PublishEnded> findAcceptedChange(const ConfigFollower &Follower,
-                                               const std::string &Id);
+/// The outcome of the accepted change with the id of Change, if the history has
+/// one; 409 if that change was not the same edit.
+std::optional<AdminResult> findRepeated(const ConfigFollower &Follower,
+                                        const ChangeRecord &Change);
+
+/// Status 403 and its audit event, unless the operator may publish. Operator is
+/// null if the set has no such operator.
+std::optional<AdminResult> checkPublisher(const ConfigObject *Operator,
+                                          const ChangeRecord &Change);
 
 /// Checks that come before any publication: the operator's role, the log, and
-/// the id. Returns the response if one of them decides: 403, 503, or the
+/// the id. Returns the response if one of them decides: 403, 503, 409, or the
 /// outcome of the accepted change with this id.
 std::optional<AdminResult> checkPublication(const AdminView &View,
                                             const ConfigObject &Operator,
--- a/tests/cordons_test.cpp
+++ b/tests/cordons_test.cpp
@@ -183,6 +183,26 @@
       publication(call("DELETE", "/v1/cordons/a", "ada-token")).IsUnchanged_);
 }
 
+// Guards against the answer "accepted" to an edit that was never applied,
+// because its id is that of another one.
+TEST_CASE_METHOD(AdminFixture, "An id is that of one edit", "[cordon]") {
+  const auto Put = [&](const char *Zone) {
+    return call("PUT", "/v1/cordons/a", "ada-token",
+                R"({"id":"one","zone":")" + std::string(Zone) + R"("})");
+  };
+  append(encodeRecord(publication(Put("z1")).Change_));
+  CHECK(status(Put("z1")) == 200);
+  const AdminResult Other = Put("z2");
+  CHECK(status(Other) == 409);
+  CHECK_THAT(std::get<HttpResponse>(Other.Action_).Body_,
+             Catch::Contains("id_used"));
+  const AdminResult Lift =
+      call("DELETE", "/v1/cordons/a", "ada-token", R"({"id":"one"})");
+  CHECK(status(Lift) == 409);
+  REQUIRE(Lift.Event_);
+  CHECK_THAT(Lift.Event_->str(), Catch::Contains("outcome=id_used"));
+}
+
 // Guards against the answer "unchanged" from an entry that has not read the
 // change of another operator yet, whose cordon would then stay.
 TEST_CASE_METHOD(AdminFixture, "An unchanged set is confirmed with the log",
@@ -199,8 +219,7 @@
   REQUIRE(ended(Stale));
   CHECK(ended(Stale)->Outcome_ == PublishOutcome::RefusedStale);
   const auto Again = applyCordonEdit(*Lift.Edit_, view());
-  REQUIRE(std::holds_alternative<AdminPublish>(Again));
-  CHECK_FALSE(std::get<AdminPublish>(Again).IsUnchanged_);
+  CHECK_FALSE(publication(Again).IsUnchanged_);
   Read_ = readSequence(Follower_.confirm(change("id", 2, ""), T0));
   const FollowerOutputs Confirmed = read();
   REQUIRE(ended(Confirmed));
@@ -221,8 +240,7 @@
   REQUIRE(ended(Stale));
   CHECK(ended(Stale)->Outcome_ == PublishOutcome::RefusedStale);
   const auto Next = applyCordonEdit(*First.Edit_, view());
-  REQUIRE(std::holds_alternative<AdminPublish>(Next));
-  const ChangeRecord &Again = std::get<AdminPublish>(Next).Change_;
+  const ChangeRecord Again = publication(Next).Change_;
   CHECK(Again.Id_ == First.Change_.Id_);
   CHECK(Again.Base_ == ConfigVersion(2));
   const std::string Data = appended(Follower_.publish(Again, T0));
@@ -234,8 +252,41 @@
   CHECK(cordonedZones(Follower_.stateMachine().state()->Set_).size() == 2);
   // Another operator lifts it; a repetition of the request must not set it.
   append(encodeRecord(change("lift", 3, operatorsToml())));
-  CHECK(std::holds_alternative<HttpResponse>(
-      applyCordonEdit(*First.Edit_, view())));
+  const AdminResult Repeated = applyCordonEdit(*First.Edit_, view());
+  CHECK(status(Repeated) == 200);
+  REQUIRE(Repeated.Event_);
+  CHECK_THAT(Repeated.Event_->str(), Catch::Contains("outcome=repeated") &&
+                                         Catch::Contains("version=3"));
+}
+
+// Guards against a cordon that an operator sets whose right was withdrawn by the
+// change that made the first attempt stale, and against an audit event that
+// names another outcome than the answer.
+TEST_CASE_METHOD(AdminFixture, "A repeated attempt needs the right", "[cordon]") {
+  const AdminPublish First = publication(
+      call("PUT", "/v1/cordons/a", "ada-token", R"({"zone":"z1"})"));
+  std::string Toml = operatorsToml();
+  const std::string Role = "\"publisher\"";
+  Toml.replace(Toml.find(Role), Role.size(), "\"reader\"");
+  Toml += "[[operator]]\nname = \"cy\"\nrole = \"publisher\"\n"
+          "token_sha256 = \"" +
+          sha256Hex("cy-token") + "\"\n";
+  append(encodeRecord(change("demote", 1, Toml)));
+  REQUIRE(Follower_.stateMachine().version() == ConfigVersion(2));
+  const AdminResult Demoted = applyCordonEdit(*First.Edit_, view());
+  CHECK(status(Demoted) == 403);
+  REQUIRE(Demoted.Event_);
+  CHECK_THAT(Demoted.Event_->str(), Catch::Contains("outcome=forbidden"));
+  CordonEdit Removed = *First.Edit_;
+  Removed.Author_ = "dan";
+  CHECK(status(applyCordonEdit(Removed, view())) == 403);
+  CordonEdit Invalid = *First.Edit_;
+  Invalid.Author_ = "cy";
+  Invalid.Name_ = "A";
+  const AdminResult Refused = applyCordonEdit(Invalid, view());
+  CHECK(status(Refused) == 422);
+  REQUIRE(Refused.Event_);
+  CHECK_THAT(Refused.Event_->str(), Catch::Contains("outcome=refused_invalid"));
 }
 
 // Guards against a list that names the wrong author of a cordon, or invents one
