Count the reduced fleet at once in admission and ejections

After a cordon, admission used the start rates of the whole fleet for some seconds, and the share of endpoints that may be ejected counted cordoned ones. The rates are now scaled by the usable slots when the cordons change; after a cordon of every zone the guaranteed share is used first.

--- a/src/admin_cordons.cpp
+++ b/src/admin_cordons.cpp
@@ -108,9 +108,9 @@
   PreparedCordon Prepared = prepareCordon(Edit, State);
   if (auto Repeated = findRepeated(*View.Follower_, Prepared.Change_))
     return std::move(*Repeated);
-  if (auto Forbidden = checkPublisher(
-          State.Set_.find(ObjectType::Operator, Edit.Author_),
-          Prepared.Change_))
+  if (auto Forbidden =
+          checkPublisher(State.Set_.find(ObjectType::Operator, Edit.Author_),
+                         Prepared.Change_))
     return std::move(*Forbidden);
   if (!Prepared.Problems_.empty())
     return {invalidSetResponse(Prepared.Problems_),
--- a/src/admin_cordons.h
+++ b/src/admin_cordons.h
@@ -19,8 +19,8 @@
 
 /// Applies the edit to the version to which View.Follower_ has read: the change
 /// to publish on it, or the response and its audit event if an earlier attempt
-/// was accepted, the author may not publish in that version, or the set would be
-/// invalid. Follower_ must be set.
+/// was accepted, the author may not publish in that version, or the set would
+/// be invalid. Follower_ must be set.
 AdminResult applyCordonEdit(const CordonEdit &Edit, const AdminView &View);
 
 } // namespace chivelanding
--- a/src/admin_response.cpp
+++ b/src/admin_response.cpp
@@ -55,8 +55,7 @@
     End.Outcome_ = PublishOutcome::Accepted;
     End.Version_ = J.Version_;
     Event Repeated = makeActionEvent(Change.Author_, Change, "repeated");
-    Repeated.Fields_.push_back(
-        {"version", std::to_string(J.Version_.value())});
+    Repeated.Fields_.push_back({"version", std::to_string(J.Version_.value())});
     return AdminResult{makePublishResponse(End), std::move(Repeated)};
   }
   return std::nullopt;
--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -47,19 +47,41 @@
   if (!IsNew)
     removeAgent(Id);
   Agents_[Id].Service_ = Name;
-  ++Services_[Name].Agents_;
+  count(Agents_[Id], true);
 }
 
 void EndpointHealth::removeAgent(std::uint32_t Id) {
   const auto It = Agents_.find(Id);
   if (It == Agents_.end())
     return;
-  Service &S = Services_[It->second.Service_];
-  --S.Agents_;
-  S.Ejected_ -= It->second.Ejected_ ? 1 : 0;
+  count(It->second, false);
   Agents_.erase(It);
 }
 
+void EndpointHealth::setCordoned(std::uint32_t Id, bool IsCordoned) {
+  const auto It = Agents_.find(Id);
+  if (It == Agents_.end())
+    return;
+  count(It->second, false);
+  It->second.Cordoned_ = IsCordoned;
+  count(It->second, true);
+}
+
+void EndpointHealth::count(const Agent &A, bool Adds) {
+  if (A.Cordoned_)
+    return;
+  Service &S = Services_[A.Service_];
+  const std::uint32_t Ejected = A.Ejected_ ? 1 : 0;
+  S.Agents_ = Adds ? S.Agents_ + 1 : S.Agents_ - 1;
+  S.Ejected_ = Adds ? S.Ejected_ + Ejected : S.Ejected_ - Ejected;
+}
+
+void EndpointHealth::setEjected(Agent &A, bool IsEjected) {
+  count(A, false);
+  A.Ejected_ = IsEjected;
+  count(A, true);
+}
+
 // The counts of an endpoint decay with every outcome of the kind at any
 // endpoint, as the counts of the kind do, so that the former can be subtracted
 // from the latter.
@@ -106,7 +128,7 @@
 // ejection of all endpoints.
 void EndpointHealth::tryEject(Agent &A, Duration Interval,
                               const std::string &Reason, Time Now) {
-  Service &S = Services_[A.Service_];
+  const Service &S = Services_[A.Service_];
   const auto Part = static_cast<std::uint32_t>(MaxEjectedShare_ *
                                                static_cast<double>(S.Agents_));
   const std::uint32_t MaxEjected =
@@ -114,8 +136,7 @@
   if (!A.Ejected_) {
     if (S.Ejected_ >= MaxEjected)
       return;
-    A.Ejected_ = true;
-    ++S.Ejected_;
+    setEjected(A, true);
     A.TrialInterval_ = Interval;
   } else {
     A.TrialInterval_ = std::min(2 * A.TrialInterval_, MaxTrialInterval);
@@ -135,8 +156,7 @@
     return;
   A.Window_ = UnlimitedWindow;
   if (A.Ejected_) {
-    A.Ejected_ = false;
-    --Services_[A.Service_].Ejected_;
+    setEjected(A, false);
   }
   A.Reason_.clear();
 }
--- a/src/endpoint_health.h
+++ b/src/endpoint_health.h
@@ -22,6 +22,9 @@
   void setMaxEjectedShare(double Part) { MaxEjectedShare_ = Part; }
   void addAgent(std::uint32_t Agent, const ServiceName &Service);
   void removeAgent(std::uint32_t Agent);
+  /// A cordoned agent counts neither towards the endpoints of its service nor
+  /// towards those that are ejected.
+  void setCordoned(std::uint32_t Agent, bool IsCordoned);
 
   /// Started is the time at which the task was sent.
   void onFinished(std::uint32_t Agent, const KindName &Kind, bool Success,
@@ -37,7 +40,7 @@
   bool isEjected(std::uint32_t Agent) const;
   /// Why the endpoint is ejected, with the values; empty if it is not.
   std::string reason(std::uint32_t Agent) const;
-  /// Number of endpoints of a service that are ejected.
+  /// Number of endpoints of a service that are ejected and not cordoned.
   std::uint32_t ejectedCount(const ServiceName &Service) const;
   /// True if about half or more of the kind's recent outcomes, taken over all
   /// endpoints, are failures.
@@ -56,6 +59,7 @@
     double FailureScore_ = 0;
     Time LastFailure_;
     bool Ejected_ = false;
+    bool Cordoned_ = false;
     bool IsSlow_ = false;
     std::uint32_t Window_ = UnlimitedWindow;
     Time NextTrial_;
@@ -63,6 +67,7 @@
     std::string Reason_;
     std::map<KindName, Counts> Kinds_;
   };
+  /// Counts of the agents that are not cordoned.
   struct Service {
     std::uint32_t Agents_ = 0;
     std::uint32_t Ejected_ = 0;
@@ -70,6 +75,9 @@
 
   static void decay(Counts &C, std::uint64_t Seen);
   double failureWeight(const Agent &A, const KindName &Kind) const;
+  /// Adds the agent to the counts of its service, or removes it.
+  void count(const Agent &A, bool Adds);
+  void setEjected(Agent &A, bool IsEjected);
   void tryEject(Agent &A, Duration Interval, const std::string &Reason,
                 Time Now);
   void widenWindow(Agent &A);
--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -39,8 +39,8 @@
     return A;
   }
   if (Sched_.holdsPlacements()) {
-    auto A = plainAnswer(Outcome::NotRun, "no_configuration",
-                         NoConfigurationDetail);
+    auto A =
+        plainAnswer(Outcome::NotRun, "no_configuration", NoConfigurationDetail);
     A.RetryAfter_ = ConfigRetryAfter;
     return A;
   }
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -92,8 +92,8 @@
 constexpr char NoConfigurationDetail[] =
     "this entry does not know the configuration yet; submit again";
 
-/// Builds the answer to a submission whose owner cannot be asked: its outcome is
-/// unknown, and the caller is to submit it again.
+/// Builds the answer to a submission whose owner cannot be asked: its outcome
+/// is unknown, and the caller is to submit it again.
 JobAnswer ownerUnreachable(std::string Detail);
 
 /// Returns the refusal of a new job whose token Self does not accept. Current
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -21,6 +21,10 @@
 }
 
 void Scheduler::setConfig(PolicyConfig Config, Time Now) {
+  const bool HasNewCordons = Config.Cordons_ != Config_.Cordons_;
+  std::map<ServiceName, std::uint64_t> SlotsBefore;
+  for (const auto &[Name, Service] : Services_)
+    SlotsBefore[Name] = usableSlots(Name);
   Config_ = std::move(Config);
   Strategy_ = findPlacement(Config_.Placement_);
   if (!Strategy_)
@@ -35,6 +39,33 @@
       updateUsable(A, Now);
     updateCapacity(A, Now);
   }
+  if (HasNewCordons)
+    scaleRates(SlotsBefore, Now);
+}
+
+std::uint64_t Scheduler::usableSlots(const ServiceName &Service) const {
+  std::uint64_t Slots = 0;
+  const auto It = Services_.find(Service);
+  if (It != Services_.end())
+    for (const std::uint32_t A : It->second.Usable_)
+      Slots += Agents_[A].Info_.Slots_;
+  return Slots;
+}
+
+// A measured rate follows the reduced fleet only after RateTimeConstant; until
+// then too many jobs would be admitted. A rate without any slots says nothing
+// about the fleet that returns, so the guaranteed share is used first.
+void Scheduler::scaleRates(
+    const std::map<ServiceName, std::uint64_t> &SlotsBefore, Time Now) {
+  for (KindRate &R : Rates_) {
+    const auto It = SlotsBefore.find(R.Service_);
+    const std::uint64_t Before = It == SlotsBefore.end() ? 0 : It->second;
+    const std::uint64_t After = usableSlots(R.Service_);
+    if (Before == 0 && After > 0)
+      R.BackloggedSince_ = Now;
+    else if (After > 0)
+      R.PerSecond_ *= static_cast<double>(After) / static_cast<double>(Before);
+  }
 }
 
 JobSlot Scheduler::findOrAddJob(const WaitingTask &Task, Time Now) {
@@ -61,6 +92,7 @@
       Fair_.teamNumber(isFair() ? J.Id_.Team_ : TeamName());
   if (Rates_.size() <= J.Kind_)
     Rates_.resize(J.Kind_ + 1);
+  Rates_[J.Kind_].Service_ = J.Service_;
   Fair_.addJob(Slot, J.Kind_, Team, Task.Class_);
   JobSlots_.emplace(J.Id_, Slot);
   if (J.Deadline_)
@@ -207,11 +239,7 @@
   const double Measured = R.PerSecond_ * std::exp(-Us / RateTimeConstantUs);
   if (R.BackloggedSince_ + RateTimeConstant < Now)
     return Measured;
-  std::uint64_t Slots = 0;
-  const auto It = Services_.find(Service);
-  if (It != Services_.end())
-    for (const std::uint32_t A : It->second.Usable_)
-      Slots += Agents_[A].Info_.Slots_;
+  const std::uint64_t Slots = usableSlots(Service);
   const auto MeanUs = static_cast<double>(Times_.expected(Name).count());
   const double Guaranteed = Fair_.share(Kind) * static_cast<double>(Slots) /
                             Fair_.entryCount() * 1e6 / std::max(MeanUs, 1.0);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -156,6 +156,7 @@
   /// Measured starts per second of a kind, and since when it has had waiting
   /// tasks without a break.
   struct KindRate {
+    ServiceName Service_;
     double PerSecond_ = 0;
     Time Updated_;
     Time BackloggedSince_;
@@ -168,6 +169,10 @@
     return Config_.Cordons_.count(A.Info_.Zone_) != 0;
   }
   bool isCordoned(const ServiceName &Service) const;
+  /// Slots of the service's usable agents.
+  std::uint64_t usableSlots(const ServiceName &Service) const;
+  void scaleRates(const std::map<ServiceName, std::uint64_t> &SlotsBefore,
+                  Time Now);
   bool isFair() const { return Config_.Order_ == "fair_share"; }
   JobSlot findOrAddJob(const WaitingTask &Task, Time Now);
   void releaseIdleJobs();
--- a/src/scheduler_agents.cpp
+++ b/src/scheduler_agents.cpp
@@ -134,6 +134,7 @@
   const AgentState &A = Agents_[Number];
   ServiceState &S = Services_[A.Info_.Service_];
   const bool IsReady = A.Present_ && !A.Info_.Leaving_ && A.Info_.Slots_ > 0;
+  Health_.setCordoned(Number, isCordoned(A));
   if (IsReady && isCordoned(A))
     S.Cordoned_.insert(Number);
   else if (S.Cordoned_.erase(Number) > 0 && S.Cordoned_.empty())
--- a/src/start_controller.cpp
+++ b/src/start_controller.cpp
@@ -118,8 +118,16 @@
     Entry->second.StartsSeen_ += Start.Tasks_.size();
   Credit_.onStarts(From, Start.Class_,
                    static_cast<std::uint32_t>(Start.Tasks_.size()));
+  std::size_t Cordoned = 0;
   for (const TaskStart &Task : Start.Tasks_)
-    acceptStart(From, Start, Task, Now, Out);
+    if (acceptStart(From, Start, Task, Now, Out) == RejectReason::NoEndpoint &&
+        Cordoned_)
+      ++Cordoned;
+  if (Cordoned > 0)
+    Out.push_back(LogEvent{{&events::StartRefusedCordoned,
+                            {{"job", Start.Job_.str()},
+                             {"tasks", std::to_string(Cordoned)},
+                             {"entry", From.str()}}}});
 }
 
 // Only the owner named in the job's token may start its tasks or, once this
@@ -180,19 +188,15 @@
   return R.State_ != State::Rejected;
 }
 
-void StartController::acceptStart(const EntryId &From, const StartTasks &Start,
-                                  const TaskStart &Task, Time Now,
-                                  StartControllerOutputs &Out) {
+std::optional<RejectReason>
+StartController::acceptStart(const EntryId &From, const StartTasks &Start,
+                             const TaskStart &Task, Time Now,
+                             StartControllerOutputs &Out) {
   if (answerFromRecords(From, Start.Job_, Task, Out))
-    return;
+    return std::nullopt;
   if (const auto Reason = checkStart(From, Start.Job_, Start.Class_)) {
-    if (Cordoned_ && *Reason == RejectReason::NoEndpoint)
-      Out.push_back(LogEvent{{&events::StartRefusedCordoned,
-                              {{"job", Start.Job_.str()},
-                               {"task", std::to_string(Task.Index_.value())},
-                               {"entry", From.str()}}}});
     rejectAndRecord(From, Start.Job_, Task.Index_, Task.Attempt_, *Reason, Now);
-    return;
+    return Reason;
   }
   JobRecord &Job =
       Records_.findOrAddOwner(Start.Job_.Token_.Owner_, Now).Jobs_[Start.Job_];
@@ -205,6 +209,7 @@
     Deadline = Now + *Start.Deadline_;
   Queue_[Record.Queue_] = {Start.Job_,    Task.Index_, Start.Kind_,  Deadline,
                            Task.Payload_, From,        Task.Attempt_};
+  return std::nullopt;
 }
 
 void StartController::queueRejection(const EntryId &To, const JobId &Job,
@@ -401,10 +406,10 @@
   return Out;
 }
 
-// The zone gets no slots, so that every entry, also one that does not know the
-// cordon, sees no capacity here. A refusal gives an existing reason, which
-// entries of older versions understand. The reports are sent at once, since
-// sendReports would leave out those to entries without waiting tasks.
+// The endpoint offers no slots, so that every entry, also one that does not
+// know the cordon, sees no capacity here. A refusal gives an existing reason,
+// which entries of older versions understand. The reports are sent at once,
+// since sendReports would leave out those to entries without waiting tasks.
 StartControllerOutputs StartController::onCordoned(bool IsCordoned, Time Now) {
   StartControllerOutputs Out;
   if (Cordoned_ == IsCordoned)
--- a/src/start_controller.h
+++ b/src/start_controller.h
@@ -119,9 +119,11 @@
   void connect(const EntryId &Entry, Time Now);
   void onStarts(const EntryId &From, const StartTasks &Start, Time Now,
                 StartControllerOutputs &Out);
-  void acceptStart(const EntryId &From, const StartTasks &Start,
-                   const TaskStart &Task, Time Now,
-                   StartControllerOutputs &Out);
+  /// Returns why the start was refused now.
+  std::optional<RejectReason> acceptStart(const EntryId &From,
+                                          const StartTasks &Start,
+                                          const TaskStart &Task, Time Now,
+                                          StartControllerOutputs &Out);
   bool answerFromRecords(const EntryId &From, const JobId &Job,
                          const TaskStart &Task, StartControllerOutputs &Out);
   std::optional<RejectReason> checkStart(const EntryId &From, const JobId &Job,
