--- a/src/cli_config_publish.cpp
+++ b/src/cli_config_publish.cpp
@@ -39,6 +39,7 @@
   std::optional<int> openLog();
   std::optional<int> loadChange();
   std::optional<int> checkBase();
+  std::string liftedCordons() const;
   std::optional<int> confirm();
   int publish();
   int waitUntilInForceEverywhere(ConfigVersion Version) const;
@@ -149,12 +150,36 @@
                 ExitFailed);
 }
 
+// Files are often written before a cordon is set, and a script that publishes
+// them does not see the preview. A moved cordon lifts that of its old zone.
+std::string PublishCommand::liftedCordons() const {
+  std::string Names;
+  for (const ConfigObject *Old :
+       Session_->state()->Set_.all(ObjectType::Cordon)) {
+    const ConfigObject *New =
+        NewConfig_->Set_.find(ObjectType::Cordon, Old->Name_);
+    if (!New || New->text("zone") != Old->text("zone"))
+      Names += (Names.empty() ? "" : ", ") + Old->Name_ + " of zone " +
+               Old->text("zone");
+  }
+  return Names;
+}
+
 std::optional<int> PublishCommand::confirm() {
-  if (Options_.has("yes"))
-    return std::nullopt;
+  const std::string Lifted = liftedCordons();
+  if (Options_.has("yes")) {
+    if (Lifted.empty() || Options_.has("lift-cordons"))
+      return std::nullopt;
+    return refuse("lifts_cordons",
+                  "the files do not contain cordons in force: " + Lifted +
+                      "; add them, or add --lift-cordons to lift them",
+                  ExitFailed);
+  }
   if (!isatty(STDIN_FILENO) || Options_.json())
     return refuse("not_confirmed", "add --yes to publish this change",
                   ExitUsage);
+  if (!Lifted.empty())
+    std::printf("lifts the cordons %s\n", Lifted.c_str());
   std::printf("publish on version %llu? [y/N] ",
               static_cast<unsigned long long>(Base_.value()));
   std::fflush(stdout);
@@ -248,6 +273,7 @@
       "revert-to", po::value<std::uint64_t>(),
       "publish an earlier version again, as a new change")(
       "dry-run", "show the changes only")("yes", "do not ask")(
+      "lift-cordons", "with --yes, lift the cordons that the files lack")(
       "wait", po::value<std::uint64_t>(),
       "seconds to wait until the version is in force on every process that "
       "the entry of --admin knows, 10 by default");
--- a/tests/process/cordon.sh
+++ b/tests/process/cordon.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Guards against a cordon that does not keep tasks out of its zone, is lost with
-# a restart, ends running tasks, or ends otherwise than the order of the log
-# says when two operators act at once.
+# a restart, ends running tasks, or has a result that differs from the order of
+# the log when two operators act at once.
 set -uo pipefail
 BUILD=$1
 . tests/process/lib.bash
@@ -159,6 +159,14 @@
 ! ada list | grep -q quick || fail "a lifted cordon is back"
 eve lift za >/dev/null && ada lift zb >/dev/null || fail "lift by zone"
 ada list --json | grep -q '"cordons":\[\]' || fail "left: $(ada list)"
+# A publication of files without the cordons in force does not lift them unseen.
+ada set z9 >/dev/null || fail "set z9"
+lift_by_files() {
+  "$BIN" publish --author ada --reason files --yes "$@" "$WORK/set.toml" 2>&1
+}
+A=$(lift_by_files) && fail "the files lift a cordon: $A"
+grep -q 'z9 of zone z9.*--lift-cordons' <<<"$A" || fail "refusal: $A"
+A=$(lift_by_files --lift-cordons) || fail "publish --lift-cordons: $A"
 "$BIN" cordon --help | grep -q 'usage: chivelanding cordon' || fail "help"
 "$BIN" cordon set >/dev/null 2>&1
 [ $? -eq 2 ] || fail "a missing zone must exit with 2"
