Report cordons lifted before a failure, and unknown times as null

cordon lift printed nothing of what it had lifted when a later removal failed. history stated 0 for an unknown time, where /v1/cordons states null.

--- a/src/cli_cordon.cpp
+++ b/src/cli_cordon.cpp
@@ -38,13 +38,21 @@
 
 private:
   int report(const Error &E) const {
-    return reportError(E, Options_.json(),
-                       E.Code_ == "unknown" ? ExitUnknown : ExitFailed);
+    return reportError(E, Options_.json(), exitCodeFor(E));
+  }
+  static int exitCodeFor(const Error &E) {
+    return E.Code_ == "unknown" ? ExitUnknown : ExitFailed;
   }
   Result<Json> removeObject(const std::string &Name) const {
     return Admin_.change("DELETE", cordonPath(Name), Json::object());
   }
 
+  /// One JSON document, or the lifted cordons before the error.
+  int reportPartly(const std::vector<std::string> &Lifted, const Json &Last,
+                   const Error &E) const;
+  /// Last is the answer to the last change.
+  void printLifted(const std::vector<std::string> &Lifted, Json Last) const;
+
   const CommandOptions &Options_;
   AdminSession Admin_;
 };
@@ -102,24 +110,45 @@
         continue;
       const auto Name = C.at("name").get<std::string>();
       const auto Answer = removeObject(Name);
-      if (!ok(Answer))
-        return report(error(Answer));
+      if (!ok(Answer)) {
+        return reportPartly(Lifted, Last, error(Answer));
+      }
       Last = value(Answer);
       Lifted.push_back(Name);
     }
   }
+  if (Lifted.empty() && !Options_.json())
+    std::printf("nothing to lift: no cordon has the name or zone %s\n",
+                NameOrZone.c_str());
+  printLifted(Lifted, Last);
+  return ExitOk;
+}
+
+int CordonCommand::reportPartly(const std::vector<std::string> &Lifted,
+                                const Json &Last, const Error &E) const {
+  if (Lifted.empty() || !Options_.json()) {
+    if (!Options_.json())
+      printLifted(Lifted, Last);
+    return report(E);
+  }
+  printJson({{"lifted", Lifted},
+             {"error",
+              {{"code", E.Code_},
+               {"step", E.Step_},
+               {"peer", E.Peer_},
+               {"detail", E.Detail_}}}});
+  return exitCodeFor(E);
+}
+
+void CordonCommand::printLifted(const std::vector<std::string> &Lifted,
+                                Json Last) const {
   if (Options_.json()) {
     Last["lifted"] = Lifted;
-    printJson(Last);
-    return ExitOk;
+    return printJson(Last);
   }
-  if (Lifted.empty())
-    std::printf("nothing to lift: no cordon has the name or zone %s\n",
-                NameOrZone.c_str());
   for (const std::string &Name : Lifted)
     std::printf("cordon %s lifted, version %s\n", Name.c_str(),
                 formatCell(Last.at("version")).c_str());
-  return ExitOk;
 }
 
 } // namespace
--- a/src/config_json.cpp
+++ b/src/config_json.cpp
@@ -50,7 +50,7 @@
           {"reason", J.Reason_},
           {"id", J.Id_},
           {"detail", J.Detail_},
-          {"time_ms", J.UnixMs_}};
+          {"time_ms", J.UnixMs_ == 0 ? Json() : Json(J.UnixMs_)}};
 }
 
 } // namespace chivelanding
