--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -295,18 +295,26 @@
         elif kind == "hup":
             process.signal(signal.SIGHUP)
         elif kind == "proxy":
-            proxy = rng.choice(self.proxies)
+            # The links of all processes to the store count as one target, too.
+            stores = [p for p in self.proxies if p.subject[0] == "store link"]
+            targets = rng.choice([[p] for p in self.proxies] + [stores])
+            if targets is stores:
+                self.count_event("fault all store links")
             mode = rng.choice(["cut", "one_way", "delay", "reset", "silence"])
-            disturbance = self.cordons.begin(proxy.subject)
-            if mode == "reset":
-                proxy.reset()
-            elif mode == "silence":
-                proxy.drop_traffic()
-            else:
-                proxy.mode = mode
+            disturbances = [self.cordons.begin(p.subject) for p in targets]
+            for proxy in targets:
+                if mode == "reset":
+                    proxy.reset()
+                elif mode == "silence":
+                    proxy.drop_traffic()
+                else:
+                    proxy.mode = mode
+            if mode not in ("reset", "silence"):
                 await asyncio.sleep(duration_s)
-                proxy.mode = "open"
-            self.cordons.end(disturbance)
+                for proxy in targets:
+                    proxy.mode = "open"
+            for disturbance in disturbances:
+                self.cordons.end(disturbance)
         elif kind == "store":
             modes = ["refusing", "silent", "losing"]
             if self.args.cordons:
