Compare the reason of a reused id for cordons only

The test 'A repeated change has the answer of the first' repeats a change of the whole set with another reason and expects the first answer; the check of the id that was added with the cordons answered 409. For such changes only the author is compared now; for cordons the reason, which states the edit, too.

--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -127,7 +127,8 @@
     return {adminRefusal(400, error(Parsed).Code_, error(Parsed).Detail_),
             std::nullopt};
   ChangeRecord &Change = value(Parsed);
-  if (auto Decided = checkPublication(Call.View_, Call.Operator_, Change))
+  if (auto Decided =
+          checkPublication(Call.View_, Call.Operator_, Change, false))
     return std::move(*Decided);
   const ParsedConfig Config = checkConfig({{"request", Change.Toml_}});
   if (!Config.Problems_.empty())
--- a/src/admin_cordons.cpp
+++ b/src/admin_cordons.cpp
@@ -90,7 +90,7 @@
             std::nullopt};
   const CordonEdit &Edit = value(Parsed);
   const ChangeRecord Change = prepareCordon(Edit, *View.InForce_).Change_;
-  if (auto Decided = checkPublication(View, Operator, Change))
+  if (auto Decided = checkPublication(View, Operator, Change, true))
     return std::move(*Decided);
   AdminResult Result = applyCordonEdit(Edit, View);
   if (!Result.Event_)
@@ -106,7 +106,7 @@
 AdminResult applyCordonEdit(const CordonEdit &Edit, const AdminView &View) {
   const AcceptedConfig &State = *View.Follower_->stateMachine().state();
   PreparedCordon Prepared = prepareCordon(Edit, State);
-  if (auto Repeated = findRepeated(*View.Follower_, Prepared.Change_))
+  if (auto Repeated = findRepeated(*View.Follower_, Prepared.Change_, true))
     return std::move(*Repeated);
   if (auto Forbidden =
           checkPublisher(State.Set_.find(ObjectType::Operator, Edit.Author_),
--- a/src/admin_response.cpp
+++ b/src/admin_response.cpp
@@ -40,13 +40,16 @@
 
 // If the answer to a change was lost, the operator sends the request again. The
 // repeated request gets the outcome of the first instead of a stale-base
-// refusal. Another edit with this id must not be answered as accepted.
+// refusal. Another edit with this id must not be answered as accepted; the
+// reason of a change of a cordon states the whole edit.
 std::optional<AdminResult> findRepeated(const ConfigFollower &Follower,
-                                        const ChangeRecord &Change) {
+                                        const ChangeRecord &Change,
+                                        bool IsCordon) {
   for (const EvaluatedRecord &J : Follower.stateMachine().history()) {
     if (J.Id_ != Change.Id_ || J.Outcome_ != RecordOutcome::Accepted)
       continue;
-    if (J.Author_ != Change.Author_ || J.Reason_ != Change.Reason_)
+    if (J.Author_ != Change.Author_ ||
+        (IsCordon && J.Reason_ != Change.Reason_))
       return AdminResult{
           adminRefusal(409, "id_used", "another change has this id"),
           makeActionEvent(Change.Author_, Change, "id_used")};
@@ -73,7 +76,8 @@
 
 std::optional<AdminResult> checkPublication(const AdminView &View,
                                             const ConfigObject &Operator,
-                                            const ChangeRecord &Change) {
+                                            const ChangeRecord &Change,
+                                            bool IsCordon) {
   if (auto Forbidden = checkPublisher(&Operator, Change))
     return Forbidden;
   if (!View.Follower_)
@@ -81,7 +85,7 @@
                                     "this entry does not follow the log; use "
                                     "another or chivelanding publish"),
                        makeActionEvent(Operator.Name_, Change, "no_log")};
-  return findRepeated(*View.Follower_, Change);
+  return findRepeated(*View.Follower_, Change, IsCordon);
 }
 
 } // namespace chivelanding
--- a/src/admin_response.h
+++ b/src/admin_response.h
@@ -21,9 +21,10 @@
                       const char *Outcome);
 
 /// The outcome of the accepted change with the id of Change, if the history has
-/// one; 409 if that change was not the same edit.
+/// one; 409 if that change has another author or, for a cordon, another reason.
 std::optional<AdminResult> findRepeated(const ConfigFollower &Follower,
-                                        const ChangeRecord &Change);
+                                        const ChangeRecord &Change,
+                                        bool IsCordon);
 
 /// Status 403 and its audit event, unless the operator may publish. Operator is
 /// null if the set has no such operator.
@@ -35,7 +36,8 @@
 /// outcome of the accepted change with this id.
 std::optional<AdminResult> checkPublication(const AdminView &View,
                                             const ConfigObject &Operator,
-                                            const ChangeRecord &Change);
+                                            const ChangeRecord &Change,
+                                            bool IsCordon);
 
 } // namespace chivelanding
 
