Check an author's right in the newest configuration that is known

Its follower had not read the log yet, but the right to change a cordon was looked up in the follower's state instead of the version in force, which peers had sent. The newer of the two is used now.

--- a/src/admin_cordons.cpp
+++ b/src/admin_cordons.cpp
@@ -102,14 +102,18 @@
 
 // Another operator may have reverted an earlier attempt that was accepted, so
 // it is looked for before the edit is applied once more. The change that made
-// the earlier attempt stale may have withdrawn the author's right.
+// the earlier attempt stale may have withdrawn the author's right. Of a process
+// that restarts, the follower may be behind the version in force, which peers
+// have sent; a change that it prepares on its older state ends as stale.
 AdminResult applyCordonEdit(const CordonEdit &Edit, const AdminView &View) {
   const AcceptedConfig &State = *View.Follower_->stateMachine().state();
+  const AcceptedConfig &Newest =
+      State.Version_ < View.InForce_->Version_ ? *View.InForce_ : State;
   PreparedCordon Prepared = prepareCordon(Edit, State);
   if (auto Repeated = findRepeated(*View.Follower_, Prepared.Change_, true))
     return std::move(*Repeated);
   if (auto Forbidden =
-          checkPublisher(State.Set_.find(ObjectType::Operator, Edit.Author_),
+          checkPublisher(Newest.Set_.find(ObjectType::Operator, Edit.Author_),
                          Prepared.Change_))
     return std::move(*Forbidden);
   if (!Prepared.Problems_.empty())
--- a/tests/cordons_test.cpp
+++ b/tests/cordons_test.cpp
@@ -290,6 +290,19 @@
   CHECK_THAT(Refused.Event_->str(), Catch::Contains("outcome=refused_invalid"));
 }
 
+// Guards against "the operator was removed" at an entry that restarted and has
+// its configuration from peers, but has not read the log yet.
+TEST_CASE_METHOD(AdminFixture, "A follower that is behind withdraws no right",
+                 "[cordon]") {
+  const AdminPublish First = publication(
+      call("PUT", "/v1/cordons/a", "ada-token", R"({"zone":"z1"})"));
+  const ConfigFollower Restarted{FollowerOptions()};
+  AdminView View = view();
+  View.Follower_ = &Restarted;
+  CHECK(std::holds_alternative<AdminPublish>(
+      applyCordonEdit(*First.Edit_, View).Action_));
+}
+
 // Guards against a list that names the wrong author of a cordon, or invents one
 // when the history no longer has it.
 TEST_CASE_METHOD(AdminFixture, "The list names who set a cordon", "[cordon]") {
