--- a/src/admin_api.h
+++ b/src/admin_api.h
@@ -2,7 +2,7 @@
 #define CHIVELANDING_ADMIN_API_H
 
 #include "config_follower.h"
-#include "cordons.h"
+#include "cordon_edit.h"
 #include "events.h"
 #include "http.h"
 
--- a/src/admin_cordons.cpp
+++ b/src/admin_cordons.cpp
@@ -19,9 +19,9 @@
     return nullptr;
   const auto &History = View.Follower_->stateMachine().history();
   const auto It = std::find_if(
-      History.rbegin(), History.rend(), [&](const EvaluatedRecord &J) {
-        return std::find(J.Cordons_.begin(), J.Cordons_.end(), Name) !=
-               J.Cordons_.end();
+      History.rbegin(), History.rend(), [&](const EvaluatedRecord &Change) {
+        return std::find(Change.Cordons_.begin(), Change.Cordons_.end(),
+                         Name) != Change.Cordons_.end();
       });
   return It == History.rend() ? nullptr : &*It;
 }
@@ -83,8 +83,8 @@
 }
 
 AdminResult changeCordon(const HttpRequest &Request, const AdminView &View,
-                         const ConfigObject &Operator, CordonEdit NewEdit) {
-  const Result<CordonEdit> Parsed = parseEdit(Request, std::move(NewEdit));
+                         const ConfigObject &Operator, CordonEdit Requested) {
+  const Result<CordonEdit> Parsed = parseEdit(Request, std::move(Requested));
   if (!ok(Parsed))
     return {adminRefusal(400, error(Parsed).Code_, error(Parsed).Detail_),
             std::nullopt};
--- a/src/admin_response.cpp
+++ b/src/admin_response.cpp
@@ -45,20 +45,21 @@
 std::optional<AdminResult> findRepeated(const ConfigFollower &Follower,
                                         const ChangeRecord &Change,
                                         bool IsCordon) {
-  for (const EvaluatedRecord &J : Follower.stateMachine().history()) {
-    if (J.Id_ != Change.Id_ || J.Outcome_ != RecordOutcome::Accepted)
+  for (const EvaluatedRecord &Known : Follower.stateMachine().history()) {
+    if (Known.Id_ != Change.Id_ || Known.Outcome_ != RecordOutcome::Accepted)
       continue;
-    if (J.Author_ != Change.Author_ ||
-        (IsCordon && J.Reason_ != Change.Reason_))
+    if (Known.Author_ != Change.Author_ ||
+        (IsCordon && Known.Reason_ != Change.Reason_))
       return AdminResult{
           adminRefusal(409, "id_used", "another change has this id"),
           makeActionEvent(Change.Author_, Change, "id_used")};
     PublishEnded End;
     End.Id_ = Change.Id_;
     End.Outcome_ = PublishOutcome::Accepted;
-    End.Version_ = J.Version_;
+    End.Version_ = Known.Version_;
     Event Repeated = makeActionEvent(Change.Author_, Change, "repeated");
-    Repeated.Fields_.push_back({"version", std::to_string(J.Version_.value())});
+    Repeated.Fields_.push_back(
+        {"version", std::to_string(Known.Version_.value())});
     return AdminResult{makePublishResponse(End), std::move(Repeated)};
   }
   return std::nullopt;
--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -3,7 +3,7 @@
 #include "api.h"
 #include "clock.h"
 #include "config_service.h"
-#include "cordons.h"
+#include "cordon_edit.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "metrics.h"
--- a/src/cli_cordon.cpp
+++ b/src/cli_cordon.cpp
@@ -47,9 +47,9 @@
     return Admin_.change("DELETE", cordonPath(Name), Json::object());
   }
 
-  /// One JSON document, or the lifted cordons before the error.
-  int reportPartly(const std::vector<std::string> &Lifted, const Json &Last,
-                   const Error &E) const;
+  /// Reports an error after some cordons were lifted, and which these are.
+  int reportPartialLift(const std::vector<std::string> &Lifted,
+                        const Json &Last, const Error &E) const;
   /// Last is the answer to the last change.
   void printLifted(const std::vector<std::string> &Lifted, Json Last) const;
 
@@ -110,9 +110,8 @@
         continue;
       const auto Name = C.at("name").get<std::string>();
       const auto Answer = removeObject(Name);
-      if (!ok(Answer)) {
-        return reportPartly(Lifted, Last, error(Answer));
-      }
+      if (!ok(Answer))
+        return reportPartialLift(Lifted, Last, error(Answer));
       Last = value(Answer);
       Lifted.push_back(Name);
     }
@@ -124,8 +123,8 @@
   return ExitOk;
 }
 
-int CordonCommand::reportPartly(const std::vector<std::string> &Lifted,
-                                const Json &Last, const Error &E) const {
+int CordonCommand::reportPartialLift(const std::vector<std::string> &Lifted,
+                                     const Json &Last, const Error &E) const {
   if (Lifted.empty() || !Options_.json()) {
     if (!Options_.json())
       printLifted(Lifted, Last);
--- a/src/config_policy.cpp
+++ b/src/config_policy.cpp
@@ -1,5 +1,5 @@
 #include "config_policy.h"
-#include "cordons.h"
+#include "cordon_edit.h"
 
 #include <algorithm>
 
--- a/src/cordons.cpp
+++ b/src/cordon_edit.cpp
@@ -1,4 +1,4 @@
-#include "cordons.h"
+#include "cordon_edit.h"
 #include "config_check.h"
 
 namespace chivelanding {
@@ -52,20 +52,20 @@
 // The object is written as text and checked with the whole set, so that a bad
 // name or note is refused as in any other change.
 PreparedCordon prepareCordon(const CordonEdit &Edit,
-                             const AcceptedConfig &Version) {
+                             const AcceptedConfig &Base) {
   PreparedCordon Prepared;
   ChangeRecord &Change = Prepared.Change_;
   Change.Id_ = Edit.Id_;
-  Change.Base_ = Version.Version_;
+  Change.Base_ = Base.Version_;
   Change.Author_ = Edit.Author_;
   Change.Reason_ = reasonFor(Edit);
-  ConfigSet Set = Version.Set_;
+  ConfigSet Set = Base.Set_;
   const ObjectKey Key{ObjectType::Cordon, Edit.Name_};
   Set.Objects_.erase(Key);
   if (!Edit.Lifts_)
     Set.Objects_.emplace(Key, makeCordon(Edit));
   const std::string Toml = Set.toml();
-  Prepared.IsUnchanged_ = Toml == Version.Toml_;
+  Prepared.IsUnchanged_ = Toml == Base.Toml_;
   if (Prepared.IsUnchanged_)
     return Prepared;
   ParsedConfig Config = checkConfig({{"request", Toml}});
--- a/src/cordons.h
+++ b/src/cordon_edit.h
@@ -1,5 +1,5 @@
-#ifndef CHIVELANDING_CORDONS_H
-#define CHIVELANDING_CORDONS_H
+#ifndef CHIVELANDING_CORDON_EDIT_H
+#define CHIVELANDING_CORDON_EDIT_H
 
 #include "config_state_machine.h"
 #include "events.h"
@@ -35,13 +35,13 @@
 struct PreparedCordon {
   /// The change to publish on this version.
   ChangeRecord Change_;
-  /// The version already is as the edit wants it.
+  /// The version already matches the edit.
   bool IsUnchanged_ = false;
   /// Errors of the resulting set; nothing may be published if there are any.
   std::vector<ConfigProblem> Problems_;
 };
 PreparedCordon prepareCordon(const CordonEdit &Edit,
-                             const AcceptedConfig &Version);
+                             const AcceptedConfig &Base);
 
 } // namespace chivelanding
 
--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -99,7 +99,7 @@
   PersistedEndpoint PersistedEndpoint_;
   PeriodicTimer Timer_;
   std::size_t ConnectedEntries_ = 0;
-  /// Addresses that look-ups have found.
+  /// Addresses of entries that look-ups have found, also of former entries.
   std::set<std::string> FoundEntries_;
   Time StartedAt_;
   Time LastLookUp_;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -122,8 +122,8 @@
 }
 
 // If no run has ended for ReleaseRateMaxAge, the rate is derived from the
-// outstanding runs and the estimated run time of this job. What runs in a
-// cordoned zone release is of no use to waiting jobs.
+// outstanding runs and the estimated run time of this job. CPU that is released
+// in a cordoned zone is of no use to waiting jobs.
 double Dispatcher::cpuReleaseRate(const Job &J, Time Now) const {
   double Released = 0;
   bool IsRecent = false;
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -5,7 +5,7 @@
 #include "clock.h"
 #include "config_policy.h"
 #include "config_service.h"
-#include "cordons.h"
+#include "cordon_edit.h"
 #include "entry_core.h"
 #include "http_server.h"
 #include "metrics.h"
--- a/src/run_supervisor.h
+++ b/src/run_supervisor.h
@@ -270,10 +270,10 @@
   /// since the last reports.
   bool IsolationChanged_ = false;
   CordonTable Cordons_;
-  /// cordoned() and zoneClosed() when they were last reported, and whether one
-  /// has changed since the last reports.
+  /// Results of cordoned() and zoneClosed() at the last check for a change.
   bool WasCordoned_ = false;
   bool WasClosed_ = false;
+  /// One of them has changed since the last reports.
   bool CordonChanged_ = false;
   ColdStart Cold_;
   std::uint32_t OfferedPermille_ = WholeSharePermille;
--- a/tests/cordon_test.cpp
+++ b/tests/cordon_exchange_test.cpp
@@ -53,7 +53,7 @@
 
 // Guards against a cordon that is undone by an older set, or by another set of
 // the same revision.
-TEST_CASE("Only a set of a higher revision is adopted", "[cordons]") {
+TEST_CASE("Only a set of a higher revision is adopted", "[cordon]") {
   CordonTable T;
   CHECK_FALSE(T.adopt(cordons(0, {"z1"})));
   CHECK_FALSE(T.known());
@@ -67,7 +67,7 @@
 
 // Guards against a request that is ignored because of its value, a set or lift
 // that is lost within one batch, and a stream that was empty at first.
-TEST_CASE("Cordons are derived from records in order", "[cordons]") {
+TEST_CASE("Cordons are derived from records in order", "[cordon]") {
   CordonRecords R("cordon/");
   CHECK(text(R.onNewest({{}, 0})) == "0:");
   CHECK(text(*R.onFollowed({{{"config", "x"}}, 1})) == "1:");
@@ -82,7 +82,7 @@
 
 // Guards against a cordon or its end that is missed because the store fails
 // between the two records or drops the one that ends the cordon.
-TEST_CASE("The feed gets each change of the cordons", "[cordons]") {
+TEST_CASE("The feed gets each change of the cordons", "[cordon]") {
   boost::asio::io_context Io;
   MemoryStore Store(Io);
   Names Seen;
@@ -121,7 +121,7 @@
 
 // Guards against processes that are left without the set, and against a peer
 // that keeps an older one.
-TEST_CASE("A set is sent to whoever lacks it", "[cordons]") {
+TEST_CASE("A set is sent to whoever lacks it", "[cordon]") {
   const PeerId E = peer(Role::Entry, "e");
   const PeerId A = peer(Role::Agent, "a");
   CordonExchange X(true);
@@ -151,7 +151,7 @@
 
 // Guards against an agent that never gets the set, and against a message for
 // each of its reports.
-TEST_CASE("An agent that missed the set gets it again", "[cordons]") {
+TEST_CASE("An agent that missed the set gets it again", "[cordon]") {
   const PeerId A = peer(Role::Agent, "a");
   CordonExchange X(true);
   X.onPeerUp(A, at(0));
@@ -175,7 +175,7 @@
 // Guards against an entry that the store rejects and that keeps an old set, or
 // none, and against two entries that answer each other forever.
 TEST_CASE("Entries that the store rejects learn the set from others",
-          "[cordons]") {
+          "[cordon]") {
   const std::vector<PeerId> Ids = {peer(Role::Entry, "0"),
                                    peer(Role::Entry, "1")};
   std::vector<CordonExchange> X(2, CordonExchange(true));
@@ -202,7 +202,7 @@
 }
 
 // Guards against effects on platforms whose settings have no cordons.
-TEST_CASE("Without the setting, cordons have no effect", "[cordons]") {
+TEST_CASE("Without the setting, cordons have no effect", "[cordon]") {
   CordonExchange X(false);
   X.onPeerUp(peer(Role::Entry, "e"), at(0));
   X.onPeerUp(peer(Role::Agent, "a"), at(0));
--- a/tests/cordon_entry_test.cpp
+++ b/tests/dispatch_entry_cordons_test.cpp
@@ -46,7 +46,7 @@
 // Guards against an entry that accepts jobs or reports itself ready before it
 // knows the cordons, and against one that does not pass them on.
 TEST_CASE("An entry is ready only with a set of cordons, and passes it on",
-          "[cordons]") {
+          "[cordon]") {
   boost::asio::io_context Io;
   DispatchEntrySettings S;
   S.Process_.Name_ = "e";
--- a/tests/fuzz_node.cpp
+++ b/tests/fuzz_node.cpp
@@ -1,5 +1,5 @@
 #include "fuzz_node.h"
-#include "cordons.h"
+#include "cordon_edit.h"
 
 namespace chivelanding::fuzz {
 namespace {
--- a/tests/cordon_enforcement_test.cpp
+++ b/tests/run_supervisor_cordons_test.cpp
@@ -43,7 +43,7 @@
 
 // Guards against runs that a cordon stops or whose ends get lost, and against
 // entries, on standby or not, that learn of it only with the next report.
-TEST_CASE("A cordoned agent starts nothing and ends its runs in peace",
+TEST_CASE("A cordoned agent starts nothing and completes its runs",
           "[cordon]") {
   CordonFixture B;
   REQUIRE(B.Supervisor_.usable());
