--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -551,13 +551,13 @@
             shutil.rmtree(self.temp, ignore_errors=True)
 
 
-def run_case(folder, play, seconds=115, **options):
+def run_case(folder, play, seconds=115, kind=Fleet, **options):
     """Plays a case; returns its exit code: 1 broken, 0 held, 2 not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     seed = int(os.environ.get("SEED", "0")) or random.randrange(1, 10**6)
 
     async def main():
-        fleet = Fleet(folder, seed, **options)
+        fleet = kind(folder, seed, **options)
         fleet.record.write(f"seed {seed}, disruption {'on' if trouble else 'off'}")
         try:
             async with asyncio.timeout(seconds):
