--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -557,29 +557,33 @@
     seed = int(os.environ.get("SEED", "0")) or random.randrange(1, 10**6)
 
     async def main():
-        fleet = kind(folder, seed, **options)
-        fleet.record.write(f"seed {seed}, disruption {'on' if trouble else 'off'}")
+        fleet = None
+        broken = None
         try:
+            fleet = kind(folder, seed, **options)
+            fleet.record.write(
+                f"seed {seed}, disruption {'on' if trouble else 'off'}")
             async with asyncio.timeout(seconds):
                 await fleet.start()
                 broken = await play(fleet, trouble)
-        except (RuntimeError, TimeoutError, OSError,
-                asyncio.CancelledError) as problem:
-            fleet.record.write(f"the case could not run: {problem!r}")
+        # Whatever goes wrong in the stand-ins says nothing about the rule.
+        except (Exception, asyncio.CancelledError) as problem:
             print(f"the case could not run: {problem!r}")
-            broken = None
-        fleet.record.write(f"longest stall of the stand-ins "
-                           f"{fleet.max_lag * 1000:.0f} ms")
+            if fleet:
+                fleet.record.write(f"the case could not run: {problem!r}")
+        code = 2 if broken is None else 1 if broken else 0
+        if not fleet:
+            return code
+        stall = f"longest stall of the stand-ins {fleet.max_lag * 1000:.0f} ms"
+        fleet.record.write(stall)
         for text in (broken or [])[:SHOWN]:
             fleet.record.write("BROKEN " + text)
             print("BROKEN", text)
         if broken and len(broken) > SHOWN:
             print(f"and {len(broken) - SHOWN} more")
             fleet.record.write(f"and {len(broken) - SHOWN} more")
-        code = 2 if broken is None else 1 if broken else 0
         fleet.record.write(f"exit {code}")
-        print(f"seed {seed}: exit {code}, longest stall of the stand-ins "
-              f"{fleet.max_lag * 1000:.0f} ms")
+        print(f"seed {seed}: exit {code}, {stall}")
         await fleet.stop()
         return code
 
