Renew the owner lease in the test of a cold endpoint's share

"All entries together keep to the share of a cold endpoint" let an entry be silent for 1.85 s, three times its lease, and never answered the stop of its run. Since the endpoint lease ends runs that cannot be stopped, an agent starts nothing in that state, so the test failed from that change on. The entry now renews its lease before the checks, which are unchanged: the test is about shares, and run_supervisor_renewal_test.cpp about silent owners.

--- a/tests/cold_start_test.cpp
+++ b/tests/cold_start_test.cpp
@@ -68,6 +68,8 @@
     CHECK(B.ending(EntryB) == RunEnding::NoRoom);
     // At half of the time there is room for a second one, and the entries are
     // told so before the next period.
+    B.record(
+        B.Supervisor_.onMessage(EntryA, HoldRuns{clockAt(1950)}, at(1990)));
     B.record(B.Supervisor_.onTimer(at(2000)));
     B.record(B.Supervisor_.onTimer(at(2100)));
     REQUIRE(B.messages<EndpointReport>(EntryA).size() == 1);
