Count no runs of a lost session in the view of a returned agent

An entry that lost the session with an agent counted the runs from before twice: the view of the agent was dropped with its count, and when such a run was given up later, it was subtracted from the runs that the same agent had been given since. At zero the entry renewed no owner lease, and the agent stopped live runs as owner_silent every 0.6 s until the job's deadline.

Now a run whose agent has been lost is not subtracted. Test: "Runs of a lost session do not count against the next", failed before (no renewal).

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -403,7 +403,7 @@
     Task &T = J.Tasks_[I];
     if (T.State_ != State::Dispatched && T.State_ != State::Stopping)
       continue;
-    releaseRun(T.Agent_, J);
+    releaseRun(T, J);
     if (T.State_ == State::Dispatched && Agents_.find(T.Agent_))
       Stops[T.Agent_].Runs_.push_back({J.Spec_.Key_,
                                        TaskIndex(static_cast<std::uint32_t>(I)),
@@ -413,8 +413,11 @@
     Out_.push_back(MessageToAgent{Peer, std::move(Stop)});
 }
 
-void Dispatcher::releaseRun(const PeerId &Agent, Job &J) {
-  if (AgentView *A = Agents_.find(Agent))
+// A run of an agent that was lost meanwhile is not counted in the view of the
+// same agent since it returned.
+void Dispatcher::releaseRun(const Task &T, Job &J) {
+  AgentView *A = Agents_.find(T.Agent_);
+  if (A && !T.LeasesExpireAt_)
     A->OutstandingRuns_ -= std::min(A->OutstandingRuns_, 1u);
   --J.OutstandingRuns_;
 }
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -236,7 +236,7 @@
   void onRunEnded(const PeerId &From, const EndedRun &E, Time Now);
   void onSlowRun(const PeerId &From, const SlowRun &S, Time Now);
   void handleRunEnd(Job &J, Task &T, const EndedRun &E, Time Now);
-  void releaseRun(const PeerId &Agent, Job &J);
+  void releaseRun(const Task &T, Job &J);
   void abandonIfDeadlineUnreachable(Job &J, Time Now);
   void renewOwnerLeases(Time Now);
   void rerunExpired(JobNumber Number, Time Now);
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -139,7 +139,7 @@
 }
 
 void Dispatcher::handleRunEnd(Job &J, Task &T, const EndedRun &E, Time Now) {
-  releaseRun(T.Agent_, J);
+  releaseRun(T, J);
   const AgentView *A = Agents_.find(T.Agent_);
   if (E.Ending_ != RunEnding::Lost && !neverStarted(E.Ending_) &&
       !(A && A->Cordoned_))
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -206,6 +206,26 @@
   CHECK(B.Starts_[1].first.Name_ == "b");
 }
 
+// Guards against runs whose owner lease is not renewed, so that their agent
+// stops them: the release of runs from before a lost session was subtracted
+// from the runs that the same agent was given since. Seen in review/5.
+TEST_CASE("Runs of a lost session do not count against the next",
+          "[dispatcher]") {
+  DispatcherFixture D;
+  D.addAgent("a", 8, at(0));
+  const JobNumber Old = D.Dispatcher_.submit(D.job("old", 2), at(0));
+  D.Dispatcher_.onAgentLost(agentId("a"), at(100));
+  D.addAgent("a", 8, at(200));
+  D.Dispatcher_.submit(D.job("new", 1), at(210));
+  D.take();
+  REQUIRE(D.Starts_.size() == 3);
+  D.Dispatcher_.cancel(Old, "caller_gone", at(300));
+  D.report("a", 8, 7, at(500));
+  D.Dispatcher_.onTimer(at(510));
+  D.take();
+  CHECK(D.Renewals_ == 1);
+}
+
 // Guards against a wait for both leases although a later incarnation of the
 // agent has already stopped the former runs.
 TEST_CASE("A usable successor of an agent frees its runs", "[dispatcher]") {
