Let one odd entry cost itself alone in every reader of the platform's formats

What could happen: one entry with a number out of range, a missing field, bad UTF-8 or deep nesting hid all entries beside it. An endpoint's list of runs was refused as a whole and the endpoint counted as down; a page or stream of the store was refused again and again, with the configuration, the cordons and the own record; a run whose row was odd counted as lost and its task was started elsewhere; an end with an absurd number was acknowledged, so that all later ends were dropped; numbers were cut to 32 bits or replaced by a default.

Cause: readers took a list for one value, and the JSON library refuses a text for one number and converts numbers silently.

Rows, items and records are left out one by one, with the event items_skipped; a row that names a task still shows that it may run. Numbers are checked against the range of their field; jobs, heartbeats and configurations with an odd number are refused. The endpoint's own answers replace the clock of a heartbeat. The log counts every event, so that each has a metric.

--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -104,7 +104,9 @@
                    Hub_.send(It->second, std::move(M));
                },
                [this](const AcceptedPtr &State) { onConfig(*State); }}),
-      Timer_(Io) {}
+      Timer_(Io) {
+  Log_.setCounter([this](const EventType &Type) { Metrics_.count(Type); });
+}
 
 PeerHandler AgentService::Impl::makeHandler() {
   return {
@@ -230,7 +232,6 @@
                       {"version", std::to_string(Config.Version_.value())},
                       {"running", std::to_string(Controller_.running())},
                       {"returned", std::to_string(Controller_.queued())}}};
-  Metrics_.count(*Change.Type_);
   Log_.write(Change);
   apply(Controller_.onCordoned(IsCordoned, steadyNow()));
 }
@@ -246,7 +247,6 @@
       if (It != Runs_.end())
         Client_.cancel(It->second);
     } else if (const auto *Log = std::get_if<LogEvent>(&O)) {
-      Metrics_.count(*Log->Event_.Type_);
       Log_.write(Log->Event_);
     }
   }
@@ -363,6 +363,7 @@
   Impl_->Config_.stop();
   Impl_->Hub_.stop();
   Impl_->Log_.write(events::ProcessStopped, {{"agent", Impl_->Self_.str()}});
+  Impl_->Log_.setCounter(nullptr);
 }
 
 } // namespace chivelanding
--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -1,5 +1,6 @@
 #include "config_feed.h"
 
+#include "clock.h"
 #include "cordon_records.h"
 
 #include <boost/asio/io_context.hpp>
@@ -43,6 +44,7 @@
   /// error.
   std::optional<std::uint64_t> Next_;
   std::optional<bool> Available_;
+  SkippedItemLog Skipped_{"operators"};
   bool Stopped_ = false;
 };
 
@@ -66,6 +68,8 @@
   if (Available_ != true)
     Log_.write(events::StoreAvailable, {{"use", "configuration"}});
   Available_ = true;
+  if (const auto Event = Skipped_.onRead(value(R).Skipped_, steadyNow()))
+    Log_.write(*Event);
   readCordons(value(R), !Next_);
   Next_ = value(R).Next_;
   const std::string *Newest = nullptr;
--- a/src/config_record.cpp
+++ b/src/config_record.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
 
+#include <limits>
+
 namespace chivelanding {
 
 namespace {
@@ -38,7 +40,10 @@
 }
 
 ConfigRecord parseBody(const Json &Body) {
-  const auto Rules = static_cast<std::uint32_t>(readUnsigned(Body, "rules"));
+  const std::uint64_t RulesRead = readUnsigned(Body, "rules");
+  if (RulesRead > std::numeric_limits<std::uint32_t>::max())
+    throw std::invalid_argument("rules is out of range");
+  const auto Rules = static_cast<std::uint32_t>(RulesRead);
   if (Body.at("record") == "change") {
     ChangeRecord C;
     C.Id_ = Body.at("id").get<std::string>();
--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -98,6 +98,7 @@
   EntryPresence Presence_;
   PersistedEndpoint PersistedEndpoint_;
   PeriodicTimer Timer_;
+  SkippedItemLog SkippedFields_{"announcement"};
   std::size_t ConnectedEntries_ = 0;
   /// Addresses of entries that look-ups have found, also of former entries.
   std::set<std::string> FoundEntries_;
@@ -132,7 +133,9 @@
                   FoundEntries_.insert(Entry.str());
                   Hub_.addSeed(Entry, LookUpSeedPeriod);
                 }),
-      PersistedEndpoint_(Io, Store_, Log, Self_.Name_), Timer_(Io) {}
+      PersistedEndpoint_(Io, Store_, Log, Self_.Name_), Timer_(Io) {
+  Log_.setCounter([this](const EventType &Type) { Metrics_.count(Type); });
+}
 
 PeerHandler DispatchAgent::Impl::makeHandler() {
   return {[this](const PeerUp &Up) {
@@ -165,6 +168,9 @@
   const Announcement A = Ports_.Announcements_->decode(Request);
   if (const auto *Endpoint = std::get_if<EndpointIncarnation>(&A)) {
     Reply->send({200, "application/json", {}, "{}"});
+    if (const auto Event =
+            SkippedFields_.onRead(Endpoint->Skipped_, steadyNow()))
+      Log_.write(*Event);
     apply(Supervisor_.onAnnounced(*Endpoint, steadyNow()));
     saveEndpoint();
   } else if (const auto *Withdrawn = std::get_if<EndpointWithdrawn>(&A)) {
@@ -195,7 +201,6 @@
     } else if (const auto *Poll = std::get_if<MakePoll>(&O)) {
       callEndpoint(*Poll);
     } else if (const auto *Event = std::get_if<LogEvent>(&O)) {
-      Metrics_.count(*Event->Event_.Type_);
       Log_.write(Event->Event_);
     }
   }
@@ -369,6 +374,7 @@
   Impl_->MetricsServer_.close();
   Impl_->Hub_.stop();
   Impl_->Log_.write(events::ProcessStopped, {{"agent", Impl_->Self_.str()}});
+  Impl_->Log_.setCounter(nullptr);
 }
 
 } // namespace chivelanding
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -69,7 +69,6 @@
   void onPeerMessage(const PeerId &From, const Message &M);
   void apply();
   void applyCordons(Time Now);
-  void log(const Event &E);
   bool isReady();
   HttpResponse metrics();
   /// Returns the current time. Called before an event is handled, to notice
@@ -131,7 +130,7 @@
           Io, [this] { return isReady(); }, [this] { return metrics(); }),
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
       Config_(
-          *Ports_.Configs_, Metrics_, Log,
+          *Ports_.Configs_, Log,
           [this](const PeerId &To, Message M) { Hub_.send(To, std::move(M)); }),
       Cordons_(Settings_.Cordons_.enabled()),
       ConfigFeed_(
@@ -147,7 +146,9 @@
           }),
       Presence_(Io, Store_, Log,
                 [this](const SocketAddress &Entry) { Hub_.addSeed(Entry); }),
-      Timer_(Io) {}
+      Timer_(Io) {
+  Log_.setCounter([this](const EventType &Type) { Metrics_.count(Type); });
+}
 
 PeerHandler DispatchEntry::Impl::makeHandler() {
   return {
@@ -237,7 +238,6 @@
     Reply->send(Ports_.Callers_->waiting(Dispatcher_.waiting(Queue->Route_)));
   } else {
     auto &Refused = std::get<RefusedRequest>(Decoded);
-    Metrics_.count(events::RequestRefused);
     Log_.write(events::RequestRefused,
                {{"code", Refused.Reason_.Code_},
                 {"step", Refused.Reason_.Step_},
@@ -330,7 +330,7 @@
     } else if (const auto *A = std::get_if<AnswerJob>(&O)) {
       onAnswer(*A);
     } else if (const auto *Event = std::get_if<LogEvent>(&O)) {
-      log(Event->Event_);
+      Log_.write(Event->Event_);
     }
   }
 }
@@ -340,17 +340,12 @@
     if (const auto *Send = std::get_if<CordonsToPeer>(&O))
       Hub_.send(Send->To_, Cordons_.table().current());
     else if (const auto *Event = std::get_if<LogEvent>(&O))
-      log(Event->Event_);
+      Log_.write(Event->Event_);
     else
       Dispatcher_.setCordons(Cordons_.table().current(), Now);
   }
 }
 
-void DispatchEntry::Impl::log(const Event &E) {
-  Metrics_.count(*E.Type_);
-  Log_.write(E);
-}
-
 // The entry is ready if it has a configuration and an agent to send work to,
 // and knows the cordoned zones if there may be any.
 bool DispatchEntry::Impl::isReady() {
@@ -545,6 +540,7 @@
   Impl_->MetricsServer_.close();
   Impl_->Hub_.stop();
   Impl_->Log_.write(events::ProcessStopped, {{"entry", Impl_->Self_.str()}});
+  Impl_->Log_.setCounter(nullptr);
 }
 
 } // namespace chivelanding
--- a/src/dispatch_ports.h
+++ b/src/dispatch_ports.h
@@ -6,6 +6,7 @@
 #include "endpoint_port.h"
 #include "http.h"
 #include "result.h"
+#include "skipped_items.h"
 
 #include <cstdint>
 #include <functional>
@@ -90,6 +91,7 @@
   std::vector<StoreRecord> Records_;
   /// Offset from which later records are read.
   std::uint64_t Next_ = 0;
+  SkippedItems Skipped_;
 };
 
 /// Client of the platform's record store. Callbacks never run inside a call.
--- a/src/endpoint_port.h
+++ b/src/endpoint_port.h
@@ -4,6 +4,7 @@
 #include "result.h"
 #include "run_message.h"
 #include "settings.h"
+#include "skipped_items.h"
 #include "types.h"
 
 #include <cstdint>
@@ -35,6 +36,8 @@
   /// Time for which the endpoint stays slower than usual after it became cold,
   /// as of its announcement.
   Duration ColdRemaining_{0};
+  /// Fields that are out of range and are not used as they were sent.
+  SkippedItems Skipped_;
 };
 
 /// Identifies a task at an endpoint.
@@ -130,7 +133,10 @@
   /// answer does not contain it.
   std::uint64_t StartedMs_ = 0;
   std::vector<RunningRun> Running_;
+  /// Tasks of rows that list a running run but are malformed otherwise.
+  std::vector<TaskKey> Unreadable_;
   std::vector<ListedEnd> Ended_;
+  SkippedItems Skipped_;
 };
 
 /// Makes the calls to the endpoint beside an agent. Callbacks never run before
--- a/src/entry_config.cpp
+++ b/src/entry_config.cpp
@@ -2,9 +2,9 @@
 
 namespace chivelanding {
 
-EntryConfig::EntryConfig(const ConfigCodec &Codec, Metrics &Counters,
-                         EventLog &Log, SendMessage Send)
-    : Codec_(Codec), Counters_(Counters), Log_(Log), Send_(std::move(Send)) {}
+EntryConfig::EntryConfig(const ConfigCodec &Codec, EventLog &Log,
+                         SendMessage Send)
+    : Codec_(Codec), Log_(Log), Send_(std::move(Send)) {}
 
 // Versions may arrive in any order. Only a newer version is accepted, so that
 // this process never goes back to an older configuration.
@@ -22,7 +22,6 @@
   Config_ = std::move(value(Decoded));
   Text_ = Text;
   AdoptedAt_ = Now;
-  Counters_.count(events::ConfigAccepted);
   Log_.write(events::ConfigAccepted,
              {{"version", std::to_string(Config_->version().value())},
               {"former", std::to_string(Previous.value())},
--- a/src/entry_config.h
+++ b/src/entry_config.h
@@ -3,7 +3,6 @@
 
 #include "dispatch_ports.h"
 #include "log.h"
-#include "metrics.h"
 #include "peer_versions.h"
 
 #include <functional>
@@ -20,8 +19,7 @@
   using SendMessage = std::function<void(const PeerId &To, Message M)>;
 
   /// The arguments must outlive this object.
-  EntryConfig(const ConfigCodec &Codec, Metrics &Counters, EventLog &Log,
-              SendMessage Send);
+  EntryConfig(const ConfigCodec &Codec, EventLog &Log, SendMessage Send);
 
   /// Null until the first version is known.
   const DispatchConfig *current() const {
@@ -48,7 +46,6 @@
   void sendVersion(const PeerId &To);
 
   const ConfigCodec &Codec_;
-  Metrics &Counters_;
   EventLog &Log_;
   SendMessage Send_;
   std::optional<DispatchConfig> Config_;
--- a/src/entry_presence.cpp
+++ b/src/entry_presence.cpp
@@ -1,5 +1,7 @@
 #include "entry_presence.h"
 
+#include "clock.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -47,6 +49,7 @@
   Callback OnEntry_;
   boost::asio::steady_timer Timer_;
   StoreRecord OwnRecord_;
+  SkippedItemLog Skipped_{"entries"};
   bool Stopped_ = false;
 };
 
@@ -67,22 +70,27 @@
 }
 
 void EntryPresence::Impl::lookUp() {
-  Store_.newest(StoreStream::Entries, StoreTimeout,
-                [Self = shared_from_this()](const Result<StoreRecords> &R) {
-                  if (Self->Stopped_)
-                    return;
-                  if (!ok(R)) {
-                    Self->Log_.write(
-                        events::StoreUnavailable,
-                        {{"use", "entries"}, {"error", error(R).str()}});
-                    return;
-                  }
-                  for (const StoreRecord &Record : value(R).Records_) {
-                    const auto Address = parseRecord(Record.Value_);
-                    if (Address && Record.Key_ != Self->OwnRecord_.Key_)
-                      Self->OnEntry_(*Address);
-                  }
-                });
+  Store_.newest(
+      StoreStream::Entries, StoreTimeout,
+      [Self = shared_from_this()](const Result<StoreRecords> &R) {
+        if (Self->Stopped_)
+          return;
+        if (!ok(R)) {
+          Self->Log_.write(events::StoreUnavailable,
+                           {{"use", "entries"}, {"error", error(R).str()}});
+          return;
+        }
+        SkippedItems Skipped = value(R).Skipped_;
+        for (const StoreRecord &Record : value(R).Records_) {
+          const auto Address = parseRecord(Record.Value_);
+          if (!Address)
+            Skipped.add("record of " + Record.Key_);
+          else if (Record.Key_ != Self->OwnRecord_.Key_)
+            Self->OnEntry_(*Address);
+        }
+        if (const auto Event = Self->Skipped_.onRead(Skipped, steadyNow()))
+          Self->Log_.write(*Event);
+      });
 }
 
 EntryPresence::EntryPresence(boost::asio::io_context &Io, RecordStore &Store,
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -113,10 +113,7 @@
       [this](ReplyId To, const JobId &Job, const JobAnswer &Answer) {
         sendAnswer(To, Job, Answer);
       },
-      [this](const Event &E) {
-        Metrics_.count(*E.Type_);
-        Log_.write(E);
-      },
+      [this](const Event &E) { Log_.write(E); },
       [this](const EntryId &) {
         boost::asio::post(Io_, [Self = shared_from_this()] { Self->rejoin(); });
       }};
@@ -137,10 +134,8 @@
 void EntryService::Impl::onConfig(const AcceptedConfig &Config) {
   HasConfig_ = true;
   std::set<ZoneName> Zones = cordonedZones(Config.Set_);
-  for (const Event &E : makeCordonEvents(Cordons_, Zones, Config.Version_)) {
-    Metrics_.count(*E.Type_);
+  for (const Event &E : makeCordonEvents(Cordons_, Zones, Config.Version_))
     Log_.write(E);
-  }
   Cordons_ = std::move(Zones);
   Core_->setPolicy(makePolicy(Config.Set_, basePolicy()), steadyNow());
 }
@@ -188,7 +183,9 @@
            makeHandler()),
       Config_(Io, Settings_.Process_, Role::Entry, Log, makeConfigHost()),
       Publisher_(Config_, Log, Settings_.AdminListen_.isLoopback()),
-      Timer_(Io) {}
+      Timer_(Io) {
+  Log_.setCounter([this](const EventType &Type) { Metrics_.count(Type); });
+}
 
 // The new incarnation relays the submissions of waiting callers to the entry
 // that holds this entry's grants, which answers them. The other callers are
@@ -495,6 +492,7 @@
   Impl_->Hub_.stop();
   Impl_->Log_.write(events::ProcessStopped,
                     {{"entry", Impl_->Core_->self().str()}});
+  Impl_->Log_.setCounter(nullptr);
 }
 
 } // namespace chivelanding
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -21,6 +21,10 @@
 const EventType ProcessPaused{
     106, "process_paused", Severity::Warning,
     "The process had no processor time for a while, or its VM was suspended."};
+const EventType ItemsSkipped{
+    107, "items_skipped", Severity::Warning,
+    "Malformed items of a list, or a field that is out of range, are left out; "
+    "the others hold."};
 const EventType LinkUp{200, "link_up", Severity::Info,
                        "A connection to a peer is established."};
 const EventType LinkDown{201, "link_down", Severity::Info,
@@ -203,6 +207,7 @@
       &SettingsReloaded,
       &LogLinesDropped,
       &ProcessPaused,
+      &ItemsSkipped,
       &LinkUp,
       &LinkDown,
       &PeerSuspected,
--- a/src/events.h
+++ b/src/events.h
@@ -48,6 +48,7 @@
 extern const EventType SettingsReloaded;
 extern const EventType LogLinesDropped;
 extern const EventType ProcessPaused;
+extern const EventType ItemsSkipped;
 // 200-299: membership and links.
 extern const EventType LinkUp;
 extern const EventType LinkDown;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -163,6 +163,8 @@
 }
 
 void EventLog::write(const Event &E) {
+  if (Counter_)
+    Counter_(*E.Type_);
   if (!enabled(*E.Type_))
     return;
   const auto Level = Levels[static_cast<std::size_t>(E.Type_->Severity_)];
@@ -192,8 +194,7 @@
 }
 
 void EventLog::write(const EventType &Type, std::vector<EventField> Fields) {
-  if (enabled(Type))
-    write(Event{&Type, std::move(Fields)});
+  write(Event{&Type, std::move(Fields)});
 }
 
 } // namespace chivelanding
--- a/src/log.h
+++ b/src/log.h
@@ -5,6 +5,7 @@
 #include "service_registry.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,6 +35,11 @@
   bool enabled(const EventType &Type) const {
     return Type.Severity_ >= MinSeverity_;
   }
+  /// Has each event counted, also those that are not written. A later call
+  /// replaces the function; an empty one ends the counting.
+  void setCounter(std::function<void(const EventType &)> Counter) {
+    Counter_ = std::move(Counter);
+  }
   void write(const Event &E);
   void write(const EventType &Type, std::vector<EventField> Fields);
   /// Writes buffered lines to the descriptor. To be called often.
@@ -46,6 +52,7 @@
   struct Impl;
   std::unique_ptr<Impl> Impl_;
   Severity MinSeverity_ = Severity::Info;
+  std::function<void(const EventType &)> Counter_;
 };
 
 } // namespace chivelanding
--- a/src/persisted_endpoint.cpp
+++ b/src/persisted_endpoint.cpp
@@ -3,7 +3,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <nlohmann/json.hpp>
+#include "clock.h"
+#include "json_text.h"
+
+#include <limits>
 
 namespace chivelanding {
 namespace {
@@ -17,7 +20,19 @@
 // Pause before a failed write is repeated.
 constexpr auto RetryPause = std::chrono::seconds(2);
 
-std::uint32_t asAmount(const Json &Value) { return Value.get<std::uint32_t>(); }
+// The library converts numbers of other types and ranges silently.
+std::uint64_t readNumber(const Json &Object, const char *Field,
+                         std::uint64_t Max) {
+  const Json &Value = Object.at(Field);
+  if (!Value.is_number_unsigned() || Value.get<std::uint64_t>() > Max)
+    throw std::out_of_range(Field);
+  return Value.get<std::uint64_t>();
+}
+
+std::uint32_t readAmount(const Json &Object, const char *Field) {
+  return static_cast<std::uint32_t>(
+      readNumber(Object, Field, std::numeric_limits<std::uint32_t>::max()));
+}
 
 } // namespace
 
@@ -36,18 +51,19 @@
 
 std::optional<EndpointIncarnation> parseIncarnation(const std::string &Text) {
   try {
-    const Json J = Json::parse(Text);
+    const Json J = parseJson(Text);
     EndpointIncarnation L;
     L.Id_ = J.at("id").get<std::string>();
-    L.StartedMs_ = J.at("born").get<std::uint64_t>();
+    L.StartedMs_ =
+        readNumber(J, "born", std::numeric_limits<std::int64_t>::max());
     L.Service_ = ServiceName(J.at("service").get<std::string>());
     L.Zone_ = ZoneName(J.at("zone").get<std::string>());
     L.Rack_ = RackName(J.at("rack").get<std::string>());
-    L.Capacity_ = {asAmount(J.at("cpu")), asAmount(J.at("memory_mb")),
-                   asAmount(J.at("accelerators"))};
+    L.Capacity_ = {readAmount(J, "cpu"), readAmount(J, "memory_mb"),
+                   readAmount(J, "accelerators")};
     L.Leaving_ = J.at("leaving").get<bool>();
     return L;
-  } catch (const Json::exception &) {
+  } catch (const std::exception &) { // Of the library or of readNumber().
     return std::nullopt;
   }
 }
@@ -118,27 +134,33 @@
 
 void PersistedEndpoint::load(
     std::function<void(const EndpointIncarnation &)> OnLoaded) {
-  Impl_->Store_.newest(StoreStream::Endpoints, StoreTimeout,
-                       [Self = Impl_, OnLoaded = std::move(OnLoaded)](
-                           const Result<StoreRecords> &R) {
-                         if (Self->Stopped_)
-                           return;
-                         if (!ok(R)) {
-                           Self->logFailure("endpoint", error(R));
-                           return;
-                         }
-                         for (const StoreRecord &Record : value(R).Records_) {
-                           const auto Endpoint =
-                               Record.Key_ == Self->Record_.Key_
-                                   ? parseIncarnation(Record.Value_)
-                                   : std::nullopt;
-                           if (!Endpoint)
-                             continue;
-                           if (Self->Record_.Value_.empty())
-                             Self->Stored_ = Record.Value_;
-                           OnLoaded(*Endpoint);
-                         }
-                       });
+  Impl_->Store_.newest(
+      StoreStream::Endpoints, StoreTimeout,
+      [Self = Impl_,
+       OnLoaded = std::move(OnLoaded)](const Result<StoreRecords> &R) {
+        if (Self->Stopped_)
+          return;
+        if (!ok(R)) {
+          Self->logFailure("endpoint", error(R));
+          return;
+        }
+        SkippedItems Skipped = value(R).Skipped_;
+        for (const StoreRecord &Record : value(R).Records_) {
+          if (Record.Key_ != Self->Record_.Key_)
+            continue;
+          const auto Endpoint = parseIncarnation(Record.Value_);
+          if (!Endpoint) {
+            Skipped.add("record of " + Record.Key_);
+            continue;
+          }
+          if (Self->Record_.Value_.empty())
+            Self->Stored_ = Record.Value_;
+          OnLoaded(*Endpoint);
+        }
+        if (const auto Event =
+                SkippedItemLog("endpoints").onRead(Skipped, steadyNow()))
+          Self->Log_.write(*Event);
+      });
 }
 
 void PersistedEndpoint::save(const EndpointIncarnation &Endpoint) {
--- a/src/run_supervisor.cpp
+++ b/src/run_supervisor.cpp
@@ -13,6 +13,15 @@
 // early as well, since jobs may wait for it.
 constexpr std::uint32_t LargeChangeDivisor = 4;
 
+// Longest estimate that is believed; estimates are seconds.
+constexpr Duration MaxEstimate = std::chrono::hours(24);
+
+// A value that this process never had is far in the future, however large.
+Time clockTime(std::uint64_t Clock) {
+  constexpr std::uint64_t Latest = std::uint64_t(1) << 62;
+  return Time(Duration(static_cast<std::int64_t>(std::min(Clock, Latest))));
+}
+
 std::uint64_t microseconds(Time T) {
   return static_cast<std::uint64_t>(T.time_since_epoch().count());
 }
@@ -64,7 +73,8 @@
         {{"endpoint", Endpoint.Id_}, {"runs", std::to_string(Runs_.size())}});
   Restored_ = false;
   Endpoint_ = Endpoint;
-  syncClock(Endpoint.ClockMs_, Now);
+  if (!ClockConfirmed_)
+    syncClock(Endpoint.ClockMs_, Now);
   Cold_.onAnnounced(Endpoint.ColdRemaining_, Now);
   updateOffered(Now);
   updateCordoned();
@@ -114,6 +124,7 @@
                                        1000
              : 0;
   Acknowledged_ = 0;
+  ClockConfirmed_ = false;
   Orphans_.clear();
   Endpoint_ = Endpoint;
   Cold_ = ColdStart();
@@ -185,8 +196,7 @@
     return takeOutputs(Now);
   Owner &O = Known->second;
   const auto Renew = [&](std::uint64_t AgentClock) {
-    const Time Until = Time(Duration(static_cast<std::int64_t>(AgentClock))) +
-                       Limits_.Leases_.Owner_;
+    const Time Until = clockTime(AgentClock) + Limits_.Leases_.Owner_;
     // A clock value ahead of this process can only come from a faulty peer.
     if (Until <= Now + Limits_.Leases_.Owner_)
       O.LeaseEnd_ = std::max(O.LeaseEnd_, Until);
@@ -253,8 +263,7 @@
                              const RunStart &Start, Time Now) {
   const RunRef Ref{M.Job_, Start.Index_, Start.Attempt_, M.Submission_};
   const TaskKey Key{M.Job_, Start.Index_};
-  const Time DispatchClock =
-      Time(Duration(static_cast<std::int64_t>(M.AgentClock_)));
+  const Time DispatchClock = clockTime(M.AgentClock_);
   const auto Known = Runs_.find(Key);
   if (Known != Runs_.end()) {
     // A run of the same task under another owner, attempt or submission must
@@ -268,12 +277,15 @@
     return;
   }
   // Refuses a start request that arrives after its owner lease has expired: the
-  // entry may have counted the run as lost and started the task elsewhere.
-  if (DispatchClock + Limits_.Leases_.Owner_ < Now) {
+  // entry may have counted the run as lost and started the task elsewhere. A
+  // clock ahead of this process says nothing about that.
+  if (DispatchClock + Limits_.Leases_.Owner_ < Now || DispatchClock > Now) {
     refuseRun(From, Ref, RunEnding::Expired);
     return;
   }
-  if (!usable()) {
+  const bool HasEstimate =
+      M.Estimate_ >= Duration(0) && M.Estimate_ <= MaxEstimate;
+  if (!usable() || !HasEstimate) {
     refuseRun(From, Ref, RunEnding::Unavailable,
               zoneClosed() ? events::RunRefusedByCordon : events::RunRefused);
     return;
--- a/src/run_supervisor.h
+++ b/src/run_supervisor.h
@@ -167,6 +167,12 @@
     Time LastSlowReport_;
   };
   using Runs = std::map<TaskKey, Run>;
+  struct Orphan {
+    Time FoundAt_;
+    Time StopSent_;
+    /// A poll that was sent after the first stop call lists it as well.
+    bool Stays_ = false;
+  };
   struct Call {
     TaskKey Task_;
     std::uint32_t Run_ = 0;
@@ -221,10 +227,14 @@
   Runs::iterator finishRun(Runs::iterator It, RunEnding Ending, Time Now);
   void endRunsAfterLease(Time Now);
   void beginIncarnation(const EndpointIncarnation &Endpoint, Time Now);
-  void applyEnds(const PollAnswer &A, Time Now);
+  /// Returns the ends whose numbers are not acknowledged.
+  SkippedItems applyEnds(const PollAnswer &A, Time Now);
   void applyRunning(const PollAnswer &A, Time Sent, Time Now);
   void checkProgress(const TaskKey &Key, Run &R, Time Now);
   void syncClock(std::uint64_t ClockMs, Time Now);
+  /// The same for a clock in the endpoint's own answer. The first one replaces
+  /// what the announcement of this incarnation said.
+  void confirmClock(std::uint64_t ClockMs, Time Now);
   std::uint64_t leaseEnd(Time Now) const;
   Time leaseExpiredBy() const;
   /// Now, or an earlier time if a run that has been given up goes on: the
@@ -278,6 +288,12 @@
   /// know.
   bool NoOrphans_ = false;
   bool Draining_ = false;
+  /// The endpoint lease has not been renewed for a while, so that new runs
+  /// would likely end with it.
+  bool LeaseWithheld_ = false;
+  /// ClockMs_ is from an answer of the endpoint, not from an announcement,
+  /// which another process may have written.
+  bool ClockConfirmed_ = false;
   /// The endpoint's first isolated run was started or its last one has ended
   /// since the last reports.
   bool IsolationChanged_ = false;
@@ -302,17 +318,9 @@
   bool CrashReported_ = false;
   /// Orphaned runs, which an earlier process or a late start has left at the
   /// endpoint.
-  struct Orphan {
-    Time FoundAt_;
-    Time StopSent_;
-    /// A poll that was sent after the first stop call lists it as well.
-    bool Stays_ = false;
-  };
   std::map<TaskKey, Orphan> Orphans_;
-  /// The endpoint lease has not been renewed for a while, so that new runs
-  /// would likely end with it.
-  bool LeaseWithheld_ = false;
   RunHealth Health_;
+  SkippedItemLog SkippedItems_{"runs"};
   RunSupervisorOutputs Out_;
 };
 
--- a/src/run_supervisor_polls.cpp
+++ b/src/run_supervisor_polls.cpp
@@ -24,6 +24,10 @@
 // Age of the last renewal of the endpoint lease that is due to a run that
 // cannot be stopped, from which on no run is started.
 constexpr Duration MaxRenewalLag = std::chrono::milliseconds(100);
+// Largest step from one acknowledged end to the next, and largest number of an
+// end: far more than an endpoint lists at once, and than it ends in a year.
+constexpr std::uint64_t MaxEndNumberStep = 1'000'000;
+constexpr std::uint64_t MaxEndNumber = std::uint64_t(1) << 40;
 // Pause between two stop calls for the same orphaned run.
 constexpr Duration OrphanStopPause = std::chrono::milliseconds(150);
 
@@ -43,6 +47,21 @@
   ClockAt_ = Now;
 }
 
+// No start was called in this incarnation before its first answer to a poll, so
+// a lease that the endpoint may have now is one that the same id was given
+// before.
+void RunSupervisor::confirmClock(std::uint64_t ClockMs, Time Now) {
+  if (!ClockConfirmed_) {
+    ClockConfirmed_ = true;
+    ClockMs_ = 0;
+    if (LastLeaseEndMs_ > 0)
+      LastLeaseEndMs_ = ClockMs + static_cast<std::uint64_t>(
+                                      Limits_.Leases_.MaxEndpoint_.count()) /
+                                      1000;
+  }
+  syncClock(ClockMs, Now);
+}
+
 std::uint64_t RunSupervisor::leaseEnd(Time Now) const {
   const Duration Since = renewableUntil(Now) - ClockAt_;
   const std::int64_t End = static_cast<std::int64_t>(ClockMs_) +
@@ -181,32 +200,49 @@
   }
   if (C.LeaseEndMs_)
     LastLeaseEndMs_ = std::max(LastLeaseEndMs_, *C.LeaseEndMs_);
-  syncClock(Poll.ClockMs_, Now);
+  confirmClock(Poll.ClockMs_, Now);
   FailedPolls_ = 0;
   setReachable(true, "", Now);
   withdrawCrash();
-  applyEnds(Poll, Now);
+  SkippedItems Skipped = Poll.Skipped_;
+  Skipped.add(applyEnds(Poll, Now));
+  if (const auto Event = SkippedItems_.onRead(Skipped, Now))
+    Out_.push_back(LogEvent{*Event});
   applyRunning(Poll, C.Sent_, Now);
   NextPoll_ = Now;
   return takeOutputs(Now);
 }
 
-void RunSupervisor::applyEnds(const PollAnswer &A, Time Now) {
+// Numbers rise by one from row to row. A number far above the others is not
+// acknowledged: the endpoint would drop the ends up to it, unseen.
+SkippedItems RunSupervisor::applyEnds(const PollAnswer &A, Time Now) {
+  SkippedItems Skipped;
+  std::uint64_t Base = Acknowledged_;
+  if (Base == 0 && !A.Ended_.empty())
+    Base = std::min_element(A.Ended_.begin(), A.Ended_.end(),
+                            [](const ListedEnd &X, const ListedEnd &Y) {
+                              return X.Number_ < Y.Number_;
+                            })
+               ->Number_;
   for (const ListedEnd &E : A.Ended_) {
     if (E.Number_ <= Acknowledged_)
       continue;
-    Acknowledged_ = E.Number_;
+    if (E.Number_ - Base <= MaxEndNumberStep && E.Number_ <= MaxEndNumber)
+      Acknowledged_ = E.Number_;
+    else
+      Skipped.add("number " + std::to_string(E.Number_) + " of an ended run");
     const auto It = Runs_.find(E.Task_);
     if (It != Runs_.end() && It->second.Number_ == E.Run_)
       finishRun(It, E.Ending_, Now);
   }
+  return Skipped;
 }
 
 // A poll answer shows the state at some time after its call was sent. A run
 // whose start or stop was confirmed before the call was sent, and that is
 // neither listed as running nor as ended, is over.
 void RunSupervisor::applyRunning(const PollAnswer &A, Time Sent, Time Now) {
-  std::set<TaskKey> Listed;
+  std::set<TaskKey> Listed(A.Unreadable_.begin(), A.Unreadable_.end());
   bool OrphanFound = false;
   for (const RunningRun &Row : A.Running_) {
     const auto It = Runs_.find(Row.Task_);
