Refuse absurd frames before they are parsed, and get beyond bad messages

What could happen: a frame of nested lists from any process that connected ended every process by SIGSEGV, and so did a nested payload at an entry with owner tokens. A message that could not be decoded made its batch be refused and sent again without end, so that the link never got beyond it. A Hello with a session number near 2^64 left no number for the next session.

Cause: the CBOR parser and the JSON writer call themselves for each level; a refused batch closed only the connection, while the session kept its messages.

Change: a loop checks depth, sizes and counts of a frame before it is parsed. Reports and hints, which are sent again or made up for, are left out of a batch; any other bad frame ends the session when it comes a second time.

--- a/src/agent_pool.cpp
+++ b/src/agent_pool.cpp
@@ -84,6 +84,7 @@
   if (A.Report_.Usable_ && !R.Usable_)
     A.UnusableSince_ = Now;
   A.Report_ = R;
+  A.Report_.SlownessPermille_ = std::max(R.SlownessPermille_, 1u);
   A.ReportedAt_ = Now;
   updateCordoned(A);
   while (!A.UnreportedStarts_.empty() &&
--- a/src/api.cpp
+++ b/src/api.cpp
@@ -1,6 +1,5 @@
 #include "api.h"
-
-#include <nlohmann/json.hpp>
+#include "json_text.h"
 
 #include <openssl/evp.h>
 
@@ -17,6 +16,10 @@
 // Maximum size of a key, id, name or address in a request, in bytes.
 constexpr std::size_t MaxNameBytes = 256;
 
+// Payloads are written again by a recursive function. A job may have many
+// tasks.
+constexpr JsonLimits BodyLimits{64, 4'000'000};
+
 struct FieldError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
@@ -275,6 +278,8 @@
 Result<JobSpec> parseJob(const std::string &Body, const TeamName &Team,
                          std::uint32_t MaxTasks) {
   try {
+    if (exceedsLimits(Body, BodyLimits))
+      return makeRefusal("bad_json", "nested too deeply or too many values");
     Json J = Json::parse(Body);
     JobSpec S = readJob(J, Team);
     const auto TokenText = readString(J, "token", false);
@@ -379,6 +384,8 @@
 Result<EndpointAnnouncement> parseEndpoint(const std::string &Body) {
   constexpr std::uint64_t Max32 = UINT32_MAX;
   try {
+    if (exceedsLimits(Body, BodyLimits))
+      return makeRefusal("bad_json", "nested too deeply or too many values");
     const Json J = Json::parse(Body);
     if (!J.is_object())
       throw FieldError("the body must be an object");
--- a/src/dispatcher_agents.cpp
+++ b/src/dispatcher_agents.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "cold_start.h"
 #include "durations.h"
 
 #include <algorithm>
@@ -29,6 +30,8 @@
 constexpr Duration AgentCheckPeriod = std::chrono::milliseconds(100);
 // Weight of one run in the learned run-time ratio of a route.
 constexpr double LengthWeight = 0.02;
+// Largest ratio that a report may contain, in thousandths.
+constexpr std::uint32_t MaxPermille = 1'000'000'000;
 
 } // namespace
 
@@ -100,6 +103,13 @@
   AgentView *A = Agents_.find(From);
   if (!A)
     return;
+  if (R.OfferedPermille_ > WholeSharePermille ||
+      R.SlownessPermille_ > MaxPermille || R.FailedPermille_ > MaxPermille) {
+    log(events::ItemsSkipped, {{"source", From.str()},
+                               {"items", "1"},
+                               {"first", "report with a share out of range"}});
+    return;
+  }
   const auto HasNoEarlierRuns = [](const EndpointReport &Report) {
     return Report.Usable_ || Report.CordonOnly_;
   };
@@ -155,7 +165,7 @@
           LengthFactor_.try_emplace(J.Spec_.Route_.Name_, 1.0).first->second;
       const double LengthRatio = static_cast<double>(E.Length_.count()) /
                                  static_cast<double>(J.Spec_.Estimate_.count());
-      Factor += LengthWeight * (std::min(LengthRatio, 4.0) - Factor);
+      Factor += LengthWeight * (std::clamp(LengthRatio, 0.0, 4.0) - Factor);
     }
     if (++J.DoneTasks_ == J.Tasks_.size())
       answer(J, JobEnding::Completed, "completed", {}, Now);
--- a/src/dispatcher_crashes.cpp
+++ b/src/dispatcher_crashes.cpp
@@ -19,12 +19,25 @@
 // Share of the open CPU above which jobs may wait for more.
 constexpr double FullShare = 0.85;
 
+// True for the ages of crashes and runs that an agent or entry may report.
+bool isPlausibleAge(Duration Age) {
+  return Age >= Duration(0) && Age <= std::chrono::hours(24 * 365);
+}
+
 } // namespace
 
 void Dispatcher::onCrash(const PeerId &From, const EndpointCrashed &C,
                          Time Now) {
   AgentView *A = Agents_.find(From);
-  if (!A || !Crashes_.onCrash(C, Now))
+  const bool Plausible =
+      isPlausibleAge(C.Age_) &&
+      std::all_of(C.Runs_.begin(), C.Runs_.end(),
+                  [](const CrashedRun &R) { return isPlausibleAge(R.Age_); });
+  if (!Plausible)
+    log(events::ItemsSkipped, {{"source", From.str()},
+                               {"items", "1"},
+                               {"first", "crash with an age out of range"}});
+  if (!A || !Plausible || !Crashes_.onCrash(C, Now))
     return;
   A->CrashedAt_ = std::max(A->CrashedAt_, Now - C.Age_);
   std::map<std::string, std::size_t> Runs;
@@ -57,7 +70,8 @@
 void Dispatcher::onEntryMessage(const Message &M, Time Now) {
   if (const auto *Cleared = std::get_if<SuspectCleared>(&M))
     Crashes_.onCompleted(Cleared->Job_, Cleared->Index_, Now);
-  else if (const auto *Confined = std::get_if<RouteConfined>(&M))
+  else if (const auto *Confined = std::get_if<RouteConfined>(&M);
+           Confined && isPlausibleAge(Confined->Age_))
     Crashes_.onConfined(*Confined, Now);
   applyConfinements(Now);
 }
--- a/src/link.cpp
+++ b/src/link.cpp
@@ -9,6 +9,9 @@
 // waiting for a heartbeat. Otherwise a one-way stream could fill the sender's
 // buffer between heartbeats.
 constexpr std::uint64_t AcknowledgeEvery = 256;
+// Sessions are numbered one by one. Both ends adopt the higher number, so a
+// number near the end of the range would leave none for the next session.
+constexpr std::uint64_t MaxSessionNumber = std::uint64_t(1) << 48;
 
 } // namespace
 
@@ -231,7 +234,8 @@
   const bool IsFirst = !Conn.Dialled_ && !Conn.ClaimedPeer_;
   const bool OutOfTurn =
       Conn.Peer_ || (Conn.ClaimedPeer_ && !(*Conn.ClaimedPeer_ == Id));
-  if (OutOfTurn || (IsFirst ? H.Session_ != 0 : H.Session_ == 0)) {
+  if (OutOfTurn || H.Session_ > MaxSessionNumber ||
+      (IsFirst ? H.Session_ != 0 : H.Session_ == 0)) {
     close(C, "bad_hello", "unexpected Hello", Out);
     return;
   }
@@ -295,12 +299,32 @@
     close(C, error(NewMessages).Code_.c_str(), error(NewMessages).Detail_, Out);
     return Out;
   }
+  P.HadBadFrame_ = false;
   markReachable(P, Now, Out);
   for (Message &M : value(NewMessages))
     Out.push_back(Deliver{P.Id_, std::move(M)});
   return Out;
 }
 
+// The messages of a bad frame are sent again on the next connection. If they
+// cannot be decoded there either, the session would never get beyond them.
+LinkOutputs Links::onBadFrame(ConnectionId C, const Error &Reason, Time Now) {
+  LinkOutputs Out;
+  const auto It = Connections_.find(C);
+  if (It == Connections_.end())
+    return Out;
+  if (It->second.Peer_) {
+    PeerState &P = Peers_[*It->second.Peer_];
+    if (P.HadBadFrame_)
+      endSession(P, "bad_frame", Reason.Detail_, Out);
+    P.HadBadFrame_ = !P.HadBadFrame_;
+  }
+  close(C, Reason.Code_.c_str(), Reason.Detail_, Out);
+  for (LinkOutput &O : onClosed(C, Now))
+    Out.push_back(std::move(O));
+  return Out;
+}
+
 LinkOutputs Links::onClosed(ConnectionId C, Time Now) {
   LinkOutputs Out;
   const auto It = Connections_.find(C);
--- a/src/link.h
+++ b/src/link.h
@@ -142,6 +142,9 @@
   LinkOutputs onFrame(ConnectionId C, const Frame &F, Time Now);
   /// The transport lost or closed the connection.
   LinkOutputs onClosed(ConnectionId C, Time Now);
+  /// A frame could not be decoded. Closes the connection, and ends the session
+  /// if the frame comes again in place of the messages that are due.
+  LinkOutputs onBadFrame(ConnectionId C, const Error &Reason, Time Now);
   /// Queues a message for the peer's current session, to be sent by the next
   /// flush. Ignored if the peer has no session.
   LinkOutputs send(const PeerId &To, Message M, Time Now);
@@ -190,6 +193,8 @@
     /// acknowledge.
     Time LastProgressAt_;
     std::uint64_t LastAcknowledged_ = 0;
+    /// A frame could not be decoded since the last one with messages.
+    bool HadBadFrame_ = false;
     /// Superseded incarnations of this name; their connections are rejected.
     std::set<Incarnation> SupersededIncarnations_;
   };
--- a/src/link_session.cpp
+++ b/src/link_session.cpp
@@ -93,7 +93,8 @@
   for (std::size_t I = 0; I < B.Messages_.size(); ++I) {
     if (B.First_ + I <= LastReceived_)
       continue;
-    NewMessages.push_back(B.Messages_[I]);
+    if (B.Unreadable_.count(I) == 0)
+      NewMessages.push_back(B.Messages_[I]);
     LastReceived_ = B.First_ + I;
   }
   return NewMessages;
--- a/src/message.cpp
+++ b/src/message.cpp
@@ -250,6 +250,25 @@
   }
 }
 
+// Messages whose loss is made up for: the sender repeats them, sends the latest
+// state from time to time, or the receiver asks for it.
+template <typename T>
+constexpr bool MayBeLeftOut =
+    std::is_same_v<T, AgentReport> || std::is_same_v<T, EntriesHeard> ||
+    std::is_same_v<T, KnownEntries> || std::is_same_v<T, ConfigDigest> ||
+    std::is_same_v<T, EndpointReport> || std::is_same_v<T, SlowRuns> ||
+    std::is_same_v<T, ConfigText> || std::is_same_v<T, EndpointCrashed> ||
+    std::is_same_v<T, EndpointAlive> || std::is_same_v<T, SuspectCleared> ||
+    std::is_same_v<T, RouteConfined> || std::is_same_v<T, ZoneCordons>;
+
+template <std::size_t I = 0> bool mayBeLeftOut(std::size_t Type) {
+  if constexpr (I < std::variant_size_v<Message>)
+    return Type == I ? MayBeLeftOut<std::variant_alternative_t<I, Message>>
+                     : mayBeLeftOut<I + 1>(Type);
+  else
+    return false;
+}
+
 template <std::size_t I = 0> Message decodeMessage(std::size_t Type, Json &J) {
   if constexpr (I < std::variant_size_v<Message>) {
     if (Type != I)
@@ -267,6 +286,63 @@
   return Json::array({M.index(), std::move(Body)});
 }
 
+// Deepest nesting of a frame, and most items of one.
+constexpr std::size_t MaxFrameDepth = 16;
+constexpr std::size_t MaxFrameItems = 2'000'000;
+
+// Checks the structure of a frame without recursion. The library's parser calls
+// itself for each array in an array, and its documents take many times the
+// memory of the text. Maps, tags and items of indefinite length do not occur in
+// frames.
+bool hasFrameStructure(const std::string &Bytes) {
+  std::vector<std::uint64_t> Open; // Items left in each array.
+  std::size_t Items = 0;
+  std::size_t Position = 0;
+  do {
+    if (Position >= Bytes.size() || ++Items > MaxFrameItems)
+      return false;
+    const auto Initial = static_cast<unsigned char>(Bytes[Position++]);
+    const unsigned Type = Initial >> 5;
+    const unsigned Short = Initial & 31;
+    constexpr unsigned FirstLong = 24;
+    constexpr unsigned LastLong = 27;
+    if (Short > LastLong)
+      return false;
+    const std::size_t Length =
+        Short < FirstLong ? 0 : std::size_t(1) << (Short - FirstLong);
+    if (Length > Bytes.size() - Position)
+      return false;
+    std::uint64_t Value = Short;
+    if (Length > 0)
+      Value = 0;
+    for (std::size_t I = 0; I < Length; ++I)
+      Value = Value << 8 | static_cast<unsigned char>(Bytes[Position++]);
+    if (!Open.empty())
+      --Open.back();
+    switch (Type) {
+    case 2: // Byte string.
+    case 3: // Text.
+      if (Value > Bytes.size() - Position)
+        return false;
+      Position += Value;
+      break;
+    case 4: // Array.
+      if (Value > Bytes.size() - Position || Open.size() >= MaxFrameDepth)
+        return false;
+      Open.push_back(Value);
+      break;
+    case 5: // Map.
+    case 6: // Tag.
+      return false;
+    default: // Numbers and simple values.
+      break;
+    }
+    while (!Open.empty() && Open.back() == 0)
+      Open.pop_back();
+  } while (!Open.empty());
+  return Position == Bytes.size();
+}
+
 Batch decodeBatch(Json &J) {
   if (J.size() != 4 || !J[3].is_array())
     throw DecodeError("wrong number of fields");
@@ -277,7 +353,14 @@
     if (!Item.is_array() || Item.size() != 2)
       throw DecodeError("expected a message");
     const auto Type = readUnsigned(Item[0], std::variant_size_v<Message>);
-    B.Messages_.push_back(decodeMessage(Type, Item[1]));
+    try {
+      B.Messages_.push_back(decodeMessage(Type, Item[1]));
+    } catch (const DecodeError &) {
+      if (!mayBeLeftOut(Type))
+        throw;
+      B.Unreadable_.insert(B.Messages_.size());
+      B.Messages_.emplace_back();
+    }
   }
   return B;
 }
@@ -370,6 +453,8 @@
   if (Bytes.size() > MaxBytes)
     return Failed("frame of " + std::to_string(Bytes.size()) +
                   " bytes exceeds the limit of " + std::to_string(MaxBytes));
+  if (!hasFrameStructure(Bytes))
+    return Failed("not the structure of a frame");
   const ArenaScope Scope;
   try {
     Json J = Json::from_cbor(Bytes);
--- a/src/message.h
+++ b/src/message.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <variant>
@@ -479,14 +480,17 @@
   std::uint64_t First_ = 0;
   std::uint64_t Acknowledged_ = 0;
   std::vector<Message> Messages_;
+  /// Positions in Messages_ of messages that could not be decoded and may be
+  /// left out, since they are sent again or are mere hints.
+  std::set<std::size_t> Unreadable_;
 };
 
 using Frame = std::variant<Hello, Heartbeat, Batch>;
 
 /// CBOR text of a frame.
 std::string encodeFrame(const Frame &F);
-/// Error codes: bad_frame (not CBOR, wrong types, unknown type number, more
-/// than MaxBytes bytes).
+/// Error codes: bad_frame (not CBOR, wrong types, unknown type number, nested
+/// too deeply, more than MaxBytes bytes).
 Result<Frame> decodeFrame(const std::string &Bytes, std::size_t MaxBytes);
 
 } // namespace chivelanding
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -137,14 +137,18 @@
       if (It != AddressByConnection_.end())
         AddressByPeer_[H->Name_] = It->second;
     }
+    if (const auto *B = std::get_if<Batch>(&value(F)))
+      if (!B->Unreadable_.empty())
+        Log_.write(
+            events::ItemsSkipped,
+            {{"source", "frame"},
+             {"items", std::to_string(B->Unreadable_.size())},
+             {"first", "message " + std::to_string(*B->Unreadable_.begin() +
+                                                   B->First_)}});
     apply(Links_.onFrame(Id, value(F), steadyNow()));
     return;
   }
-  Log_.write(events::FrameRefused, {{"code", error(F).Code_},
-                                    {"peer", "connection"},
-                                    {"detail", error(F).Detail_}});
-  Transport_.close(Id, error(F).Code_);
-  apply(Links_.onClosed(Id, steadyNow()));
+  apply(Links_.onBadFrame(Id, error(F), steadyNow()));
 }
 
 void PeerHub::Impl::onClosed(ConnectionId Id) {
--- a/src/run_message.h
+++ b/src/run_message.h
@@ -4,6 +4,7 @@
 #include "types.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -33,10 +34,16 @@
          Need.Accelerators_ <= Free.Accelerators_;
 }
 
+/// Sums beyond the range are the largest number.
 inline Resources &operator+=(Resources &A, const Resources &B) {
-  A.Cpu_ += B.Cpu_;
-  A.MemoryMb_ += B.MemoryMb_;
-  A.Accelerators_ += B.Accelerators_;
+  const auto Add = [](std::uint32_t &X, std::uint32_t Y) {
+    X = Y > std::numeric_limits<std::uint32_t>::max() - X
+            ? std::numeric_limits<std::uint32_t>::max()
+            : X + Y;
+  };
+  Add(A.Cpu_, B.Cpu_);
+  Add(A.MemoryMb_, B.MemoryMb_);
+  Add(A.Accelerators_, B.Accelerators_);
   return A;
 }
 
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -105,6 +105,57 @@
   CHECK(count<PeerLost>(P.AtAgent_) == 0);
 }
 
+// Guards against a session that never gets beyond a frame that the peer cannot
+// decode and that is sent again on each connection.
+TEST_CASE("A frame that is bad twice ends the session", "[link]") {
+  LinkPair P;
+  P.connect();
+  P.sendFromEntry(1);
+  const Error Bad{"bad_frame", "decode frame", "", "wrong type"};
+  P.fromAgent(P.Agent_.onBadFrame(P.Current_, Bad, P.Now_));
+  CHECK(count<PeerLost>(P.AtAgent_) == 0);
+  P.fromEntry(P.Entry_.onClosed(P.Current_, P.Now_));
+  P.DropFrames_ = true;
+  P.sendFromEntry(2);
+  P.DropFrames_ = false;
+  ++P.Current_;
+  // The session is resumed, but the frame with message 2 is bad.
+  P.Entry_.onAccepted(P.Current_, P.Now_);
+  P.DropFrames_ = false;
+  P.fromAgent(P.Agent_.onDialled(P.Current_, P.Now_));
+  P.fromAgent(P.Agent_.onBadFrame(P.Current_, Bad, P.Now_));
+  P.fromEntry(P.Entry_.onClosed(P.Current_, P.Now_));
+  const bool WasDelivered = P.deliveredAtAgent().back() == 2;
+  if (WasDelivered) { // The good frame in between counts as progress.
+    CHECK(count<PeerLost>(P.AtAgent_) == 0);
+    P.connect();
+    P.fromAgent(P.Agent_.onBadFrame(P.Current_, Bad, P.Now_));
+    P.fromEntry(P.Entry_.onClosed(P.Current_, P.Now_));
+  }
+  CHECK(count<PeerLost>(P.AtAgent_) == 1);
+  P.connect();
+  CHECK(count<PeerUp>(P.AtAgent_) == 2);
+  P.sendFromEntry(3);
+  CHECK(P.deliveredAtAgent().back() == 3);
+}
+
+// Guards against a session number that leaves none for the next session.
+TEST_CASE("A Hello with an absurd session number is refused", "[link]") {
+  LinkPair P;
+  P.Entry_.onAccepted(ConnectionId(1), P.Now_);
+  Hello H;
+  H.Role_ = Role::Agent;
+  H.Name_ = "agent";
+  H.Incarnation_ = Incarnation(1);
+  P.Entry_.onFrame(ConnectionId(1), H, P.Now_);
+  H.Session_ = ~std::uint64_t(0);
+  H.PeerName_ = "entry";
+  H.Peer_ = EntryPeer.Incarnation_;
+  const LinkOutputs Out = P.Entry_.onFrame(ConnectionId(1), H, P.Now_);
+  CHECK(count<CloseConnection>(Out) == 1);
+  CHECK(count<PeerUp>(Out) == 0);
+}
+
 // Guards against a repeated frame that is delivered again, and against a gap
 // that is accepted as if no message were missing.
 TEST_CASE("Repeated frames are dropped and gaps refused", "[link]") {
