Believe no clock of an endpoint beyond 30,000 years

A clock near the end of its range in a poll answer overflowed the computation of the lease end: "An agent survives messages with extreme numbers" under the undefined-behaviour sanitizer (signed integer overflow in leaseEnd). Such a clock counts as missing now; the sanitizer reports nothing in odd_frames_test.cpp and odd_reports_test.cpp.

--- a/src/run_supervisor.cpp
+++ b/src/run_supervisor.cpp
@@ -130,8 +130,8 @@
   Cold_ = ColdStart();
   OfferedPermille_ = WholeSharePermille;
   updateCordoned();
-  ClockMs_ = Endpoint.ClockMs_;
   ClockAt_ = Now;
+  syncClock(Endpoint.ClockMs_, Now);
   for (auto It = Runs_.begin(); It != Runs_.end();) {
     Run &R = It->second;
     if (!SameId || (R.Listed_ && !startOutcomeUnknown(R))) {
--- a/src/run_supervisor_polls.cpp
+++ b/src/run_supervisor_polls.cpp
@@ -28,6 +28,8 @@
 // end: far more than an endpoint lists at once, and than it ends in a year.
 constexpr std::uint64_t MaxEndNumberStep = 1'000'000;
 constexpr std::uint64_t MaxEndNumber = std::uint64_t(1) << 40;
+// Latest clock of an endpoint that is believed: 30,000 years.
+constexpr std::uint64_t MaxClockMs = std::uint64_t(1) << 50;
 // Pause between two stop calls for the same orphaned run.
 constexpr Duration OrphanStopPause = std::chrono::milliseconds(150);
 
@@ -41,7 +43,7 @@
 // least at this value now. Answers may overtake each other; an older value is
 // ignored.
 void RunSupervisor::syncClock(std::uint64_t ClockMs, Time Now) {
-  if (ClockMs <= ClockMs_)
+  if (ClockMs <= ClockMs_ || ClockMs > MaxClockMs)
     return;
   ClockMs_ = ClockMs;
   ClockAt_ = Now;
