--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -180,7 +180,7 @@
         self.running, self.ended, self.refused_up_to = {}, [], {}
         self.ends, self.token, self.lease_end, self.seq = 0, 0, 0.0, 0
         self.ended_event = asyncio.Event()
-        self.mute = False
+        self.mute, self.state = False, "ready"
 
     def clock(self):
         return int((now() - self.started) * 1000) + 1
@@ -190,17 +190,25 @@
         asyncio.ensure_future(self.beat())
         asyncio.ensure_future(self.work())
 
+    def report(self):
+        draining = {"drainRemainingMs": 2000} if self.state == "draining" else {}
+        return {**draining, "service": SERVICE, "address": f"{self.ip}:{APP}",
+                "zone": self.zone, "version": "v1", "slots": 8, "state": self.state,
+                "coldRemainingMs": 0,
+                "capacity": {"cpu": self.cpu, "memMb": 65536, "gpu": 0},
+                "labels": ["a", f"r{self.number % 3}"], "clockMs": self.clock(),
+                "born": self.born, "seq": self.seq}
+
+    async def beat_once(self):
+        self.seq += 1
+        answer = await call((self.ip, CONTROL), "POST",
+                            f"/Instances.Heartbeat/{self.id}",
+                            json.dumps(self.report()).encode(), timeout=1.0)
+        return answer[0] if answer else 0
+
     async def beat(self):
         while True:
-            self.seq += 1
-            body = {"service": SERVICE, "address": f"{self.ip}:{APP}",
-                    "zone": self.zone, "version": "v1", "slots": 8, "state": "ready",
-                    "coldRemainingMs": 0,
-                    "capacity": {"cpu": self.cpu, "memMb": 65536, "gpu": 0},
-                    "labels": ["a", f"r{self.number % 3}"], "clockMs": self.clock(),
-                    "born": self.born, "seq": self.seq}
-            await call((self.ip, CONTROL), "POST", f"/Instances.Heartbeat/{self.id}",
-                       json.dumps(body).encode(), timeout=1.0)
+            await self.beat_once()
             await asyncio.sleep(1.5 if self.seq > 3 else 0.3)
 
     def end(self, task, how):
@@ -440,7 +448,8 @@
         self.record.write(f"run      {task} run {run} ends {how} on worker "
                           f"{worker.number}")
 
-    async def submit(self, entry, job, tasks, cpu, length_s, deadline_s):
+    async def submit(self, entry, job, tasks, cpu, length_s, deadline_s,
+                     address=None):
         """Hands the job in at an entry and waits for the answer: (status, state)."""
         self.jobs[job] = {"cpu": cpu, "length_s": length_s}
         body = json.dumps({"spec": "text", "bestEffort": True, "steps": [
@@ -448,7 +457,8 @@
              "estRuntimeMs": int(length_s * 1000)}]}).encode()
         self.record.write(f"client   POST {job} to entry {entry}: {tasks} tasks, each "
                           f"{length_s} s, waits {deadline_s} s")
-        answer = await call((self.ip(1, entry), FRONT), "POST", PREFIX + job, body,
+        answer = await call(address or (self.ip(1, entry), FRONT), "POST",
+                            PREFIX + job, body,
                             [("Host", HOST), ("X-Deadline-Ms", int(deadline_s * 1000))],
                             deadline_s)
         status = answer[0] if answer else 0
