--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -215,12 +215,16 @@
   try {
     const toml::table Parsed = toml::parse(Text);
     for (const auto &[Given, Node] : Parsed)
-      if (Given.str() != "process" && Given.str() != Role &&
+      if (Given.str() != "process" && Given.str() != "limits" &&
+          Given.str() != Role &&
           !isDispatchTable<T>(Given.str()))
         Report.add(Given.source(),
                    "unknown table or key '" + std::string(Given.str()) + "'");
     readTable(Parsed, "process", processKeys(), Out.Process_, Report);
     readTable(Parsed, Role, Keys, Out, Report);
+    if (Parsed.contains("limits"))
+      readTable(Parsed, "limits", resourceKeys(), Out.Process_.Resources_,
+                Report);
     if constexpr (HasLeases<T>::value) {
       readTable(Parsed, "leases", leaseKeys(), Out.Leases_, Report);
       if (Parsed.contains("cordons"))
--- a/src/settings.h
+++ b/src/settings.h
@@ -21,6 +21,13 @@
   }
 };
 
+/// What a process may use of its VM.
+struct ResourceLimits {
+  std::uint32_t MemoryMb_ = 1024;
+  /// Open file descriptors.
+  std::uint32_t Descriptors_ = 4100;
+};
+
 /// Settings common to all roles. Times are in milliseconds in the file.
 struct ProcessSettings {
   std::string Name_;
@@ -41,6 +48,7 @@
   Duration DrainLimit_ = std::chrono::seconds(30);
   /// Address of the platform's log; port 0 if this process does not read it.
   SocketAddress Log_;
+  ResourceLimits Resources_;
 };
 
 struct EntrySettings {
@@ -143,13 +151,15 @@
 template <typename Settings>
 using LoadedSettings = std::variant<Settings, SettingsErrors>;
 
-/// Reads the [process] and [entry] tables of a TOML file. Every key is checked
-/// for its type and range; unknown keys are refused.
+/// Reads the [process] and [entry] tables of a TOML file, and [limits] if it is
+/// there. Every key is checked for its type and range; unknown keys are
+/// refused.
 LoadedSettings<EntrySettings> loadEntrySettings(const std::string &Path);
-/// Reads the [process] and [agent] tables of a TOML file.
+/// Reads the [process] and [agent] tables of a TOML file, and [limits] if it is
+/// there.
 LoadedSettings<AgentSettings> loadAgentSettings(const std::string &Path);
 /// Reads the [process], [leases] and [dispatch_entry] or [dispatch_agent]
-/// tables of a TOML file, and [cordons] if it is there.
+/// tables of a TOML file, and [limits] and [cordons] if they are there.
 LoadedSettings<DispatchEntrySettings>
 loadDispatchEntrySettings(const std::string &Path);
 LoadedSettings<DispatchAgentSettings>
--- a/src/settings_keys.cpp
+++ b/src/settings_keys.cpp
@@ -39,6 +39,19 @@
   return Keys;
 }
 
+const std::vector<Key<ResourceLimits>> &resourceKeys() {
+  using S = ResourceLimits;
+  static const std::vector<Key<S>> Keys = {
+      {"memory_mb", &S::MemoryMb_, 32, 1'048'576, false,
+       "memory that this process may use; a request, and all requests and jobs "
+       "together, may hold a part of it"},
+      {"descriptors", &S::Descriptors_, 128, 1'048'576, false,
+       "file descriptors that this process may open; callers, peers and others "
+       "have a part of them each"},
+  };
+  return Keys;
+}
+
 const std::vector<Key<EntrySettings>> &entryKeys() {
   using S = EntrySettings;
   static const std::vector<Key<S>> Keys = {
--- a/src/settings_keys.h
+++ b/src/settings_keys.h
@@ -27,6 +27,7 @@
 };
 
 const std::vector<Key<ProcessSettings>> &processKeys();
+const std::vector<Key<ResourceLimits>> &resourceKeys();
 const std::vector<Key<EntrySettings>> &entryKeys();
 const std::vector<Key<AgentSettings>> &agentKeys();
 const std::vector<Key<LeaseSettings>> &leaseKeys();
