Read into memory of its own what arrives while a reply is pending

Callers saw a second request on a connection refused, or run with another body, if it came in two parts around the reply to the first one. An asynchronous read had prepared its place in the buffer; parsing consumed the buffer meanwhile, which moved that place, so that older bytes were taken for the new ones.

Now only readiness is awaited, and bytes are read when they are to be appended. An idle connection holds no buffer any more.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -15,6 +15,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <array>
 #include <optional>
 #include <unordered_set>
 
@@ -62,6 +64,8 @@
   HttpHandler Handler_;
   tcp::acceptor Acceptor_;
   asio::steady_timer SweepTimer_;
+  /// Takes the bytes of one read, of any session.
+  std::array<char, ReadBytes> ReadBuffer_{};
   std::unordered_set<Session *> Sessions_;
   bool Accepting_ = false;
   bool CloseAfterReplies_ = false;
@@ -85,8 +89,9 @@
   void drain();
 
 private:
-  void read();
-  void onRead(const error_code &Ec, std::size_t Bytes);
+  void awaitData();
+  void onReadable(const error_code &Ec);
+  bool readAvailable();
   void parse();
   void dispatch();
   void refuse(const error_code &Ec);
@@ -101,7 +106,7 @@
   http::response<http::string_body> Response_;
   std::function<void()> OnDisconnect_;
   std::optional<Time> Deadline_;
-  bool Reading_ = false;
+  bool AwaitingData_ = false;
   bool ReplyPending_ = false;
   bool ContinueHandled_ = false;
   bool KeepAlive_ = true;
@@ -118,8 +123,9 @@
 void HttpServer::Session::start() {
   error_code Ec;
   Socket_.set_option(tcp::no_delay(true), Ec);
+  Socket_.non_blocking(true, Ec);
   Deadline_ = steadyNow() + Server_->Limits_.IdleTimeout_;
-  read();
+  awaitData();
 }
 
 void HttpServer::Session::close() {
@@ -144,32 +150,47 @@
     close();
 }
 
-// A read stays pending while a reply is awaited, because only its end of file
+// Data is awaited also while a reply is pending, because only the end of file
 // shows that the caller has disconnected.
-void HttpServer::Session::read() {
-  if (Reading_ || Closed_)
+void HttpServer::Session::awaitData() {
+  if (AwaitingData_ || Closed_)
     return;
-  Reading_ = true;
-  Socket_.async_read_some(
-      Buffer_.prepare(ReadBytes),
-      [Self = shared_from_this()](const error_code &Ec, std::size_t Bytes) {
-        Self->onRead(Ec, Bytes);
-      });
+  AwaitingData_ = true;
+  Socket_.async_wait(tcp::socket::wait_read,
+                     [Self = shared_from_this()](const error_code &Ec) {
+                       Self->onReadable(Ec);
+                     });
 }
 
-void HttpServer::Session::onRead(const error_code &Ec, std::size_t Bytes) {
-  Reading_ = false;
-  if (Ec) {
+void HttpServer::Session::onReadable(const error_code &Ec) {
+  AwaitingData_ = false;
+  if (Closed_)
+    return;
+  if (Ec || !readAvailable()) {
     close();
     return;
   }
-  Buffer_.commit(Bytes);
-  if (!ReplyPending_) {
+  if (!ReplyPending_)
     parse();
-    return;
-  }
-  if (Buffer_.size() < ReadAheadBytes)
-    read();
+  else if (Buffer_.size() < ReadAheadBytes)
+    awaitData();
+}
+
+// Nothing is read into Buffer_ asynchronously: parse() consumes bytes of it
+// between the begin and the end of a wait, which moves the place where the next
+// ones belong. False at the end of the connection.
+bool HttpServer::Session::readAvailable() {
+  const std::size_t Wanted =
+      ReplyPending_ ? ReadAheadBytes - Buffer_.size() : ReadBytes;
+  error_code Ec;
+  const std::size_t Bytes = Socket_.read_some(
+      asio::buffer(Server_->ReadBuffer_, std::min(Wanted, ReadBytes)), Ec);
+  if (Ec)
+    return Ec == asio::error::would_block || Ec == asio::error::interrupted;
+  asio::buffer_copy(Buffer_.prepare(Bytes),
+                    asio::buffer(Server_->ReadBuffer_, Bytes));
+  Buffer_.commit(Bytes);
+  return true;
 }
 
 // The deadline of a request counts from its first byte and is not extended by
@@ -201,7 +222,7 @@
     return;
   }
   continueIfExpected();
-  read();
+  awaitData();
 }
 
 void HttpServer::Session::continueIfExpected() {
@@ -242,7 +263,7 @@
   Request.SenderGone_ = peerHasClosed();
   Server_->Handler_(std::move(Request), shared_from_this());
   if (Buffer_.size() < ReadAheadBytes)
-    read();
+    awaitData();
 }
 
 void HttpServer::Session::refuse(const error_code &Ec) {
@@ -285,7 +306,7 @@
   if (Buffer_.size() > 0)
     parse();
   else
-    read();
+    awaitData();
 }
 
 void HttpServer::Session::onDisconnect(std::function<void()> Callback) {
