Limit trailers and the size lines of chunks

A process ran out of memory while clients sent trailers without end behind a chunked body. The parser leaves the trailers, and the line of a chunk's size with its extensions, in the buffer until they are complete, and limits neither.

They may now be as long as a header, 16 KiB; beyond it, the request is refused with 431. Nothing else stays in the buffer, so that this bounds it.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -193,6 +193,9 @@
   return true;
 }
 
+// The parser leaves the line of a chunk's size and the trailers in the buffer
+// until they are complete, and has no limit of its own for them.
+//
 // The deadline of a request counts from its first byte and is not extended by
 // further bytes, so that a slow sender cannot occupy the connection.
 void HttpServer::Session::parse() {
@@ -221,6 +224,10 @@
     dispatch();
     return;
   }
+  if (Buffer_.size() > Server_->Limits_.MaxHeaderBytes_) {
+    refuse(http::error::header_limit);
+    return;
+  }
   continueIfExpected();
   awaitData();
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -16,6 +16,8 @@
 
 /// Limits of one HTTP listener.
 struct HttpServerLimits {
+  /// Also the limit of a chunk's size line with its extensions, and of all
+  /// trailers.
   std::uint32_t MaxHeaderBytes_ = 16u << 10;
   std::uint64_t MaxBodyBytes_ = 16u << 20;
   /// Further connections wait in the listen queue of the operating system.
