Let a new connection take the place of the least useful one

Callers got no answer while others kept connections open: at the limit of a listener, or without descriptors, new ones waited until an old one expired, and one whose client read no response never did.

A listener now accepts each connection and closes the one that has been idle, sending a request or reading a response for the longest time, never one whose request is in service. A response of which the client takes nothing for 10 s ends its connection. The limits come from [limits]. Each closed connection and each refusal of the listener is logged as connection_dropped and counted in chivelanding_connections_dropped_total by listener and cause.

--- a/src/agent_service.cpp
+++ b/src/agent_service.cpp
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "config_service.h"
 #include "cordon_edit.h"
+#include "drop_log.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "metrics.h"
@@ -106,6 +107,7 @@
                [this](const AcceptedPtr &State) { onConfig(*State); }}),
       Timer_(Io) {
   Log_.setCounter([this](const EventType &Type) { Metrics_.count(Type); });
+  Http_.onDrop(makeDropHandler("endpoint", Log_, Metrics_));
 }
 
 PeerHandler AgentService::Impl::makeHandler() {
--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "counted_store.h"
+#include "drop_log.h"
 #include "durations.h"
 #include "entry_presence.h"
 #include "http_server.h"
@@ -11,6 +12,7 @@
 #include "periodic_timer.h"
 #include "persisted_endpoint.h"
 #include "random_number.h"
+#include "resource_plan.h"
 #include "run_supervisor.h"
 #include "status_server.h"
 
@@ -126,7 +128,8 @@
             }),
       MetricsServer_(
           Io, [this] { return Supervisor_.ready(); },
-          [this] { return metrics(); }),
+          [this] { return metrics(); },
+          planResources(Settings_.Process_.Resources_).StatusConnections_),
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
       Presence_(Io, Store_, Log,
                 [this](const SocketAddress &Entry) {
@@ -135,6 +138,8 @@
                 }),
       PersistedEndpoint_(Io, Store_, Log, Self_.Name_), Timer_(Io) {
   Log_.setCounter([this](const EventType &Type) { Metrics_.count(Type); });
+  Http_.onDrop(makeDropHandler("endpoint", Log_, Metrics_));
+  MetricsServer_.onDrop(makeDropHandler("metrics", Log_, Metrics_));
 }
 
 PeerHandler DispatchAgent::Impl::makeHandler() {
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -6,6 +6,7 @@
 #include "counted_store.h"
 #include "dispatch_metrics.h"
 #include "drain_plan.h"
+#include "drop_log.h"
 #include "durations.h"
 #include "entry_config.h"
 #include "entry_presence.h"
@@ -16,6 +17,7 @@
 #include "peer_hub.h"
 #include "periodic_timer.h"
 #include "random_number.h"
+#include "resource_plan.h"
 #include "status_server.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,7 +39,6 @@
 // may escape, and a few hundred bytes of steps.
 constexpr std::uint32_t MaxHeaderBytes = 16u << 10;
 constexpr std::uint64_t MaxBodyBytes = 256u << 10;
-constexpr std::uint32_t MaxConnections = 3000;
 constexpr Duration ReadTimeout = std::chrono::seconds(3);
 constexpr Duration IdleTimeout = std::chrono::seconds(60);
 // Time after a pause in which no run is started, so that the ends of callers'
@@ -84,6 +85,7 @@
 
   asio::io_context &Io_;
   DispatchEntrySettings Settings_;
+  ResourcePlan Resources_;
   EntryPorts Ports_;
   EventLog &Log_;
   EntryId Self_;
@@ -111,7 +113,9 @@
 
 DispatchEntry::Impl::Impl(asio::io_context &Io, DispatchEntrySettings Settings,
                           EntryPorts Ports, EventLog &Log)
-    : Io_(Io), Settings_(std::move(Settings)), Ports_(std::move(Ports)),
+    : Io_(Io), Settings_(std::move(Settings)),
+      Resources_(planResources(Settings_.Process_.Resources_)),
+      Ports_(std::move(Ports)),
       Log_(Log), Self_{Settings_.Process_.Name_,
                        Incarnation(drawRandomNumber())},
       Dispatcher_(Self_.Name_, Settings_.Process_.Zone_,
@@ -119,15 +123,18 @@
       Metrics_({{"role", "entry"}, {"name", Self_.Name_}}),
       Store_(*Ports_.Store_, Metrics_),
       Http_(Io,
-            HttpServerLimits{MaxHeaderBytes, MaxBodyBytes, MaxConnections,
-                             ReadTimeout, IdleTimeout},
+            HttpServerLimits{MaxHeaderBytes, MaxBodyBytes,
+                             Resources_.CallerConnections_, ReadTimeout,
+                             IdleTimeout},
             [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
               onRequest(std::move(Request), Reply);
             }),
       ReadyServer_(
-          Io, [this] { return isReady(); }, [this] { return metrics(); }),
+          Io, [this] { return isReady(); }, [this] { return metrics(); },
+          Resources_.StatusConnections_),
       MetricsServer_(
-          Io, [this] { return isReady(); }, [this] { return metrics(); }),
+          Io, [this] { return isReady(); }, [this] { return metrics(); },
+          Resources_.StatusConnections_),
       Hub_(Io, Settings_.Process_, PeerId::of(Self_), Log, makeHandler()),
       Config_(
           *Ports_.Configs_, Log,
@@ -148,6 +155,9 @@
                 [this](const SocketAddress &Entry) { Hub_.addSeed(Entry); }),
       Timer_(Io) {
   Log_.setCounter([this](const EventType &Type) { Metrics_.count(Type); });
+  Http_.onDrop(makeDropHandler("callers", Log_, Metrics_));
+  ReadyServer_.onDrop(makeDropHandler("ready", Log_, Metrics_));
+  MetricsServer_.onDrop(makeDropHandler("metrics", Log_, Metrics_));
 }
 
 PeerHandler DispatchEntry::Impl::makeHandler() {
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -6,17 +6,20 @@
 #include "config_policy.h"
 #include "config_service.h"
 #include "cordon_edit.h"
+#include "drop_log.h"
 #include "entry_core.h"
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_hub.h"
 #include "periodic_timer.h"
 #include "random_number.h"
+#include "resource_plan.h"
 #include "team_auth.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <unordered_map>
@@ -27,6 +30,21 @@
 // Period of the decision modules' timers.
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
 
+HttpServerLimits callerLimits(const EntrySettings &S) {
+  const ResourcePlan Plan = planResources(S.Process_.Resources_);
+  HttpServerLimits Limits;
+  Limits.MaxBodyBytes_ = S.MaxBodyBytes_;
+  Limits.MaxConnections_ = std::min(S.MaxConnections_, Plan.CallerConnections_);
+  return Limits;
+}
+
+HttpServerLimits adminLimits(const EntrySettings &S) {
+  HttpServerLimits Limits;
+  Limits.MaxConnections_ =
+      planResources(S.Process_.Resources_).StatusConnections_;
+  return Limits;
+}
+
 HttpResponse notFound() {
   return {404, "application/json", {}, R"({"code":"not_found"})"};
 }
@@ -169,13 +187,11 @@
                          EventLog &Log)
     : Io_(Io), Settings_(std::move(Settings)), Log_(Log), Core_(makeCore()),
       Metrics_({{"role", "entry"}, {"name", Settings_.Process_.Name_}}),
-      Http_(Io,
-            HttpServerLimits{16u << 10, Settings_.MaxBodyBytes_,
-                             Settings_.MaxConnections_},
+      Http_(Io, callerLimits(Settings_),
             [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
               onRequest(std::move(Request), Reply);
             }),
-      Admin_(Io, HttpServerLimits{},
+      Admin_(Io, adminLimits(Settings_),
              [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
                onAdminRequest(Request, Reply);
              }),
@@ -185,6 +201,8 @@
       Publisher_(Config_, Log, Settings_.AdminListen_.isLoopback()),
       Timer_(Io) {
   Log_.setCounter([this](const EventType &Type) { Metrics_.count(Type); });
+  Http_.onDrop(makeDropHandler("callers", Log_, Metrics_));
+  Admin_.onDrop(makeDropHandler("admin", Log_, Metrics_));
 }
 
 // The new incarnation relays the submissions of waiting callers to the entry
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -25,6 +25,10 @@
     107, "items_skipped", Severity::Warning,
     "Malformed items of a list, or a field that is out of range, are left out; "
     "the others hold."};
+const EventType ConnectionDropped{
+    108, "connection_dropped", Severity::Warning,
+    "A listener has refused a malformed request, or closed a connection at a "
+    "time limit or to make room. No request of which this was said has run."};
 const EventType LinkUp{200, "link_up", Severity::Info,
                        "A connection to a peer is established."};
 const EventType LinkDown{201, "link_down", Severity::Info,
@@ -208,6 +212,7 @@
       &LogLinesDropped,
       &ProcessPaused,
       &ItemsSkipped,
+      &ConnectionDropped,
       &LinkUp,
       &LinkDown,
       &PeerSuspected,
--- a/src/events.h
+++ b/src/events.h
@@ -49,6 +49,7 @@
 extern const EventType LogLinesDropped;
 extern const EventType ProcessPaused;
 extern const EventType ItemsSkipped;
+extern const EventType ConnectionDropped;
 // 200-299: membership and links.
 extern const EventType LinkUp;
 extern const EventType LinkDown;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,7 +1,9 @@
 #include "http_server.h"
 
 #include "clock.h"
+#include "connection_table.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -12,12 +14,14 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace chivelanding {
@@ -35,6 +39,14 @@
 // Period of the check for connections past their deadline.
 constexpr auto SweepPeriod = std::chrono::milliseconds(500);
 
+// Sent without waiting before a connection is given up that may have sent a
+// part of a request. Nothing of it was handled.
+constexpr std::string_view GivenUpResponse =
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+    "Retry-After: 1\r\nConnection: close\r\nContent-Length: 60\r\n\r\n"
+    R"({"outcome":"failed","cause":"not_run","code":"crowded_out"})"
+    "\n";
+
 struct Refusal {
   unsigned Status_;
   const char *Code_;
@@ -52,16 +64,21 @@
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   Impl(asio::io_context &Io, HttpServerLimits Limits, HttpHandler Handler)
-      : Io_(Io), Limits_(Limits), Handler_(std::move(Handler)), Acceptor_(Io),
-        SweepTimer_(Io) {}
+      : Io_(Io), Limits_(Limits), Handler_(std::move(Handler)),
+        Table_({Limits.MaxConnections_}), Acceptor_(Io), SweepTimer_(Io) {}
 
   void accept();
+  void onAccepted(tcp::socket Socket);
+  /// Gives up the least useful connection. False if there is none.
+  bool dropForNew();
   void sweep();
-  void onSessionEnded(Session *S);
 
   asio::io_context &Io_;
   HttpServerLimits Limits_;
   HttpHandler Handler_;
+  DropHandler OnDrop_;
+  ConnectionTable Table_;
+  std::unordered_map<std::uint64_t, Session *> SessionByNumber_;
   tcp::acceptor Acceptor_;
   asio::steady_timer SweepTimer_;
   /// Takes the bytes of one read, of any session.
@@ -78,36 +95,50 @@
       public std::enable_shared_from_this<HttpServer::Session> {
 public:
   Session(std::shared_ptr<HttpServer::Impl> Server, tcp::socket Socket);
-  ~Session() override { Server_->onSessionEnded(this); }
+  ~Session() override { Server_->Sessions_.erase(this); }
 
   void start();
   void send(HttpResponse Response) override;
   void onDisconnect(std::function<void()> Callback) override;
   bool callerGone() override { return Closed_ || peerHasClosed(); }
   void close();
+  /// Closes the connection because of this code, which is reported.
+  void drop(const char *Code);
+  /// The same; the caller may read that its request was not handled.
+  void giveUp(const char *Code);
   void closeIfExpired(Time Now);
   void drain();
 
 private:
+  void enter(ConnectionPhase Phase);
+  bool isReplyPending() const {
+    return Phase_ == ConnectionPhase::Pending ||
+           Phase_ == ConnectionPhase::Sending;
+  }
   void awaitData();
   void onReadable(const error_code &Ec);
   bool readAvailable();
   void parse();
   void dispatch();
   void refuse(const error_code &Ec);
+  void report(const char *Code);
+  void write();
   void onWritten(const error_code &Ec);
   void continueIfExpected();
   bool peerHasClosed();
+  bool peerHasShutDown();
 
   std::shared_ptr<HttpServer::Impl> Server_;
   tcp::socket Socket_;
   boost::beast::flat_buffer Buffer_;
   std::optional<http::request_parser<http::string_body>> Parser_;
   http::response<http::string_body> Response_;
+  std::optional<http::response_serializer<http::string_body>> Serializer_;
   std::function<void()> OnDisconnect_;
+  ConnectionNumber Number_;
+  ConnectionPhase Phase_ = ConnectionPhase::Idle;
   std::optional<Time> Deadline_;
   bool AwaitingData_ = false;
-  bool ReplyPending_ = false;
   bool ContinueHandled_ = false;
   bool KeepAlive_ = true;
   bool Closed_ = false;
@@ -118,6 +149,8 @@
                              tcp::socket Socket)
     : Server_(std::move(Server)), Socket_(std::move(Socket)) {
   Server_->Sessions_.insert(this);
+  Number_ = Server_->Table_.add(steadyNow());
+  Server_->SessionByNumber_[Number_.value()] = this;
 }
 
 void HttpServer::Session::start() {
@@ -132,6 +165,8 @@
   if (Closed_)
     return;
   Closed_ = true;
+  Server_->Table_.remove(Number_);
+  Server_->SessionByNumber_.erase(Number_.value());
   error_code Ec;
   Socket_.shutdown(tcp::socket::shutdown_both, Ec);
   Socket_.close(Ec);
@@ -139,14 +174,54 @@
     Callback();
 }
 
+void HttpServer::Session::enter(ConnectionPhase Phase) {
+  Phase_ = Phase;
+  Server_->Table_.setPhase(Number_, Phase, steadyNow());
+}
+
+void HttpServer::Session::report(const char *Code) {
+  if (!Server_->OnDrop_)
+    return;
+  error_code Ec;
+  const auto Caller = Socket_.remote_endpoint(Ec);
+  Server_->OnDrop_(
+      {Code,
+       Ec ? std::string()
+          : SocketAddress{Caller.address().to_string(), Caller.port()}.str()});
+}
+
+void HttpServer::Session::drop(const char *Code) {
+  report(Code);
+  close();
+}
+
+// An idle connection gets no response: its caller would take it for that to its
+// next request.
+void HttpServer::Session::giveUp(const char *Code) {
+  error_code Ignored;
+  if (Phase_ == ConnectionPhase::Receiving)
+    Socket_.write_some(asio::buffer(GivenUpResponse), Ignored);
+  drop(Code);
+}
+
 void HttpServer::Session::closeIfExpired(Time Now) {
-  if (!ReplyPending_ && Deadline_ && *Deadline_ <= Now)
+  if (Phase_ == ConnectionPhase::Pending) {
+    if (!AwaitingData_ && peerHasShutDown())
+      close();
+    return;
+  }
+  if (!Deadline_ || *Deadline_ > Now)
+    return;
+  if (Phase_ == ConnectionPhase::Idle)
     close();
+  else
+    drop(Phase_ == ConnectionPhase::Receiving ? "read_timeout"
+                                              : "write_timeout");
 }
 
 void HttpServer::Session::drain() {
   Draining_ = true;
-  if (!ReplyPending_)
+  if (!isReplyPending())
     close();
 }
 
@@ -170,7 +245,7 @@
     close();
     return;
   }
-  if (!ReplyPending_)
+  if (!isReplyPending())
     parse();
   else if (Buffer_.size() < ReadAheadBytes)
     awaitData();
@@ -181,7 +256,7 @@
 // ones belong. False at the end of the connection.
 bool HttpServer::Session::readAvailable() {
   const std::size_t Wanted =
-      ReplyPending_ ? ReadAheadBytes - Buffer_.size() : ReadBytes;
+      isReplyPending() ? ReadAheadBytes - Buffer_.size() : ReadBytes;
   error_code Ec;
   const std::size_t Bytes = Socket_.read_some(
       asio::buffer(Server_->ReadBuffer_, std::min(Wanted, ReadBytes)), Ec);
@@ -205,6 +280,7 @@
     Parser_->header_limit(Server_->Limits_.MaxHeaderBytes_);
     Parser_->body_limit(Server_->Limits_.MaxBodyBytes_);
     ContinueHandled_ = false;
+    enter(ConnectionPhase::Receiving);
     Deadline_ = steadyNow() + Server_->Limits_.ReadTimeout_;
   }
   while (Buffer_.size() > 0 && !Parser_->is_done()) {
@@ -254,10 +330,16 @@
                         errno != EINTR);
 }
 
+// The same behind bytes that have not been read, because enough are kept.
+bool HttpServer::Session::peerHasShutDown() {
+  pollfd Poll{Socket_.native_handle(), POLLRDHUP, 0};
+  return ::poll(&Poll, 1, 0) == 1;
+}
+
 void HttpServer::Session::dispatch() {
   auto Message = Parser_->release();
   Parser_.reset();
-  ReplyPending_ = true;
+  enter(ConnectionPhase::Pending);
   KeepAlive_ = Message.keep_alive();
   HttpRequest Request;
   Request.Method_ = std::string(Message.method_string());
@@ -275,7 +357,7 @@
 
 void HttpServer::Session::refuse(const error_code &Ec) {
   const Refusal R = makeRefusal(Ec);
-  ReplyPending_ = true;
+  report(R.Code_);
   KeepAlive_ = false;
   send({R.Status_,
         "application/json",
@@ -296,19 +378,35 @@
                        !Server_->CloseAfterReplies_);
   Response_.body() = std::move(Response.Body_);
   Response_.prepare_payload();
-  http::async_write(
-      Socket_, Response_,
+  Serializer_.emplace(Response_);
+  enter(ConnectionPhase::Sending);
+  write();
+}
+
+// Each part that the caller takes extends the time for the next one, since a
+// response may be long and a link slow.
+void HttpServer::Session::write() {
+  Deadline_ = steadyNow() + Server_->Limits_.WriteTimeout_;
+  http::async_write_some(
+      Socket_, *Serializer_,
       [Self = shared_from_this()](const error_code &Ec, std::size_t) {
-        Self->onWritten(Ec);
+        if (Ec || Self->Serializer_->is_done())
+          Self->onWritten(Ec);
+        else
+          Self->write();
       });
 }
 
 void HttpServer::Session::onWritten(const error_code &Ec) {
-  ReplyPending_ = false;
+  if (Closed_)
+    return;
   if (Ec || !Response_.keep_alive()) {
     close();
     return;
   }
+  Serializer_.reset();
+  Response_ = {};
+  enter(ConnectionPhase::Idle);
   Deadline_ = steadyNow() + Server_->Limits_.IdleTimeout_;
   if (Buffer_.size() > 0)
     parse();
@@ -320,23 +418,47 @@
   OnDisconnect_ = std::move(Callback);
 }
 
+// A lack of descriptors ends neither the listener nor the wait of new callers:
+// the least useful connection makes room. After other errors, the next sweep
+// accepts again, not this handler.
 void HttpServer::Impl::accept() {
-  if (Accepting_ || !Acceptor_.is_open() ||
-      Sessions_.size() >= Limits_.MaxConnections_)
+  if (Accepting_ || !Acceptor_.is_open())
     return;
   Accepting_ = true;
   Acceptor_.async_accept(
       [Self = shared_from_this()](const error_code &Ec, tcp::socket Socket) {
         Self->Accepting_ = false;
         if (!Ec)
-          std::make_shared<Session>(Self, std::move(Socket))->start();
-        // After errors such as a lack of file descriptors, the next sweep
-        // accepts again, not this handler.
-        if (!Ec || Ec == asio::error::connection_aborted)
+          Self->onAccepted(std::move(Socket));
+        const bool MadeRoom =
+            (Ec == asio::error::no_descriptors ||
+             Ec == boost::system::errc::too_many_files_open_in_system) &&
+            Self->dropForNew();
+        if (!Ec || MadeRoom || Ec == asio::error::connection_aborted)
           Self->accept();
       });
 }
 
+void HttpServer::Impl::onAccepted(tcp::socket Socket) {
+  if (Table_.isFull())
+    dropForNew();
+  const auto New =
+      std::make_shared<Session>(shared_from_this(), std::move(Socket));
+  if (Table_.size() > Limits_.MaxConnections_)
+    New->drop("too_many_connections");
+  else
+    New->start();
+}
+
+bool HttpServer::Impl::dropForNew() {
+  const auto Number = Table_.longestInPhase();
+  if (!Number)
+    return false;
+  const auto Session = SessionByNumber_.at(Number->value())->shared_from_this();
+  Session->giveUp("too_many_connections");
+  return true;
+}
+
 void HttpServer::Impl::sweep() {
   SweepTimer_.expires_after(SweepPeriod);
   SweepTimer_.async_wait([Self = shared_from_this()](const error_code &Ec) {
@@ -353,11 +475,6 @@
   });
 }
 
-void HttpServer::Impl::onSessionEnded(Session *S) {
-  Sessions_.erase(S);
-  accept();
-}
-
 HttpServer::HttpServer(asio::io_context &Io, HttpServerLimits Limits,
                        HttpHandler Handler)
     : Impl_(std::make_shared<Impl>(Io, Limits, std::move(Handler))) {}
@@ -389,6 +506,10 @@
   return SocketAddress{Address.Host_, Acceptor.local_endpoint(Ec).port()};
 }
 
+void HttpServer::onDrop(DropHandler Handler) {
+  Impl_->OnDrop_ = std::move(Handler);
+}
+
 void HttpServer::closeAfterReplies() { Impl_->CloseAfterReplies_ = true; }
 
 void HttpServer::drain() {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -20,14 +20,28 @@
   /// trailers.
   std::uint32_t MaxHeaderBytes_ = 16u << 10;
   std::uint64_t MaxBodyBytes_ = 16u << 20;
-  /// Further connections wait in the listen queue of the operating system.
+  /// A new connection beyond it takes the place of another one, which is
+  /// chosen by ConnectionTable::longestInPhase().
   std::uint32_t MaxConnections_ = 4096;
   /// Maximum time from the first byte of a request to its last.
   Duration ReadTimeout_ = std::chrono::seconds(10);
   /// Maximum time that a connection may stay open without a request.
   Duration IdleTimeout_ = std::chrono::seconds(120);
+  /// Maximum time in which the caller takes no byte of a response.
+  Duration WriteTimeout_ = std::chrono::seconds(10);
 };
 
+/// A request or connection that the server itself has refused or ended before
+/// the response was complete.
+struct DroppedConnection {
+  /// bad_http, body_too_large, header_too_large, read_timeout, write_timeout,
+  /// too_many_connections.
+  std::string Code_;
+  /// Address of the caller; empty if it is not known any more.
+  std::string Caller_;
+};
+using DropHandler = std::function<void(const DroppedConnection &)>;
+
 /// The pending reply to one request.
 class HttpReply {
 public:
@@ -53,6 +67,8 @@
              HttpHandler Handler);
   ~HttpServer();
 
+  /// Has the handler called for each connection that is dropped.
+  void onDrop(DropHandler Handler);
   /// Returns the bound address; port 0 is replaced by the port that the
   /// operating system chose. Error code: listen_failed.
   Result<SocketAddress> listen(const SocketAddress &Address);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -216,8 +216,7 @@
     const toml::table Parsed = toml::parse(Text);
     for (const auto &[Given, Node] : Parsed)
       if (Given.str() != "process" && Given.str() != "limits" &&
-          Given.str() != Role &&
-          !isDispatchTable<T>(Given.str()))
+          Given.str() != Role && !isDispatchTable<T>(Given.str()))
         Report.add(Given.source(),
                    "unknown table or key '" + std::string(Given.str()) + "'");
     readTable(Parsed, "process", processKeys(), Out.Process_, Report);
--- a/src/status_server.cpp
+++ b/src/status_server.cpp
@@ -3,15 +3,14 @@
 namespace chivelanding {
 namespace {
 
-// The load balancer and a few metrics collectors are the only clients.
-constexpr std::uint32_t MaxConnections = 32;
 constexpr std::uint64_t MaxBodyBytes = 4096;
 
 } // namespace
 
 StatusServer::StatusServer(boost::asio::io_context &Io,
                            std::function<bool()> IsReady,
-                           std::function<HttpResponse()> RenderMetrics)
+                           std::function<HttpResponse()> RenderMetrics,
+                           std::uint32_t MaxConnections)
     : IsReady_(std::move(IsReady)), RenderMetrics_(std::move(RenderMetrics)),
       Server_(Io,
               HttpServerLimits{8u << 10, MaxBodyBytes, MaxConnections,
--- a/src/status_server.h
+++ b/src/status_server.h
@@ -13,8 +13,10 @@
 class StatusServer {
 public:
   StatusServer(boost::asio::io_context &Io, std::function<bool()> IsReady,
-               std::function<HttpResponse()> RenderMetrics);
+               std::function<HttpResponse()> RenderMetrics,
+               std::uint32_t MaxConnections);
 
+  void onDrop(DropHandler Handler) { Server_.onDrop(std::move(Handler)); }
   /// Error code: listen_failed.
   Result<Done> listen(const SocketAddress &Address);
   void close() { Server_.close(); }
