Limit what all requests and responses of a listener hold together

Each request was within its limits, and hundreds of them exceeded the memory: a body has up to 256 KiB, a header field of three bytes takes a hundred, and 80 KiB were kept behind each request in service. With those, the end of a caller was not noticed either, so that its job ran on.

All connections of a listener now share a quarter of the process's memory. What holds most is closed first, so that the small requests of ordinary callers are not. Lines of the header are counted as the parser stores them. A closed connection releases its request at once, not after the events that are ready. Of what follows a request in service, 4 KiB are kept; more is discarded, and the connection ends with the reply.

--- a/src/dispatch_agent.cpp
+++ b/src/dispatch_agent.cpp
@@ -61,6 +61,14 @@
   return Limits;
 }
 
+HttpServerLimits localLimits(const ResourceLimits &Resources) {
+  HttpServerLimits Limits;
+  Limits.MaxBodyBytes_ = MaxAnnouncementBytes;
+  Limits.MaxConnections_ = MaxLocalConnections;
+  Limits.MaxHeldBytes_ = planResources(Resources).RequestBytes_;
+  return Limits;
+}
+
 std::uint64_t unixTimeMs() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -120,9 +128,7 @@
       Supervisor_(supervisorLimits(Settings_), unixTimeMs()),
       Metrics_({{"role", "agent"}, {"name", Self_.Name_}}),
       Store_(*Ports_.Store_, Metrics_),
-      Http_(Io,
-            HttpServerLimits{16u << 10, MaxAnnouncementBytes,
-                             MaxLocalConnections},
+      Http_(Io, localLimits(Settings_.Process_.Resources_),
             [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
               onRequest(Request, Reply);
             }),
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -45,6 +45,17 @@
 // connections arrive that were held back with the VM.
 constexpr Duration CallerCheckDelay = std::chrono::milliseconds(20);
 
+HttpServerLimits callerLimits(const ResourcePlan &Plan) {
+  HttpServerLimits Limits;
+  Limits.MaxHeaderBytes_ = MaxHeaderBytes;
+  Limits.MaxBodyBytes_ = MaxBodyBytes;
+  Limits.MaxConnections_ = Plan.CallerConnections_;
+  Limits.ReadTimeout_ = ReadTimeout;
+  Limits.IdleTimeout_ = IdleTimeout;
+  Limits.MaxHeldBytes_ = Plan.RequestBytes_;
+  return Limits;
+}
+
 } // namespace
 
 struct DispatchEntry::Impl : std::enable_shared_from_this<DispatchEntry::Impl> {
@@ -122,10 +133,7 @@
                   {planLeases(Settings_.Leases_)}, drawRandomNumber()),
       Metrics_({{"role", "entry"}, {"name", Self_.Name_}}),
       Store_(*Ports_.Store_, Metrics_),
-      Http_(Io,
-            HttpServerLimits{MaxHeaderBytes, MaxBodyBytes,
-                             Resources_.CallerConnections_, ReadTimeout,
-                             IdleTimeout},
+      Http_(Io, callerLimits(Resources_),
             [this](HttpRequest &&Request, const HttpReplyPtr &Reply) {
               onRequest(std::move(Request), Reply);
             }),
@@ -277,6 +285,8 @@
   const IdempotentJob &Job = Request.Job_;
   WaitingCaller Caller{Reply, Now, Job.Route_.Name_,
                        Job.objective(Job.Estimate_)};
+  // The dispatcher limits what its jobs hold.
+  Reply->retain(0);
   const JobNumber Number = Dispatcher_.submit(std::move(Request.Job_), Now);
   WaitingCallers_[Number].push_back(std::move(Caller));
   apply();
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -35,13 +35,15 @@
   HttpServerLimits Limits;
   Limits.MaxBodyBytes_ = S.MaxBodyBytes_;
   Limits.MaxConnections_ = std::min(S.MaxConnections_, Plan.CallerConnections_);
+  Limits.MaxHeldBytes_ = Plan.RequestBytes_;
   return Limits;
 }
 
 HttpServerLimits adminLimits(const EntrySettings &S) {
+  const ResourcePlan Plan = planResources(S.Process_.Resources_);
   HttpServerLimits Limits;
-  Limits.MaxConnections_ =
-      planResources(S.Process_.Resources_).StatusConnections_;
+  Limits.MaxConnections_ = Plan.StatusConnections_;
+  Limits.MaxHeldBytes_ = Plan.RequestBytes_;
   return Limits;
 }
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -3,7 +3,6 @@
 #include "clock.h"
 #include "connection_table.h"
 
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -34,8 +33,11 @@
 
 // Maximum number of bytes of one read.
 constexpr std::size_t ReadBytes = 16u << 10;
-// Limit of bytes buffered from further requests while a reply is pending.
-constexpr std::size_t ReadAheadBytes = 64u << 10;
+// Limit of bytes kept of further requests that arrive while a reply is pending.
+// All connections may have as many, so they are few.
+constexpr std::size_t ReadAheadBytes = 4u << 10;
+// Memory that the parser takes for each header field besides its text.
+constexpr std::uint64_t FieldOverheadBytes = 96;
 // Period of the check for connections past their deadline.
 constexpr auto SweepPeriod = std::chrono::milliseconds(500);
 
@@ -52,6 +54,14 @@
   const char *Code_;
 };
 
+// Memory of the header fields in these bytes. The parser stores each field as
+// soon as its line is complete.
+std::uint64_t headerBytes(const asio::const_buffer &Data, std::size_t Bytes) {
+  const char *Begin = static_cast<const char *>(Data.data());
+  const auto Lines = std::count(Begin, Begin + Bytes, '\n');
+  return Bytes + static_cast<std::uint64_t>(Lines) * FieldOverheadBytes;
+}
+
 Refusal makeRefusal(const error_code &Ec) {
   if (Ec == http::error::body_limit)
     return {413, "body_too_large"};
@@ -65,12 +75,15 @@
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   Impl(asio::io_context &Io, HttpServerLimits Limits, HttpHandler Handler)
       : Io_(Io), Limits_(Limits), Handler_(std::move(Handler)),
-        Table_({Limits.MaxConnections_}), Acceptor_(Io), SweepTimer_(Io) {}
+        Table_({Limits.MaxConnections_, Limits.MaxHeldBytes_}), Acceptor_(Io),
+        SweepTimer_(Io) {}
 
   void accept();
   void onAccepted(tcp::socket Socket);
   /// Gives up the least useful connection. False if there is none.
   bool dropForNew();
+  /// Gives up connections while all together hold too much.
+  void limitBytes();
   void sweep();
 
   asio::io_context &Io_;
@@ -108,14 +121,20 @@
   void giveUp(const char *Code);
   void closeIfExpired(Time Now);
   void drain();
+  void retain(std::uint64_t Bytes) override;
 
 private:
+  std::uint64_t heldBytes() const;
+  void updateHeldBytes();
+  /// Also enforces the limit of all connections, and may close this one.
+  void account();
   void enter(ConnectionPhase Phase);
   bool isReplyPending() const {
     return Phase_ == ConnectionPhase::Pending ||
            Phase_ == ConnectionPhase::Sending;
   }
   void awaitData();
+  void awaitDataBehindRequest();
   void onReadable(const error_code &Ec);
   bool readAvailable();
   void parse();
@@ -126,7 +145,6 @@
   void onWritten(const error_code &Ec);
   void continueIfExpected();
   bool peerHasClosed();
-  bool peerHasShutDown();
 
   std::shared_ptr<HttpServer::Impl> Server_;
   tcp::socket Socket_;
@@ -138,7 +156,12 @@
   ConnectionNumber Number_;
   ConnectionPhase Phase_ = ConnectionPhase::Idle;
   std::optional<Time> Deadline_;
+  /// Of the request that is being received or served.
+  std::uint64_t HeaderBytes_ = 0;
+  std::uint64_t RetainedBytes_ = 0;
   bool AwaitingData_ = false;
+  /// More has arrived behind a pending request than is kept.
+  bool Discarding_ = false;
   bool ContinueHandled_ = false;
   bool KeepAlive_ = true;
   bool Closed_ = false;
@@ -167,6 +190,11 @@
   Closed_ = true;
   Server_->Table_.remove(Number_);
   Server_->SessionByNumber_.erase(Number_.value());
+  // The session itself lives until its last operation has ended, which may be
+  // after many others have been handled.
+  Parser_.reset();
+  Buffer_.clear();
+  Buffer_.shrink_to_fit();
   error_code Ec;
   Socket_.shutdown(tcp::socket::shutdown_both, Ec);
   Socket_.close(Ec);
@@ -179,6 +207,30 @@
   Server_->Table_.setPhase(Number_, Phase, steadyNow());
 }
 
+void HttpServer::Session::retain(std::uint64_t Bytes) {
+  RetainedBytes_ = Bytes;
+  updateHeldBytes();
+}
+
+std::uint64_t HttpServer::Session::heldBytes() const {
+  std::uint64_t Bytes = Buffer_.capacity() + HeaderBytes_ + RetainedBytes_ +
+                        Response_.body().size();
+  if (Parser_)
+    Bytes += Parser_->get().body().size();
+  return Bytes;
+}
+
+void HttpServer::Session::updateHeldBytes() {
+  if (Buffer_.size() == 0)
+    Buffer_.shrink_to_fit();
+  Server_->Table_.setBytes(Number_, heldBytes());
+}
+
+void HttpServer::Session::account() {
+  updateHeldBytes();
+  Server_->limitBytes();
+}
+
 void HttpServer::Session::report(const char *Code) {
   if (!Server_->OnDrop_)
     return;
@@ -205,12 +257,7 @@
 }
 
 void HttpServer::Session::closeIfExpired(Time Now) {
-  if (Phase_ == ConnectionPhase::Pending) {
-    if (!AwaitingData_ && peerHasShutDown())
-      close();
-    return;
-  }
-  if (!Deadline_ || *Deadline_ > Now)
+  if (Phase_ == ConnectionPhase::Pending || !Deadline_ || *Deadline_ > Now)
     return;
   if (Phase_ == ConnectionPhase::Idle)
     close();
@@ -245,23 +292,45 @@
     close();
     return;
   }
+  account();
+  if (Closed_)
+    return;
   if (!isReplyPending())
     parse();
-  else if (Buffer_.size() < ReadAheadBytes)
+  else
+    awaitDataBehindRequest();
+}
+
+// While a response is written, the caller's end shows there.
+void HttpServer::Session::awaitDataBehindRequest() {
+  if (Phase_ == ConnectionPhase::Pending || Buffer_.size() < ReadAheadBytes)
     awaitData();
 }
 
 // Nothing is read into Buffer_ asynchronously: parse() consumes bytes of it
 // between the begin and the end of a wait, which moves the place where the next
-// ones belong. False at the end of the connection.
+// ones belong.
+//
+// What exceeds the read-ahead is discarded: the end of the caller could not be
+// seen behind it. The connection then ends with the reply.
+//
+// False at the end of the connection.
 bool HttpServer::Session::readAvailable() {
-  const std::size_t Wanted =
-      isReplyPending() ? ReadAheadBytes - Buffer_.size() : ReadBytes;
   error_code Ec;
+  const std::size_t Wanted = Phase_ == ConnectionPhase::Sending
+                                 ? ReadAheadBytes - Buffer_.size()
+                                 : ReadBytes;
   const std::size_t Bytes = Socket_.read_some(
       asio::buffer(Server_->ReadBuffer_, std::min(Wanted, ReadBytes)), Ec);
   if (Ec)
     return Ec == asio::error::would_block || Ec == asio::error::interrupted;
+  if (Phase_ == ConnectionPhase::Pending &&
+      Buffer_.size() + Bytes > ReadAheadBytes)
+    Discarding_ = true;
+  if (Discarding_) {
+    Buffer_.clear();
+    return true;
+  }
   asio::buffer_copy(Buffer_.prepare(Bytes),
                     asio::buffer(Server_->ReadBuffer_, Bytes));
   Buffer_.commit(Bytes);
@@ -285,7 +354,10 @@
   }
   while (Buffer_.size() > 0 && !Parser_->is_done()) {
     error_code Ec;
+    const bool IsHeader = !Parser_->is_header_done();
     const auto Consumed = Parser_->put(Buffer_.data(), Ec);
+    if (IsHeader)
+      HeaderBytes_ += headerBytes(Buffer_.data(), Consumed);
     Buffer_.consume(Consumed);
     if (Ec == http::error::need_more)
       break;
@@ -296,6 +368,9 @@
     if (Consumed == 0)
       break;
   }
+  account();
+  if (Closed_)
+    return;
   if (Parser_->is_done()) {
     dispatch();
     return;
@@ -330,16 +405,13 @@
                         errno != EINTR);
 }
 
-// The same behind bytes that have not been read, because enough are kept.
-bool HttpServer::Session::peerHasShutDown() {
-  pollfd Poll{Socket_.native_handle(), POLLRDHUP, 0};
-  return ::poll(&Poll, 1, 0) == 1;
-}
-
 void HttpServer::Session::dispatch() {
   auto Message = Parser_->release();
   Parser_.reset();
+  HeaderBytes_ = 0;
+  RetainedBytes_ = Message.body().size();
   enter(ConnectionPhase::Pending);
+  updateHeldBytes();
   KeepAlive_ = Message.keep_alive();
   HttpRequest Request;
   Request.Method_ = std::string(Message.method_string());
@@ -351,8 +423,7 @@
   Request.Body_ = std::move(Message.body());
   Request.SenderGone_ = peerHasClosed();
   Server_->Handler_(std::move(Request), shared_from_this());
-  if (Buffer_.size() < ReadAheadBytes)
-    awaitData();
+  awaitDataBehindRequest();
 }
 
 void HttpServer::Session::refuse(const error_code &Ec) {
@@ -374,12 +445,17 @@
   Response_.set(http::field::content_type, Response.ContentType_);
   for (const HttpHeader &H : Response.Headers_)
     Response_.set(H.Name_, H.Value_);
-  Response_.keep_alive(KeepAlive_ && !Draining_ &&
+  Response_.keep_alive(KeepAlive_ && !Draining_ && !Discarding_ &&
                        !Server_->CloseAfterReplies_);
   Response_.body() = std::move(Response.Body_);
   Response_.prepare_payload();
   Serializer_.emplace(Response_);
+  Parser_.reset();
+  HeaderBytes_ = 0;
+  RetainedBytes_ = 0;
   enter(ConnectionPhase::Sending);
+  // The limit is not enforced here: most responses are taken at once.
+  updateHeldBytes();
   write();
 }
 
@@ -407,6 +483,9 @@
   Serializer_.reset();
   Response_ = {};
   enter(ConnectionPhase::Idle);
+  account();
+  if (Closed_)
+    return;
   Deadline_ = steadyNow() + Server_->Limits_.IdleTimeout_;
   if (Buffer_.size() > 0)
     parse();
@@ -459,6 +538,17 @@
   return true;
 }
 
+void HttpServer::Impl::limitBytes() {
+  while (Table_.exceedsBytes()) {
+    const auto Number = Table_.largest();
+    if (!Number)
+      return;
+    SessionByNumber_.at(Number->value())
+        ->shared_from_this()
+        ->giveUp("too_many_bytes");
+  }
+}
+
 void HttpServer::Impl::sweep() {
   SweepTimer_.expires_after(SweepPeriod);
   SweepTimer_.async_wait([Self = shared_from_this()](const error_code &Ec) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -29,13 +29,16 @@
   Duration IdleTimeout_ = std::chrono::seconds(120);
   /// Maximum time in which the caller takes no byte of a response.
   Duration WriteTimeout_ = std::chrono::seconds(10);
+  /// Bytes held for the requests and responses of all connections. Beyond it,
+  /// connections are closed that ConnectionTable::largest() chooses.
+  std::uint64_t MaxHeldBytes_ = 64u << 20;
 };
 
 /// A request or connection that the server itself has refused or ended before
 /// the response was complete.
 struct DroppedConnection {
   /// bad_http, body_too_large, header_too_large, read_timeout, write_timeout,
-  /// too_many_connections.
+  /// too_many_connections, too_many_bytes.
   std::string Code_;
   /// Address of the caller; empty if it is not known any more.
   std::string Caller_;
@@ -54,6 +57,9 @@
   /// True if the caller has disconnected, also if the event loop has not
   /// reported it yet.
   virtual bool callerGone() = 0;
+  /// Bytes of the request that are kept until the reply. Before it is called,
+  /// those of the whole body count.
+  virtual void retain(std::uint64_t Bytes) = 0;
 };
 using HttpReplyPtr = std::shared_ptr<HttpReply>;
 using HttpHandler = std::function<void(HttpRequest &&, HttpReplyPtr)>;
