Do not wait for a client that reads no "100 Continue"

Callers got no answer from an entry any more: the response was written synchronously, so that the whole process waited for one client, whose buffer was full of answers that it did not read. It is now written without waiting, and the connection closed if there is no room.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -20,6 +19,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -143,7 +143,7 @@
   void report(const char *Code);
   void write();
   void onWritten(const error_code &Ec);
-  void continueIfExpected();
+  bool continueIfExpected();
   bool peerHasClosed();
 
   std::shared_ptr<HttpServer::Impl> Server_;
@@ -379,20 +379,24 @@
     refuse(http::error::header_limit);
     return;
   }
-  continueIfExpected();
-  awaitData();
+  if (continueIfExpected())
+    awaitData();
+  else
+    drop("write_timeout");
 }
 
-void HttpServer::Session::continueIfExpected() {
+// Written without waiting: the buffer of the connection is full only if the
+// caller does not read the responses to its earlier requests. False if so.
+bool HttpServer::Session::continueIfExpected() {
   if (ContinueHandled_ || !Parser_->is_header_done())
-    return;
+    return true;
   ContinueHandled_ = true;
   if (!boost::beast::iequals(Parser_->get()[http::field::expect],
                              "100-continue"))
-    return;
-  static constexpr char Text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    return true;
+  static constexpr std::string_view Text = "HTTP/1.1 100 Continue\r\n\r\n";
   error_code Ec;
-  asio::write(Socket_, asio::buffer(Text, sizeof Text - 1), Ec);
+  return Socket_.write_some(asio::buffer(Text), Ec) == Text.size();
 }
 
 // True if the end of the connection is behind the bytes read so far. The event
