Refuse a job whose text or rack exceeds the platform's limits

Waiting jobs held texts of up to 256 KiB, and each start carried a copy. The platform limits the text to 4,000 bytes; a longer one, or a rack's name of more than 256 bytes, is now refused with 400.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -137,6 +137,21 @@
   CHECK(StatusWith([](json &B) { B["steps"][0]["dataRack"] = "r1"; }) == 0);
 }
 
+// Guards against texts beyond the platform's limits, which a waiting job would
+// hold and each start would carry, and against a refusal of those within them.
+TEST_CASE("A job's text has the platform's limit", "[platform]") {
+  const auto StatusWith = [](std::size_t SpecBytes, std::size_t RackBytes) {
+    json Body = json::parse(Job);
+    Body["spec"] = std::string(SpecBytes, 'x');
+    Body["steps"][0]["dataRack"] = std::string(RackBytes, 'r');
+    return refusalStatus(
+        decodeRequest(request("POST", "/a/0123456789abcdef", Body.dump())));
+  };
+  CHECK(StatusWith(4000, 20) == 0);
+  CHECK(StatusWith(4001, 20) == 400);
+  CHECK(StatusWith(4000, 257) == 400);
+}
+
 // Guards against malformed requests that crash the process or become jobs.
 TEST_CASE("Malformed requests are refused", "[platform]") {
   const auto Post = [](const std::string &Body) {
