Cut long texts in log lines

A request's method, path or field names were logged whole, so that a line could have 200 KB, and a few of them filled the buffer of the log. Texts are now cut after 1 KiB, which is longer than any job id.

--- a/src/events.cpp
+++ b/src/events.cpp
@@ -282,6 +282,18 @@
 
 namespace {
 
+// Callers and peers choose some of the texts, so a line needs a bound of its
+// own. It is above the length of the longest job id.
+constexpr std::size_t MaxFieldBytes = 1024;
+
+/// Text, or its begin in Storage if it is too long for a line.
+const std::string &shortened(const std::string &Text, std::string &Storage) {
+  if (Text.size() <= MaxFieldBytes)
+    return Text;
+  Storage = Text.substr(0, MaxFieldBytes) + "...";
+  return Storage;
+}
+
 bool needsQuotes(const std::string &Text) {
   return Text.empty() ||
          Text.find_first_of(" \"=\n\r\t\\") != std::string::npos;
@@ -304,7 +316,9 @@
 
 std::string Event::str() const {
   std::string Line = std::to_string(Type_->Number_) + " " + Type_->Name_;
-  for (const auto &[Key, Text] : Fields_) {
+  std::string Storage;
+  for (const auto &[Key, FullText] : Fields_) {
+    const std::string &Text = shortened(FullText, Storage);
     Line += ' ';
     Line += Key;
     Line += '=';
@@ -352,7 +366,9 @@
   Line += "\",\"event\":\"";
   Line += Type_->Name_;
   Line += "\",\"number\":" + std::to_string(Type_->Number_);
-  for (const auto &[Key, Text] : Fields_) {
+  std::string Storage;
+  for (const auto &[Key, FullText] : Fields_) {
+    const std::string &Text = shortened(FullText, Storage);
     Line += ",\"";
     Line += Key;
     Line += "\":";
--- a/src/events.h
+++ b/src/events.h
@@ -27,10 +27,12 @@
   const EventType *Type_;
   std::vector<EventField> Fields_;
 
-  /// One line: "NUMBER NAME field=value ...", values quoted where needed.
+  /// One line: "NUMBER NAME field=value ...", values quoted where needed and
+  /// cut after a kilobyte.
   std::string str() const;
   /// One JSON object with the time of day in Unix milliseconds. Integer values
-  /// are written as numbers, except for the field `job`.
+  /// are written as numbers, except for the field `job`; texts are cut after a
+  /// kilobyte.
   std::string json(std::int64_t UnixMs) const;
 };
 
