Limit the memory and the number of an entry's jobs

A request of 200 bytes turned into a job of 218 KB, since each of its 1,700 tasks takes 128 bytes, and 4,096 of them were accepted. And beyond that number, every new job was refused, whoever sent it.

The jobs of an entry now hold at most an eighth of its memory and three quarters of the callers' connections. Beyond that, waiting jobs are refused of which nothing has run: the largest for the memory, the one whose caller waits longest for the number.

--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -45,6 +45,20 @@
 // connections arrive that were held back with the VM.
 constexpr Duration CallerCheckDelay = std::chrono::milliseconds(20);
 
+// Share of the callers' connections that jobs may keep; the others are free for
+// new callers, if only for a refusal.
+constexpr double MaxJobShare = 0.75;
+
+DispatchLimits dispatchLimits(const LeaseSettings &Leases,
+                              const ResourcePlan &Plan) {
+  DispatchLimits Limits;
+  Limits.Leases_ = planLeases(Leases);
+  Limits.MaxJobs_ =
+      static_cast<std::uint32_t>(MaxJobShare * Plan.CallerConnections_);
+  Limits.MaxJobBytes_ = Plan.JobBytes_;
+  return Limits;
+}
+
 HttpServerLimits callerLimits(const ResourcePlan &Plan) {
   HttpServerLimits Limits;
   Limits.MaxHeaderBytes_ = MaxHeaderBytes;
@@ -130,7 +144,8 @@
       Log_(Log), Self_{Settings_.Process_.Name_,
                        Incarnation(drawRandomNumber())},
       Dispatcher_(Self_.Name_, Settings_.Process_.Zone_,
-                  {planLeases(Settings_.Leases_)}, drawRandomNumber()),
+                  dispatchLimits(Settings_.Leases_, Resources_),
+                  drawRandomNumber()),
       Metrics_({{"role", "entry"}, {"name", Self_.Name_}}),
       Store_(*Ports_.Store_, Metrics_),
       Http_(Io, callerLimits(Resources_),
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -183,6 +183,8 @@
   J.StartDeadline_ = std::min(J.Deadline_, Now + scaled(Slack, MaxWaitShare));
   J.Tasks_.resize(S.Tasks_);
   J.WaitingTasks_ = S.Tasks_;
+  J.Bytes_ = jobBytes(J);
+  JobBytes_ += J.Bytes_;
   const AgentPool::Totals T = Agents_.totals(S.Route_.Service_, S.Need_);
   log(events::JobAccepted, {{"job", S.Key_.str()},
                             {"route", S.Route_.Name_},
@@ -200,10 +202,9 @@
     refuse(J, "deadline", Now);
     return Number;
   }
-  if (Jobs_.size() > Limits_.MaxJobs_) {
-    refuse(J, "too_many_jobs", Now);
+  shedJobs(Now);
+  if (Jobs_.count(Number) == 0)
     return Number;
-  }
   if (T.LargestCpu_ > 0 && (S.Need_.Cpu_ > T.LargestCpu_ ||
                             S.Need_.MemoryMb_ > T.LargestMemoryMb_)) {
     refuse(J, "too_large", Now);
@@ -438,6 +439,7 @@
   Out_.push_back(AnswerJob{J.Number_, Ending, Code, RetryAfter});
   Queue_.erase({J.Spec_.Route_.Class_, J.Number_});
   ByKey_.erase(J.Spec_.Key_);
+  JobBytes_ -= J.Bytes_;
   Jobs_.erase(JobNumber(J.Number_));
 }
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -95,7 +95,9 @@
   /// Age at which an owner lease is renewed if the agent has reported since the
   /// last renewal: a third of the lease.
   Duration RenewalAge_ = std::chrono::milliseconds(200);
+  /// Beyond these, jobs are refused of which no task has run.
   std::uint32_t MaxJobs_ = 4096;
+  std::uint64_t MaxJobBytes_ = 32u << 20;
   SubsetLimits Subset_;
 };
 
@@ -181,6 +183,8 @@
     std::uint32_t OutstandingRuns_ = 0;
     /// A run was dispatched that is not proved never to have started.
     bool MayHaveRun_ = false;
+    /// Memory that the job takes, approximately.
+    std::uint64_t Bytes_ = 0;
   };
   /// Thousandths of a core, as a sum that decays over time.
   struct ReleasedCpu {
@@ -190,6 +194,11 @@
   };
   using QueueKey = std::pair<PriorityClass, JobNumber>;
 
+  static std::uint64_t jobBytes(const Job &J);
+  /// Refuses waiting jobs while there are too many, or all hold too much.
+  void shedJobs(Time Now);
+  /// Null if every job may have run.
+  Job *findJobToShed();
   void enqueue(const Job &J);
   void placeWaiting(Time Now);
   bool placeJob(Job &J, Time Now);
@@ -262,6 +271,7 @@
   std::mt19937_64 Random_;
   std::uint64_t NextJob_ = 1;
   std::map<JobNumber, Job> Jobs_;
+  std::uint64_t JobBytes_ = 0;
   std::unordered_map<JobKey, JobNumber> ByKey_;
   /// Jobs with waiting tasks, in the order of placement: by class, then by age.
   std::set<QueueKey> Queue_;
--- a/tests/dispatcher_fixture.h
+++ b/tests/dispatcher_fixture.h
@@ -28,8 +28,8 @@
     report(Name, Places, Places, Now, Number);
   }
 
-  void report(const std::string &Name, std::uint32_t Places, std::uint32_t Free,
-              Time Now, std::uint64_t Number = 1) {
+  EndpointReport makeReport(const std::string &Name, std::uint32_t Places,
+                            std::uint32_t Free, Time Now) {
     EndpointReport R;
     R.Endpoint_ = "w-" + Name;
     R.Service_ = ServiceName("tasks");
@@ -39,7 +39,13 @@
     R.AgentClock_ = static_cast<std::uint64_t>(Now.time_since_epoch().count());
     R.SeenSequence_ = LastSequence_[Name];
     R.Usable_ = true;
-    Dispatcher_.onMessage(agentId(Name, Number), R, Now);
+    return R;
+  }
+
+  void report(const std::string &Name, std::uint32_t Places, std::uint32_t Free,
+              Time Now, std::uint64_t Number = 1) {
+    Dispatcher_.onMessage(agentId(Name, Number),
+                          makeReport(Name, Places, Free, Now), Now);
   }
 
   IdempotentJob job(const std::string &Key, std::uint32_t Tasks,
