Limit the trailers of a response that a process reads

The client for calls of endpoints and of the store had the fault of the server: trailers without end stayed in its buffer. The buffer now has 64 KiB; the parser consumes bodies as they arrive.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -27,10 +27,15 @@
 // Maximum number of idle connections kept per address.
 constexpr std::size_t MaxIdleConnections = 256;
 
+// Maximum number of bytes that the parser may leave unread. It consumes a body
+// as it arrives; only a header, the size line of a chunk and the trailers must
+// be complete first.
+constexpr std::size_t MaxBufferedBytes = 64u << 10;
+
 struct Connection {
   explicit Connection(asio::io_context &Io) : Socket_(Io) {}
   tcp::socket Socket_;
-  boost::beast::flat_buffer Buffer_;
+  boost::beast::flat_buffer Buffer_{MaxBufferedBytes};
 };
 
 // An idle connection that the server has closed is readable, at end of file.
