Limit the body of a peer's handshake

The websocket library reads a body of up to 32 MB with the handshake, which has none. Anybody who connects to the peer listener could send one. The limit is now 1 KiB.

--- a/src/ws_transport.cpp
+++ b/src/ws_transport.cpp
@@ -21,6 +21,8 @@
 // Timeout of the closing handshake, in milliseconds; an unreachable peer delays
 // a close by no more.
 constexpr long CloseTimeoutMs = 500;
+// Maximum body of a handshake, which has none. The library would accept 32 MB.
+constexpr std::size_t MaxHandshakeBodyBytes = 1024;
 
 // The process has one thread, so the library needs no locks. The library's own
 // log is disabled; the process logs events instead.
@@ -84,6 +86,7 @@
                                   std::uint64_t MaxBytes) {
   E.init_asio(&Io);
   E.set_max_message_size(MaxBytes);
+  E.set_max_http_body_size(MaxHandshakeBodyBytes);
   E.set_open_handshake_timeout(HandshakeTimeoutMs);
   E.set_close_handshake_timeout(CloseTimeoutMs);
 }
