Do not answer a peer's pings

The library queues a pong for each ping, without a bound if the other end reads none. Links have heartbeats of their own and send no pings, so pings are now ignored.

--- a/src/ws_transport.cpp
+++ b/src/ws_transport.cpp
@@ -128,6 +128,10 @@
         [Con] { return Con->get_buffered_amount(); }};
     Handler_.Opened_(Id, Dialled);
   });
+  // Pings are not answered: the library queues pongs without a bound for a peer
+  // that does not read them. Links have heartbeats of their own.
+  C->set_ping_handler(
+      [](const connection_hdl &, const std::string &) { return false; });
   C->set_message_handler(
       [this, Id](const connection_hdl &, const Server::message_ptr &M) {
         if (!Stopped_ && OpenConnections_.count(Id) > 0)
