Accept only short frames until a peer has said Hello

Anybody who connects to the peer listener could leave frames of 2 MB unfinished. Before the exchange of Hellos is complete, a frame may now have 4 KiB; a Hello takes a few hundred bytes.

--- a/src/link.cpp
+++ b/src/link.cpp
@@ -54,6 +54,11 @@
   return Reachable;
 }
 
+bool Links::isIdentified(ConnectionId C) const {
+  const auto It = Connections_.find(C);
+  return It != Connections_.end() && It->second.Peer_;
+}
+
 Hello Links::makeHello(const PeerId &To) const {
   Hello H;
   H.Role_ = Self_.Role_;
--- a/src/link.h
+++ b/src/link.h
@@ -166,6 +166,8 @@
   bool allAcknowledged(bool ReachableOnly) const;
   /// Reachable entry incarnations, for EntriesHeard.
   std::vector<EntryId> reachableEntries() const;
+  /// True once both ends have said Hello on this connection.
+  bool isIdentified(ConnectionId C) const;
 
 private:
   using PeerKey = std::pair<Role, std::string>;
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -146,6 +146,8 @@
              {"first", "message " + std::to_string(*B->Unreadable_.begin() +
                                                    B->First_)}});
     apply(Links_.onFrame(Id, value(F), steadyNow()));
+    if (std::holds_alternative<Hello>(value(F)) && Links_.isIdentified(Id))
+      Transport_.onPeerIdentified(Id);
     return;
   }
   apply(Links_.onBadFrame(Id, error(F), steadyNow()));
--- a/src/ws_transport.cpp
+++ b/src/ws_transport.cpp
@@ -52,11 +52,16 @@
 
 constexpr auto Binary = websocketpp::frame::opcode::binary;
 
+// Maximum frame of a connection whose peer is not identified yet; a Hello takes a
+// few hundred bytes.
+constexpr std::uint64_t MaxHelloBytes = 4096;
+
 // Operations of an open connection, independent of its client or server type.
 struct OpenConnection {
   std::function<void(const std::string &)> Send_;
   std::function<void(const std::string &)> Close_;
   std::function<std::size_t()> Buffered_;
+  std::function<void(std::uint64_t)> SetMaxFrameBytes_;
 };
 
 } // namespace
@@ -74,6 +79,7 @@
   ConnectionId allocateId() { return ConnectionId(NextId_++); }
 
   TransportHandler Handler_;
+  std::uint64_t MaxFrameBytes_;
   Server Server_;
   Client Client_;
   std::uint64_t NextId_ = 1;
@@ -93,7 +99,7 @@
 
 WsTransport::Impl::Impl(boost::asio::io_context &Io,
                         std::uint64_t MaxFrameBytes, TransportHandler Handler)
-    : Handler_(std::move(Handler)) {
+    : Handler_(std::move(Handler)), MaxFrameBytes_(MaxFrameBytes) {
   configure(Server_, Io, MaxFrameBytes);
   configure(Client_, Io, MaxFrameBytes);
   Server_.set_reuse_addr(true);
@@ -102,8 +108,10 @@
   Server_.set_tcp_pre_init_handler([this](const connection_hdl &Hdl) {
     websocketpp::lib::error_code Ec;
     const auto C = Server_.get_con_from_hdl(Hdl, Ec);
-    if (!Ec)
-      setHandlers(C, allocateId(), false);
+    if (Ec)
+      return;
+    C->set_max_message_size(MaxHelloBytes);
+    setHandlers(C, allocateId(), false);
   });
 }
 
@@ -125,7 +133,8 @@
           Con->close(websocketpp::close::status::normal, Reason.substr(0, 120),
                      Ec);
         },
-        [Con] { return Con->get_buffered_amount(); }};
+        [Con] { return Con->get_buffered_amount(); },
+        [Con](std::uint64_t Bytes) { Con->set_max_message_size(Bytes); }};
     Handler_.Opened_(Id, Dialled);
   });
   // Pings are not answered: the library queues pongs without a bound for a peer
@@ -215,6 +224,12 @@
     close(Id, Reason);
 }
 
+void WsTransport::onPeerIdentified(ConnectionId Connection) {
+  const auto It = Impl_->OpenConnections_.find(Connection);
+  if (It != Impl_->OpenConnections_.end())
+    It->second.SetMaxFrameBytes_(Impl_->MaxFrameBytes_);
+}
+
 std::size_t WsTransport::bufferedBytes(ConnectionId Connection) const {
   const auto It = Impl_->OpenConnections_.find(Connection);
   return It == Impl_->OpenConnections_.end() ? 0 : It->second.Buffered_();
--- a/src/ws_transport.h
+++ b/src/ws_transport.h
@@ -42,6 +42,9 @@
   void send(ConnectionId To, const std::string &Bytes);
   void close(ConnectionId Connection, const std::string &Reason);
   void closeAll(const std::string &Reason);
+  /// To be called once the other end of an accepted connection is known.
+  /// Before, it may send only short frames.
+  void onPeerIdentified(ConnectionId Connection);
   /// Bytes passed to send() that the operating system has not accepted yet.
   std::size_t bufferedBytes(ConnectionId Connection) const;
   /// Closes the listener and every connection.
