Limit the connections that the peer listener accepts

A crowd at the peer listener took all descriptors, so that callers found none. It may now have a quarter of them. Beyond that, the oldest connection is closed whose other end is not known; a peer is known within a few round trips.

What waits for one peer's acknowledgement is limited to an eighth of the memory.

--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "membership.h"
 #include "periodic_timer.h"
+#include "resource_plan.h"
 #include "ws_transport.h"
 
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,7 @@
   L.Heartbeat_ = S.Heartbeat_;
   L.SuspectAfter_ = S.SuspectAfter_;
   L.LostAfter_ = S.LostAfter_;
+  L.Session_.MaxUnacknowledgedBytes_ = planResources(S.Resources_).PeerBytes_;
   return L;
 }
 
@@ -115,10 +117,18 @@
            [this](ConnectionId Id, const std::string &Bytes) {
              onReceived(Id, Bytes);
            },
-           [this](ConnectionId Id, const std::string &) { onClosed(Id); }}),
+           [this](ConnectionId Id, const std::string &) { onClosed(Id); },
+           [this](const std::string &Caller) {
+             Log_.write(events::ConnectionDropped,
+                        {{"listener", "peers"},
+                         {"code", "too_many_connections"},
+                         {"caller", Caller}});
+           }}),
       Links_(Self_, Settings.Zone_, Settings.Region_, makeLinkLimits(Settings)),
       Directory_(makeDirectory(Self_, Settings.Region_)), Timer_(Io),
-      Random_(Self_.Incarnation_.value()) {}
+      Random_(Self_.Incarnation_.value()) {
+  Transport_.limitAccepted(planResources(Settings.Resources_).PeerConnections_);
+}
 
 void PeerHub::Impl::onOpened(ConnectionId Id, bool Dialled) {
   const Time Now = steadyNow();
--- a/src/ws_transport.cpp
+++ b/src/ws_transport.cpp
@@ -7,7 +7,9 @@
 #include <websocketpp/logger/stub.hpp>
 #include <websocketpp/server.hpp>
 
+#include <limits>
 #include <map>
+#include <set>
 
 namespace chivelanding {
 namespace {
@@ -52,8 +54,8 @@
 
 constexpr auto Binary = websocketpp::frame::opcode::binary;
 
-// Maximum frame of a connection whose peer is not identified yet; a Hello takes a
-// few hundred bytes.
+// Maximum frame of a connection whose peer is not identified yet; a Hello takes
+// a few hundred bytes.
 constexpr std::uint64_t MaxHelloBytes = 4096;
 
 // Operations of an open connection, independent of its client or server type.
@@ -76,6 +78,7 @@
   template <typename Connection>
   void setHandlers(const Connection &C, ConnectionId Id, bool Dialled);
   void onConnectionEnded(ConnectionId Id, const std::string &Reason);
+  void dropSurplus();
   ConnectionId allocateId() { return ConnectionId(NextId_++); }
 
   TransportHandler Handler_;
@@ -84,6 +87,11 @@
   Client Client_;
   std::uint64_t NextId_ = 1;
   std::map<ConnectionId, OpenConnection> OpenConnections_;
+  /// Accepted connections, in the order of their begin, until the peer is
+  /// known.
+  std::map<ConnectionId, Server::connection_ptr> Unidentified_;
+  std::set<ConnectionId> Identified_;
+  std::uint32_t MaxAccepted_ = std::numeric_limits<std::uint32_t>::max();
   bool Stopped_ = false;
 };
 
@@ -111,7 +119,10 @@
     if (Ec)
       return;
     C->set_max_message_size(MaxHelloBytes);
-    setHandlers(C, allocateId(), false);
+    const ConnectionId Id = allocateId();
+    setHandlers(C, Id, false);
+    Unidentified_[Id] = C;
+    dropSurplus();
   });
 }
 
@@ -158,9 +169,28 @@
   });
 }
 
+// A crowd at this listener must not take the descriptors of callers and peers.
+// A peer is known within a few round trips, so that its connection is among the
+// youngest until then.
+void WsTransport::Impl::dropSurplus() {
+  while (Unidentified_.size() + Identified_.size() > MaxAccepted_ &&
+         !Unidentified_.empty()) {
+    const auto Oldest = Unidentified_.begin()->second;
+    Unidentified_.erase(Unidentified_.begin());
+    if (Handler_.Dropped_)
+      Handler_.Dropped_(Oldest->get_remote_endpoint());
+    // The pending read fails, which ends the connection also during its
+    // handshake.
+    boost::system::error_code Ignored;
+    Oldest->get_raw_socket().close(Ignored);
+  }
+}
+
 void WsTransport::Impl::onConnectionEnded(ConnectionId Id,
                                           const std::string &Reason) {
   OpenConnections_.erase(Id);
+  Unidentified_.erase(Id);
+  Identified_.erase(Id);
   if (!Stopped_)
     Handler_.Closed_(Id, Reason);
 }
@@ -224,7 +254,13 @@
     close(Id, Reason);
 }
 
+void WsTransport::limitAccepted(std::uint32_t Count) {
+  Impl_->MaxAccepted_ = Count;
+}
+
 void WsTransport::onPeerIdentified(ConnectionId Connection) {
+  if (Impl_->Unidentified_.erase(Connection) > 0)
+    Impl_->Identified_.insert(Connection);
   const auto It = Impl_->OpenConnections_.find(Connection);
   if (It != Impl_->OpenConnections_.end())
     It->second.SetMaxFrameBytes_(Impl_->MaxFrameBytes_);
@@ -244,6 +280,7 @@
     Impl_->Server_.stop_listening(Ec);
   const auto Open = std::move(Impl_->OpenConnections_);
   Impl_->OpenConnections_.clear();
+  Impl_->Unidentified_.clear();
   for (const auto &[Id, H] : Open)
     H.Close_("stopped");
 }
--- a/src/ws_transport.h
+++ b/src/ws_transport.h
@@ -24,6 +24,9 @@
   std::function<void(ConnectionId, const std::string &Bytes)> Received_;
   /// Called once per connection, also for a dial that failed.
   std::function<void(ConnectionId, const std::string &Reason)> Closed_;
+  /// An accepted connection is closed to make room; Caller is its address. May
+  /// be empty.
+  std::function<void(const std::string &Caller)> Dropped_;
 };
 
 /// Websocket connections that carry binary frames, on the given io_context.
@@ -36,6 +39,9 @@
 
   /// Returns the bound address. Error code: listen_failed.
   Result<SocketAddress> listen(const SocketAddress &Address);
+  /// Has at most Count accepted connections open. Beyond it, the oldest one is
+  /// closed of which the other end is not known.
+  void limitAccepted(std::uint32_t Count);
   /// Error code: bad_address.
   Result<ConnectionId> dial(const SocketAddress &Address);
   /// Has no effect on a connection that is closed.
