Keep connections free from the callers of one job

A job that is submitted again and again has a caller on each connection, and none of them was ever given up: the connections of one job could keep out all others for as long as it ran. The callers of all jobs now keep three quarters of the connections. Beyond that, the oldest caller of the job with most of them is answered with 504, which says that the job may run.

WaitingCallers is a module of its own, apart from the entry's input and output.

--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -19,6 +19,7 @@
 #include "random_number.h"
 #include "resource_plan.h"
 #include "status_server.h"
+#include "waiting_callers.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -45,16 +46,11 @@
 // connections arrive that were held back with the VM.
 constexpr Duration CallerCheckDelay = std::chrono::milliseconds(20);
 
-// Share of the callers' connections that jobs may keep; the others are free for
-// new callers, if only for a refusal.
-constexpr double MaxJobShare = 0.75;
-
 DispatchLimits dispatchLimits(const LeaseSettings &Leases,
                               const ResourcePlan &Plan) {
   DispatchLimits Limits;
   Limits.Leases_ = planLeases(Leases);
-  Limits.MaxJobs_ =
-      static_cast<std::uint32_t>(MaxJobShare * Plan.CallerConnections_);
+  Limits.MaxJobs_ = Plan.Jobs_;
   Limits.MaxJobBytes_ = Plan.JobBytes_;
   return Limits;
 }
@@ -73,14 +69,6 @@
 } // namespace
 
 struct DispatchEntry::Impl : std::enable_shared_from_this<DispatchEntry::Impl> {
-  struct WaitingCaller {
-    HttpReplyPtr Reply_;
-    Time Received_;
-    std::string Route_;
-    /// Latency objective of the route for a job of this estimated length.
-    Duration Objective_{0};
-  };
-
   Impl(asio::io_context &Io, DispatchEntrySettings Settings, EntryPorts Ports,
        EventLog &Log);
 
@@ -91,7 +79,10 @@
                         const HttpReplyPtr &Reply);
   void onCancel(const CancelRequest &Request, const HttpReplyPtr &Reply);
   void onCallerDisconnected(JobNumber Job, const HttpReply *Reply, Time Now);
+  void limitCallers(Time Now);
   void onAnswer(const AnswerJob &A);
+  void sendAnswer(const AnswerJob &A, const std::vector<WaitingCaller> &Callers,
+                  Time Now);
   void onPeerMessage(const PeerId &From, const Message &M);
   void apply();
   void applyCordons(Time Now);
@@ -129,7 +120,7 @@
   PauseMonitor Pauses_;
   /// Set after a pause until the callers have been checked again.
   std::optional<Time> CallerCheckDue_;
-  std::map<JobNumber, std::vector<WaitingCaller>> WaitingCallers_;
+  WaitingCallers WaitingCallers_;
   std::set<PeerId> ConnectedEntries_;
   std::optional<DrainPlan> Drain_;
   std::optional<bool> WasReady_;
@@ -303,9 +294,10 @@
   // The dispatcher limits what its jobs hold.
   Reply->retain(0);
   const JobNumber Number = Dispatcher_.submit(std::move(Request.Job_), Now);
-  WaitingCallers_[Number].push_back(std::move(Caller));
+  WaitingCallers_.add(Number, std::move(Caller));
   apply();
-  if (WaitingCallers_.count(Number) > 0)
+  limitCallers(Now);
+  if (!WaitingCallers_.of(Number).empty())
     Reply->onDisconnect([Self = shared_from_this(), Number, Raw = Reply.get()] {
       Self->onCallerDisconnected(Number, Raw, Self->beginEvent());
     });
@@ -314,21 +306,24 @@
 void DispatchEntry::Impl::onCallerDisconnected(JobNumber Job,
                                                const HttpReply *Reply,
                                                Time Now) {
-  const auto It = WaitingCallers_.find(Job);
-  if (It == WaitingCallers_.end() || Stopped_)
-    return;
-  auto &List = It->second;
-  List.erase(std::remove_if(List.begin(), List.end(),
-                            [&](const WaitingCaller &W) {
-                              return W.Reply_.get() == Reply;
-                            }),
-             List.end());
-  if (!List.empty())
+  if (Stopped_ || !WaitingCallers_.remove(Job, Reply))
     return;
   Dispatcher_.cancel(Job, "caller_gone", Now);
   apply();
 }
 
+// Jobs may keep only a part of the callers' connections, and a job that was
+// submitted often no more than its part. Status 504 says that the job may run.
+void DispatchEntry::Impl::limitCallers(Time Now) {
+  while (WaitingCallers_.size() > Resources_.Jobs_) {
+    JobNumber Job;
+    const auto Surplus = WaitingCallers_.takeRepeated(Job);
+    if (Surplus.empty())
+      return;
+    sendAnswer({Job, JobEnding::Unknown, "submitted_again", {}}, Surplus, Now);
+  }
+}
+
 // The job may be active at another entry, which the caller cannot know, so the
 // cancellation is forwarded to all connected entries.
 void DispatchEntry::Impl::onCancel(const CancelRequest &Request,
@@ -342,13 +337,13 @@
 }
 
 void DispatchEntry::Impl::onAnswer(const AnswerJob &A) {
-  const auto It = WaitingCallers_.find(A.Job_);
-  if (It == WaitingCallers_.end())
-    return;
-  const auto List = std::move(It->second);
-  WaitingCallers_.erase(It);
-  const Time Now = steadyNow();
-  for (const WaitingCaller &W : List) {
+  sendAnswer(A, WaitingCallers_.take(A.Job_), steadyNow());
+}
+
+void DispatchEntry::Impl::sendAnswer(const AnswerJob &A,
+                                     const std::vector<WaitingCaller> &Callers,
+                                     Time Now) {
+  for (const WaitingCaller &W : Callers) {
     W.Reply_->send(Ports_.Callers_->answer(A));
     countAnswer(Metrics_, A, {W.Route_, Now - W.Received_, W.Objective_});
   }
@@ -441,11 +436,8 @@
 }
 
 void DispatchEntry::Impl::checkCallers(JobNumber Job, Time Now) {
-  const auto It = WaitingCallers_.find(Job);
-  if (It == WaitingCallers_.end())
-    return;
   std::vector<const HttpReply *> Gone;
-  for (const WaitingCaller &C : It->second)
+  for (const WaitingCaller &C : WaitingCallers_.of(Job))
     if (C.Reply_->callerGone())
       Gone.push_back(C.Reply_.get());
   for (const HttpReply *Reply : Gone)
@@ -453,10 +445,7 @@
 }
 
 void DispatchEntry::Impl::checkAllCallers(Time Now) {
-  std::vector<JobNumber> Jobs;
-  for (const auto &[Job, Callers] : WaitingCallers_)
-    Jobs.push_back(Job);
-  for (const JobNumber Job : Jobs)
+  for (const JobNumber Job : WaitingCallers_.jobs())
     checkCallers(Job, Now);
 }
 
@@ -495,10 +484,7 @@
   if (!Drain_)
     return;
   if (Drain_->mustExit(Now)) {
-    std::vector<JobNumber> Unanswered;
-    for (const auto &[Number, List] : WaitingCallers_)
-      Unanswered.push_back(Number);
-    for (const JobNumber Number : Unanswered)
+    for (const JobNumber Number : WaitingCallers_.jobs())
       Dispatcher_.abandon(Number, "draining", Now);
     apply();
   }
--- a/src/resource_plan.cpp
+++ b/src/resource_plan.cpp
@@ -26,6 +26,7 @@
   const std::uint64_t Memory = Limits.MemoryMb_ * BytesPerMb;
   ResourcePlan Plan{};
   Plan.CallerConnections_ = Descriptors / 5 * 3;
+  Plan.Jobs_ = Plan.CallerConnections_ / 4 * 3;
   Plan.PeerConnections_ = Descriptors / 4;
   Plan.StatusConnections_ =
       std::clamp(Descriptors / 64, MinStatusConnections, MaxStatusConnections);
--- a/src/resource_plan.h
+++ b/src/resource_plan.h
@@ -14,6 +14,9 @@
   std::uint32_t CallerConnections_;
   std::uint32_t PeerConnections_;
   std::uint32_t StatusConnections_;
+  /// Jobs that keep a caller's connection. The other connections are free for
+  /// new callers, if only for a refusal.
+  std::uint32_t Jobs_;
   /// Bytes of callers' requests and responses; of jobs.
   std::uint64_t RequestBytes_;
   std::uint64_t JobBytes_;
