Limit the memory of open jobs at the role entry

Jobs whose callers had disconnected stayed open, and nothing limited their bytes. A single job is always accepted.

--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -123,9 +123,10 @@
 
 std::unique_ptr<EntryCore> EntryService::Impl::makeCore() {
   const EntryId Self{Settings_.Process_.Name_, Incarnation(drawRandomNumber())};
-  const OwnerLimits Limits{Settings_.MaxTasksPerJob_, Settings_.TokenEpoch_,
-                           Settings_.TokenEpochsAccepted_,
-                           Settings_.ResultBytes_};
+  const OwnerLimits Limits{
+      Settings_.MaxTasksPerJob_, Settings_.TokenEpoch_,
+      Settings_.TokenEpochsAccepted_, Settings_.ResultBytes_,
+      planResources(Settings_.Process_.Resources_).JobBytes_};
   const std::uint64_t Seed =
       Settings_.Seed_ != 0 ? Settings_.Seed_ : Self.Incarnation_.value();
   EntryActions Actions{
--- a/src/job_owner.cpp
+++ b/src/job_owner.cpp
@@ -11,6 +11,8 @@
 /// Delay after which the configuration is usually known, from a peer or from
 /// the log.
 constexpr Duration ConfigRetryAfter = std::chrono::seconds(1);
+/// Delay after which some of the open jobs have ended.
+constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
 
 } // namespace
 
@@ -48,6 +50,13 @@
   if (!ok(Check))
     return plainAnswer(Outcome::NotRun, error(Check).Code_,
                        error(Check).Detail_);
+  if (Jobs_.openJobs() > 0 &&
+      Jobs_.openBytes() + openJobBytes(Spec) > Limits_.OpenJobBytes_) {
+    auto A = plainAnswer(Outcome::NotRun, "queue_full",
+                         "the open jobs hold too much memory");
+    A.RetryAfter_ = MemoryRetryAfter;
+    return A;
+  }
   if (const auto Refused = Sched_.admitJob(Spec, Now)) {
     auto A = plainAnswer(Outcome::NotRun, Refused->Code_, Refused->Detail_);
     A.RetryAfter_ = Refused->RetryAfter_;
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -21,6 +21,8 @@
   std::uint32_t EpochsAccepted_ = 2;
   /// Bytes of results kept for answered jobs.
   std::uint64_t ResultBytes_ = 256u << 20;
+  /// Bytes of jobs without an answer, beyond which new ones are refused.
+  std::uint64_t OpenJobBytes_ = 128u << 20;
 };
 
 /// State of one task of an adopted job, as its agents reported it. State_ is
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -85,6 +85,13 @@
   return std::nullopt;
 }
 
+std::uint64_t openJobBytes(const JobSpec &Spec) {
+  std::uint64_t Bytes = sizeof(OwnedJob);
+  for (const TaskSpec &Task : Spec.Tasks_)
+    Bytes += sizeof(TaskSpec) + sizeof(OwnedTask) + Task.Payload_.size();
+  return Bytes;
+}
+
 std::uint64_t resultBytes(const JobAnswer &Answer) {
   std::uint64_t Bytes = 0;
   for (const TaskAnswer &Task : Answer.Tasks_)
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -46,12 +46,17 @@
   std::string Result_;
 };
 
+/// Memory that a job takes at its owner until its answer, approximately.
+std::uint64_t openJobBytes(const JobSpec &Spec);
+
 /// One job at its owner, from submission to the end of its retention.
 struct OwnedJob {
   /// Sequence number of the job at this owner.
   std::uint64_t Number_ = 0;
   JobSpec Spec_;
   std::uint64_t BodyHash_ = 0;
+  /// Memory that the job takes until its answer, approximately.
+  std::uint64_t OpenBytes_ = 0;
   std::optional<Time> Deadline_;
   std::vector<OwnedTask> Tasks_;
   std::vector<ReplyId> Replies_;
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -31,6 +31,8 @@
   if (!Adopted)
     ByEpoch_[J.Spec_.Id_.Token_.Epoch_].push_back(J.Number_);
   ++OpenJobs_;
+  J.OpenBytes_ = openJobBytes(J.Spec_);
+  OpenBytes_ += J.OpenBytes_;
   return J;
 }
 
@@ -53,6 +55,7 @@
   J.Answered_ = true;
   J.Answer_ = std::move(Answer);
   --OpenJobs_;
+  OpenBytes_ -= J.OpenBytes_;
   std::vector<ReplyId> Replies = std::move(J.Replies_);
   J.Replies_ = {};
   for (const ReplyId Reply : Replies)
@@ -92,8 +95,10 @@
   release(J);
   for (const ReplyId Reply : J.Replies_)
     ByReply_.erase(Reply);
-  if (!J.Answered_)
+  if (!J.Answered_) {
     --OpenJobs_;
+    OpenBytes_ -= J.OpenBytes_;
+  }
   ByNumber_.erase(J.Number_);
   const JobId Id = J.Spec_.Id_;
   Jobs_.erase(Id);
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -39,6 +39,8 @@
 
   std::size_t openJobs() const { return OpenJobs_; }
   std::size_t records() const { return Jobs_.size(); }
+  /// Memory of the jobs without an answer, approximately.
+  std::uint64_t openBytes() const { return OpenBytes_; }
   std::uint64_t retainedBytes() const { return RetainedBytes_; }
 
 private:
@@ -60,6 +62,7 @@
   std::uint64_t NextNumber_ = 1;
   std::uint64_t NextRetainedOrder_ = 1;
   std::size_t OpenJobs_ = 0;
+  std::uint64_t OpenBytes_ = 0;
 };
 
 } // namespace chivelanding
