Split the HTTP server and the entries by subject

The sessions of HttpServer, the callers of DispatchEntry and the limits of the role entry's listeners and jobs are now in files of their own; no function changed but for ownerLimits(), which took over the initialization of OwnerLimits. No functional change.

--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -8,18 +8,17 @@
 #include "cordon_edit.h"
 #include "drop_log.h"
 #include "entry_core.h"
+#include "entry_limits.h"
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_hub.h"
 #include "periodic_timer.h"
 #include "random_number.h"
-#include "resource_plan.h"
 #include "team_auth.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <unordered_map>
@@ -30,23 +29,6 @@
 // Period of the decision modules' timers.
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
 
-HttpServerLimits callerLimits(const EntrySettings &S) {
-  const ResourcePlan Plan = planResources(S.Process_.Resources_);
-  HttpServerLimits Limits;
-  Limits.MaxBodyBytes_ = S.MaxBodyBytes_;
-  Limits.MaxConnections_ = std::min(S.MaxConnections_, Plan.CallerConnections_);
-  Limits.MaxHeldBytes_ = Plan.RequestBytes_;
-  return Limits;
-}
-
-HttpServerLimits adminLimits(const EntrySettings &S) {
-  const ResourcePlan Plan = planResources(S.Process_.Resources_);
-  HttpServerLimits Limits;
-  Limits.MaxConnections_ = Plan.StatusConnections_;
-  Limits.MaxHeldBytes_ = Plan.RequestBytes_;
-  return Limits;
-}
-
 HttpResponse notFound() {
   return {404, "application/json", {}, R"({"code":"not_found"})"};
 }
@@ -123,10 +105,6 @@
 
 std::unique_ptr<EntryCore> EntryService::Impl::makeCore() {
   const EntryId Self{Settings_.Process_.Name_, Incarnation(drawRandomNumber())};
-  const OwnerLimits Limits{
-      Settings_.MaxTasksPerJob_, Settings_.TokenEpoch_,
-      Settings_.TokenEpochsAccepted_, Settings_.ResultBytes_,
-      planResources(Settings_.Process_.Resources_).JobBytes_};
   const std::uint64_t Seed =
       Settings_.Seed_ != 0 ? Settings_.Seed_ : Self.Incarnation_.value();
   EntryActions Actions{
@@ -139,7 +117,7 @@
         boost::asio::post(Io_, [Self = shared_from_this()] { Self->rejoin(); });
       }};
   return std::make_unique<EntryCore>(
-      Self, Limits, Settings_.Process_.LostAfter_, basePolicy(),
+      Self, ownerLimits(Settings_), Settings_.Process_.LostAfter_, basePolicy(),
       Settings_.Process_.Zone_, Seed, std::move(Actions), steadyNow());
 }
 
