review/11: jobs are answered failed though no run of them failed

LOST: an endpoint that answers 503 for longer than its lease counts as crashed, and a task that meets two or three of them is given up.

--- a/review/lib-3/platform3.py
+++ b/review/lib-3/platform3.py
@@ -219,11 +219,13 @@
         self.id = f"i-{number:08x}"
         self.started, self.born = now(), int(time.time() * 1000)
         self.running, self.ended, self.barred = {}, [], {}
+        self.all_ended = []  # also the ends that were taken note of
         self.lease_end, self.token, self.ends = 0.0, 0, 0
         self.end_listed = asyncio.Event()
         self.seq = 0
         self.starts = []  # (time, task, run)
         self.runs = []    # [task, run, from, to or None]
+        self.busy_until = 0.0  # answers 503 until then, heartbeats go on
 
     def clock_ms(self):
         return int((now() - self.started) * 1000)
@@ -260,6 +262,7 @@
         run = self.running.pop(task)
         self.ends += 1
         self.ended.append([self.ends, task, run["run"], how, ""])
+        self.all_ended.append(self.ended[-1])
         self.barred[task] = max(self.barred.get(task, 0), run["run"])
         run["row"][3] = now()
         self.record.write(f"{self.name} run of {task} run {run['run']} ends: "
@@ -277,6 +280,8 @@
                                  **body})
 
     async def handle(self, request):
+        if now() < self.busy_until:
+            return self.reply(503, {})
         if request.headers.get("x-expect-instance", self.id) != self.id:
             return self.reply(421, {})
         body = request.json()
