--- a/review/lib-3/platform3.py
+++ b/review/lib-3/platform3.py
@@ -168,6 +168,7 @@
     def __init__(self):
         self.topics = {}
         self.changed = asyncio.Event()
+        self.on_read = lambda request, start, end, size: None
 
     def put(self, topic, key, value):
         self.topics.setdefault(topic, []).append((key, value))
@@ -194,10 +195,15 @@
                 except asyncio.TimeoutError:
                     pass
             records = self.topics.get(topic, [])
+            room = int(request.query.get("maxKb", "1024")) * 1024
             body = struct.pack(">QQ", len(records), 0)
             for key, value in records[start:]:
                 content = bytes([len(key)]) + key.encode() + value
-                body += struct.pack(">I", len(content)) + content
+                record = struct.pack(">I", len(content)) + content
+                if len(body) + len(record) > room and len(body) > 16:
+                    break
+                body += record
+            self.on_read(request, start, len(records), len(body))
             return response(200, body, "application/octet-stream")
         if request.path == "/log-append":
             length = request.body[4]
@@ -442,7 +448,9 @@
                 f"{self.advertised(number)}:{PEERS}", "platform": {"address":
                 f"{self.store_host(role, number)}:{STORE}"}}
 
-    def publish(self):
+    def publish(self, routes=0):
+        """Writes the next version of the configuration, with this many routes
+        beside that of the jobs. Returns the size of the record."""
         self.version += 1
         config = {"version": self.version, "limits": {},
                   "services": [{"name": SERVICE, "admissionControl": True}],
@@ -450,7 +458,20 @@
                               "pathPrefix": "/queue/", "service": SERVICE,
                               "priority": 0, "attempts": 4, "stretch": 1.6,
                               "targetLatencyMs": 60}]}
-        self.store.put("keyed.op", "config", json.dumps(config).encode())
+        for i in range(routes):
+            config["routes"].append(
+                {"name": f"r-idle{i:05}", "host": f"idle{i:05}.example",
+                 "pathPrefix": f"/idle{i:05}/", "kind": "non_idempotent",
+                 "timeoutMs": 1500, "targetLatencyMs": 60, "priority": 0,
+                 "service": SERVICE, "attempts": 4, "stretch": 1.6})
+        text = json.dumps(config, separators=(",", ":")).encode()
+        self.store.put("keyed.op", "config", text)
+        return len(text)
+
+    def evacuate(self, zone, wanted=True):
+        self.store.put("keyed.op", "evacuate/" + zone,
+                       json.dumps({"zone": zone}).encode() if wanted else b"")
+        self.record.write(f"{zone} is {'evacuated' if wanted else 'taken back'}")
 
     async def start(self):
         self.publish()
