review/11: exit codes, record, free ports and time limit as the issue asks

An error before the case began ended with 1, record.txt lacked what was sent and answered, ports were fixed and the time limit left out the start.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -26,7 +26,7 @@
         entry = 1 + number % len(fleet.entries)
         if fleet.entries[entry - 1].name not in fleet.frozen:
             asyncio.ensure_future(fleet.post(entry, fleet.new_id(), "200", 4,
-                                             1500, note=False))
+                                             1500))
         await asyncio.sleep(0.1)
 
 
--- a/review/lib-3/platform3.py
+++ b/review/lib-3/platform3.py
@@ -25,13 +25,24 @@
 # Bounds of a small deployment (those of the site that claim.txt names).
 BOUNDS = {"graceS": 6, "maxHoldMs": 1000, "stopMs": 50, "retryDelayMs": 1300,
           "drainMs": 2000, "cancel_ms": 3000, "stableWindowMs": 3000}
-FRONT, READY, CONTROL, APP, STORE, PEERS = 8161, 8167, 8166, 8165, 8169, 7720
+PORTS = ["front", "readiness", "control", "app", "store", "peers", "metrics"]
 
 
 def now():
     return time.monotonic()
 
 
+def free_ports():
+    """Ports that are free at all addresses now, by their use."""
+    sockets = [socket.socket() for _ in PORTS]
+    for each in sockets:
+        each.bind(("", 0))
+    ports = {use: each.getsockname()[1] for use, each in zip(PORTS, sockets)}
+    for each in sockets:
+        each.close()
+    return ports
+
+
 # --- The settings templates of the deploy file.
 
 def look_up(stack, path):
@@ -102,64 +113,6 @@
         self.file.flush()
 
 
-class Proxy:
-    """Carries TCP connections between two loopback addresses. While it is cut
-    for some diallers, their bytes are held in both directions, also those of
-    new connections; those of ends that are closed meanwhile are lost."""
-
-    def __init__(self, listen, target):
-        self.listen, self.target = listen, target
-        self.is_cut = lambda dialler: False
-
-    async def start(self):
-        await asyncio.start_server(self.connected, *self.listen)
-
-    async def connected(self, reader, writer):
-        connection = {"head": b"", "dialler": ""}
-        far_writer = None
-        try:
-            far_reader, far_writer = await asyncio.open_connection(*self.target)
-            await asyncio.gather(
-                self.pump(reader, far_writer, connection, True),
-                self.pump(far_reader, writer, connection, False))
-        except (ConnectionError, OSError):
-            pass
-        finally:
-            writer.close()
-            if far_writer:
-                far_writer.close()
-
-    async def pump(self, reader, writer, connection, from_dialler):
-        while True:
-            data = await reader.read(65536)
-            if not data:
-                raise ConnectionError
-            if from_dialler and len(connection["head"]) < 4096:
-                connection["head"] += data
-                connection["dialler"] = dialler_name(connection["head"])
-            while self.is_cut(connection["dialler"]):
-                if writer.is_closing():
-                    raise ConnectionError
-                await asyncio.sleep(0.01)
-            writer.write(data)
-            await writer.drain()
-
-
-def dialler_name(head):
-    """Name of the entry or agent that opened a link, from its first frame;
-    empty until that has arrived."""
-    _, end, frame = head.partition(b"\r\n\r\n")
-    if not end or len(frame) < 8:
-        return ""
-    length, start = frame[1] & 127, 2
-    if length == 126:
-        length, start = struct.unpack(">H", frame[2:4])[0], 4
-    mask, payload = frame[start:start + 4], frame[start + 4:start + 4 + length]
-    text = bytes(b ^ mask[i % 4] for i, b in enumerate(payload))
-    found = re.search(rb"(frontend|side)-z\d-\d+", text)
-    return found.group().decode() if found else ""
-
-
 class Store:
     """The platform's store: topics with keyed records, one partition each."""
 
@@ -180,9 +133,11 @@
         topic = request.query.get("topic", "")
         if request.path == "/log-newest":
             records = self.topics.get(topic, [])
+            newest = {key: (offset, value)
+                      for offset, (key, value) in enumerate(records)}
             items = [{"key": key, "value": base64.b64encode(value).decode(),
-                      "offset": len(records) - 1}
-                     for key, value in dict(records).items() if value]
+                      "offset": offset}
+                     for key, (offset, value) in newest.items() if value]
             return response(200, {"items": items, "morePages": False,
                                   "end": len(records)})
         if request.path == "/log-read":
@@ -219,34 +174,33 @@
 
     HEARTBEAT_S = 1.5
 
-    def __init__(self, number, host, record, cpu):
+    def __init__(self, number, host, ports, record, cpu):
         self.name, self.record, self.cpu = f"worker-{number}", record, cpu
+        self.ports = ports
         self.host, self.zone = host, ZONES[(number - 1) % 3]
         self.id = f"i-{number:08x}"
         self.started, self.born = now(), int(time.time() * 1000)
         self.running, self.ended, self.barred = {}, [], {}
-        self.all_ended = []  # also the ends that were taken note of
         self.lease_end, self.token, self.ends = 0.0, 0, 0
         self.end_listed = asyncio.Event()
         self.seq = 0
         self.starts = []  # (time, task, run)
-        self.runs = []    # [task, run, from, to or None]
-        self.busy_until = 0.0  # answers 503 until then, heartbeats go on
 
     def clock_ms(self):
         return int((now() - self.started) * 1000)
 
     async def start(self):
-        await serve((self.host, APP), self.handle)
+        await serve((self.host, self.ports["app"]), self.handle)
         asyncio.ensure_future(self.beat())
         asyncio.ensure_future(self.work())
 
     async def beat(self):
         while True:
             self.seq += 1
-            await call((self.host, CONTROL), "POST",
+            await call((self.host, self.ports["control"]), "POST",
                        f"/Instances.Heartbeat/{self.id}",
-                       {"service": SERVICE, "address": f"{self.host}:{APP}",
+                       {"service": SERVICE, "address":
+                        f"{self.host}:{self.ports['app']}",
                         "zone": self.zone, "version": "v1", "slots": 8,
                         "state": "ready", "coldRemainingMs": 0,
                         "capacity": {"cpu": self.cpu, "memMb": 32768, "gpu": 0},
@@ -268,9 +222,7 @@
         run = self.running.pop(task)
         self.ends += 1
         self.ended.append([self.ends, task, run["run"], how, ""])
-        self.all_ended.append(self.ended[-1])
         self.barred[task] = max(self.barred.get(task, 0), run["run"])
-        run["row"][3] = now()
         self.record.write(f"{self.name} run of {task} run {run['run']} ends: "
                           f"{how}")
         self.end_listed.set()
@@ -286,8 +238,6 @@
                                  **body})
 
     async def handle(self, request):
-        if now() < self.busy_until:
-            return self.reply(503, {})
         if request.headers.get("x-expect-instance", self.id) != self.id:
             return self.reply(421, {})
         body = request.json()
@@ -317,9 +267,7 @@
             return self.reply(409, {"reason": "old"})
         if 1000 * (len(self.running) + 1) > self.cpu:
             return self.reply(409, {"reason": "room"})
-        row = [task, run, now(), None]
-        self.runs.append(row)
-        self.running[task] = {"run": run, "from": now(), "row": row,
+        self.running[task] = {"run": run, "from": now(),
                               "until": now() + int(body["spec"]) / 1000}
         self.starts.append((now(), task, run))
         self.record.write(f"{self.name} starts {task} run {run}")
@@ -353,8 +301,6 @@
         self.log = open(os.path.join(fleet.folder, name + ".log"), "ab")
         text = render(open(os.path.join(ROOT, template),
                            encoding="utf-8").read(), [fields])
-        if role == "entry":  # the last table is that of the entry
-            text += f'\npeer_advertise = "{fields["advertise"]}"\n'
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(text)
         self.child = None
@@ -383,7 +329,7 @@
         self.folder = tempfile.mkdtemp(prefix="chivelanding-review-")
         self.bounds = dict(BOUNDS, **(bounds or {}))
         self.roles = roles()
-        self.net, self.claim = self.claim_net()
+        self.net, self.ports = random.randrange(20, 250), free_ports()
         self.store = Store()
         self.version = 0
         self.entries = [Process(self, "entry", f"frontend-{ZONES[i % 3]}-1",
@@ -392,61 +338,39 @@
         self.agents = [Process(self, "agent", f"side-{ZONES[i % 3]}-{i + 1}",
                                self.fields("agent", i + 1))
                        for i in range(agents)]
-        self.workers = [Worker(i + 1, self.side(i + 1), self.record, cpu)
+        self.workers = [Worker(i + 1, self.side(i + 1), self.ports, self.record,
+                               cpu)
                         for i in range(agents)]
 
-    @staticmethod
-    def claim_net():
-        """A part of the loopback range that no other case is using."""
-        for net in random.sample(range(20, 250), 230):
-            claim = socket.socket()
-            try:
-                claim.bind((f"127.{net}.9.1", FRONT))
-                return net, claim
-            except OSError:
-                claim.close()
-        raise OSError("every part of the loopback range is in use")
-
     def front(self, number):
         return f"127.{self.net}.1.{number}"
 
     def side(self, number):
         return f"127.{self.net}.2.{number}"
 
-    def advertised(self, number):
-        """Address at which the others reach the entry for its links."""
-        return f"127.{self.net}.4.{number}"
-
-    def store_host(self, role, number):
-        return f"127.{self.net}.{5 if role == 'entry' else 3}.{number}"
-
-    def cut_off(self, number, cut):
-        """Cuts an entry off from all other machines of the system and from the
-        store, or heals the cut. Callers still reach it."""
-        name = self.entries[number - 1].name
-        for i, proxy in enumerate(self.links, 1):
-            proxy.is_cut = (lambda dialler, i=i: cut and
-                            (i == number or dialler in ("", name)))
-        self.store_links[number - 1].is_cut = lambda dialler: cut
+    def store_address(self):
+        return f"127.{self.net}.3.1", self.ports["store"]
 
     def fields(self, role, number):
+        """Fields of a settings file, as DEPLOY.md names them."""
+        ports = self.ports
         entry = role == "entry"
         host = self.front(number) if entry else self.side(number)
-        listen = {"control": f"{host}:{CONTROL}"}
+        listen = {"control": f"{host}:{ports['control']}"}
         if entry:
-            listen.update(front=f"{host}:{FRONT}", readiness=f"{host}:{READY}")
+            listen["front"] = f"{host}:{ports['front']}"
+            listen["readiness"] = f"{host}:{ports['readiness']}"
         zone = ZONES[(number - 1) % 3]
+        store = "%s:%d" % self.store_address()
         return {"node": f"frontend-{zone}-1" if entry else
                 f"side-{zone}-{number}", "zone": zone, "region": "r1",
-                "ip": host, "listenAddrs": listen, "portRange": [PEERS,
-                                                                 PEERS + 15],
-                "seeds": [f"{self.advertised(i)}:{CONTROL}"
+                "ip": host, "listenAddrs": listen,
+                "portRange": [ports["peers"], ports["metrics"]],
+                "seeds": [f"{self.front(i)}:{ports['control']}"
                           for i in (1, 2, 3)],
                 "limits": {"memoryMb": 260 if entry else 128, "maxFds": 4096},
-                "bounds": self.bounds, "app": f"{host}:{APP}",
-                "service": SERVICE, "advertise":
-                f"{self.advertised(number)}:{PEERS}", "platform": {"address":
-                f"{self.store_host(role, number)}:{STORE}"}}
+                "bounds": self.bounds, "app": f"{host}:{ports['app']}",
+                "service": SERVICE, "platform": {"address": store}}
 
     def publish(self, routes=0):
         """Writes the next version of the configuration, with this many routes
@@ -475,18 +399,7 @@
 
     async def start(self):
         self.publish()
-        real_store = (f"127.{self.net}.6.1", STORE)
-        await serve(real_store, self.store.handle)
-        self.links = [Proxy((self.advertised(i), PEERS), (self.front(i), PEERS))
-                      for i in range(1, len(self.entries) + 1)]
-        self.store_links = [Proxy((self.store_host("entry", i), STORE),
-                                  real_store)
-                            for i in range(1, len(self.entries) + 1)]
-        for i in range(1, len(self.agents) + 1):
-            await Proxy((self.store_host("agent", i), STORE),
-                        real_store).start()
-        for proxy in self.links + self.store_links:
-            await proxy.start()
+        await serve(self.store_address(), self.store.handle)
         for process in self.entries + self.agents:
             await process.start()
         for worker in self.workers:
@@ -501,7 +414,7 @@
     async def serves(self, number):
         """True if a job of one task per worker runs through this entry."""
         status, _ = await self.post(number, self.new_id(), "10",
-                                    len(self.workers), 2000, note=False)
+                                    len(self.workers), 2000)
         return status == 200
 
     @staticmethod
@@ -514,33 +427,18 @@
             pairs.append(("X-Deadline-Ms", str(deadline_ms)))
         return pairs
 
-    async def post(self, number, job, spec, tasks, deadline_ms, note=True,
-                   cpu=1000, estimate_ms=None):
+    async def post(self, number, job, spec, tasks, deadline_ms, cpu=1000):
         """Submits a job that need not be stored; waits for its answer."""
-        if note:
-            self.record.write(f"POST {job} to entry {number}")
+        self.record.write(f"POST {job} to entry {number}")
         body = {"spec": spec, "bestEffort": True,
                 "steps": [{"count": tasks, "cpu": cpu, "memMb": 64,
-                           "estRuntimeMs": estimate_ms or int(spec)}]}
-        answer = await call((self.front(number), FRONT), "POST",
+                           "estRuntimeMs": int(spec)}]}
+        answer = await call((self.front(number), self.ports["front"]), "POST",
                             "/queue/" + job, body, self.headers(deadline_ms),
                             timeout=deadline_ms / 1000)
-        if note:
-            self.record.write(f"POST {job} at entry {number} answered: {answer}")
+        self.record.write(f"POST {job} at entry {number} answered: {answer}")
         return answer
 
-    async def delete(self, number, job):
-        self.record.write(f"DELETE {job} at entry {number}")
-        answer = await call((self.front(number), FRONT), "DELETE",
-                            "/queue/" + job, None, self.headers())
-        self.record.write(f"DELETE {job} at entry {number} answered: {answer}")
-        return answer
-
-    def starts_of(self, job):
-        return sorted((at, w.name, task, run) for w in self.workers
-                      for at, task, run in w.starts
-                      if task.startswith(job + "."))
-
     async def end(self, keep=False):
         for process in self.entries + self.agents:
             await process.end()
@@ -548,22 +446,33 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+BROKEN, HELD, COULD_NOT_RUN = 3, 0, 2  # run.sh makes the first one 1
+TIME_LIMIT_S = 100
+
+
 def run_case(folder, case, **options):
-    """Runs case(fleet, trouble); it returns the text of a broken rule or ''."""
+    """Runs case(fleet, trouble), which returns the text of a broken rule or ''.
+    Ends this process."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
+    async def play(fleet):
+        await fleet.start()
+        return await case(fleet, trouble)
+
     async def whole():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         fleet = Fleet(folder, **options)
         try:
-            await fleet.start()
-            broken = await asyncio.wait_for(case(fleet, trouble), 100)
+            broken = await asyncio.wait_for(play(fleet), TIME_LIMIT_S)
             fleet.record.write(f"BROKEN: {broken}" if broken else "held")
             print(broken or "held")
-            return 1 if broken else 0
-        except Exception as failure:  # the case could not run
+            return BROKEN if broken else HELD
+        except (Exception, asyncio.CancelledError) as failure:
             fleet.record.write(f"could not run: {failure!r}")
             print(f"could not run: {failure!r}", file=sys.stderr)
-            return 2
+            return COULD_NOT_RUN
         finally:
             await fleet.end(keep="KEEP" in os.environ)
             if "KEEP" in os.environ:
