--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -31,6 +31,7 @@
 
   void read();
   void onRecords(const Result<StoreRecords> &R);
+  void noteBacklog(const StoreRecords &Answer);
   void readCordons(const StoreRecords &Answer, bool Whole);
   void retry(const Error &E);
 
@@ -44,6 +45,7 @@
   /// error.
   std::optional<std::uint64_t> Next_;
   std::optional<bool> Available_;
+  std::uint64_t RecordsBehind_ = 0;
   SkippedItemLog Skipped_{"operators"};
   bool Stopped_ = false;
 };
@@ -70,6 +72,7 @@
   Available_ = true;
   if (const auto Event = Skipped_.onRead(value(R).Skipped_, steadyNow()))
     Log_.write(*Event);
+  noteBacklog(value(R));
   readCordons(value(R), !Next_);
   Next_ = value(R).Next_;
   const std::string *Newest = nullptr;
@@ -81,6 +84,16 @@
   read();
 }
 
+void ConfigFeed::Impl::noteBacklog(const StoreRecords &Answer) {
+  RecordsBehind_ = Answer.End_ > Answer.Next_ ? Answer.End_ - Answer.Next_ : 0;
+  if (RecordsBehind_ > 0)
+    Log_.write(events::StoreBacklog,
+               {{"use", "configuration"},
+                {"from", Next_ ? std::to_string(*Next_) : "newest"},
+                {"next", std::to_string(Answer.Next_)},
+                {"end", std::to_string(Answer.End_)}});
+}
+
 void ConfigFeed::Impl::readCordons(const StoreRecords &Answer, bool Whole) {
   if (!OnCordons_)
     return;
@@ -124,4 +137,8 @@
 
 bool ConfigFeed::available() const { return Impl_->Available_ == true; }
 
+std::uint64_t ConfigFeed::recordsBehind() const {
+  return Impl_->RecordsBehind_;
+}
+
 } // namespace chivelanding
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -32,6 +33,8 @@
   void stop();
   /// True if the last call to the store succeeded.
   bool available() const;
+  /// Records of the stream that the last answer of the store left to read.
+  std::uint64_t recordsBehind() const;
 
 private:
   struct Impl;
--- a/src/cordon_records.h
+++ b/src/cordon_records.h
@@ -11,8 +11,9 @@
 namespace chivelanding {
 
 /// Derives the set of cordoned zones from the records of the operators' stream.
-/// A zone is cordoned while the newest record of its key has a value. Performs
-/// no I/O.
+/// A zone is cordoned while the newest record of its key has a value. The
+/// revision of a set is the offset up to which the stream was read. Performs no
+/// I/O.
 class CordonRecords {
 public:
   /// The key of a zone's record is KeyPrefix and the name of the zone.
@@ -20,8 +21,9 @@
 
   /// The newest record of each key. A key that is missing was removed.
   ZoneCordons onNewest(const StoreRecords &Answer);
-  /// Later records, in order, from the offset at which the last answer ended.
-  /// Returns nothing if the set and its revision are unchanged.
+  /// Later records, in order, from the offset at which the last answer ended;
+  /// others may follow. Returns nothing if the set and its revision are
+  /// unchanged.
   std::optional<ZoneCordons> onFollowed(const StoreRecords &Answer);
 
 private:
--- a/src/dispatch_entry.cpp
+++ b/src/dispatch_entry.cpp
@@ -224,6 +224,9 @@
   Metrics_.set("chivelanding_store_available",
                "1 if the last call to the store was answered.",
                ConfigFeed_.available() ? 1 : 0);
+  Metrics_.set("chivelanding_store_records_behind",
+               "Records that the last answer of the store left to read.",
+               static_cast<double>(ConfigFeed_.recordsBehind()));
   Metrics_.set("chivelanding_connections", "Callers' connections.",
                static_cast<double>(Http_.connections()));
   Metrics_.set("chivelanding_log_lines_dropped", "Log lines left out.",
--- a/src/dispatch_ports.h
+++ b/src/dispatch_ports.h
@@ -89,9 +89,13 @@
 
 struct StoreRecords {
   std::vector<StoreRecord> Records_;
-  /// Offset from which later records are read.
+  /// Offset up to which the stream was read, and from which to read on. Nothing
+  /// that was written before it is missing.
   std::uint64_t Next_ = 0;
   SkippedItems Skipped_;
+  /// End of the stream when it was read. Above Next_ if one answer did not hold
+  /// all records.
+  std::uint64_t End_ = 0;
 };
 
 /// Client of the platform's record store. Callbacks never run inside a call.
@@ -108,7 +112,8 @@
   /// Reads the newest record of each key.
   virtual void newest(StoreStream Stream, Duration Timeout,
                       RecordsCallback Done) = 0;
-  /// Reads the records from Offset on; waits up to Wait for the first of them.
+  /// Reads records from Offset on, as many as one answer holds; waits up to Wait
+  /// for the first of them.
   virtual void follow(StoreStream Stream, std::uint64_t Offset, Duration Wait,
                       Duration Timeout, RecordsCallback Done) = 0;
   virtual void put(StoreStream Stream, const StoreRecord &Record,
--- a/src/events.cpp
+++ b/src/events.cpp
@@ -100,6 +100,10 @@
     608, "cordons_adopted", Severity::Info,
     "The set of cordoned zones of this revision is in force; no run starts in "
     "these zones."};
+const EventType StoreBacklog{
+    609, "store_backlog", Severity::Info,
+    "An answer of the platform's store ends before the end of the stream; the "
+    "records after it are read next."};
 const EventType ZoneCordoned{620, "zone_cordoned", Severity::Warning,
                              "A configuration version cordons a zone: no task "
                              "starts there until it is lifted."};
@@ -244,6 +248,7 @@
       &StoreUnavailable,
       &StoreAvailable,
       &CordonsAdopted,
+      &StoreBacklog,
       &ZoneCordoned,
       &ZoneCordonLifted,
       &StartRefusedCordoned,
--- a/src/events.h
+++ b/src/events.h
@@ -88,6 +88,7 @@
 extern const EventType StoreUnavailable;
 extern const EventType StoreAvailable;
 extern const EventType CordonsAdopted;
+extern const EventType StoreBacklog;
 extern const EventType ZoneCordoned;
 extern const EventType ZoneCordonLifted;
 extern const EventType StartRefusedCordoned;
