Fail a read whose pages end before the last one

A read of the newest records in pages ended as if it were complete when a page with more to follow had no key to continue after, repeated the page before, or exceeded 32 MB. A key that no page has counts as removed, so the cordons on the missing pages were lifted, with the revision of the end of the stream. Found by looking for the cause of the bounded read on related paths; no caller has met it.

--- a/src/dispatch_ports.h
+++ b/src/dispatch_ports.h
@@ -100,7 +100,7 @@
 
 /// Client of the platform's record store. Callbacks never run inside a call.
 /// Errors are those of HttpClient, and refused (status in Detail_), deleted
-/// (Offset is no longer retained), bad_response.
+/// (Offset is no longer retained), bad_response, too_large.
 class RecordStore {
 public:
   RecordStore() = default;
@@ -109,7 +109,7 @@
   virtual ~RecordStore() = default;
   using RecordsCallback = std::function<void(const Result<StoreRecords> &)>;
 
-  /// Reads the newest record of each key.
+  /// Reads the newest record of each key; fails if one of them may be missing.
   virtual void newest(StoreStream Stream, Duration Timeout,
                       RecordsCallback Done) = 0;
   /// Reads records from Offset on, as many as one answer holds; waits up to Wait
--- a/tests/bounded_reads_test.cpp
+++ b/tests/bounded_reads_test.cpp
@@ -235,3 +235,46 @@
     Io.run_for(milliseconds(20));
   }
 }
+
+// Guards against pages that end before the last one and are taken for all: the
+// zones on the others would count as not cordoned.
+TEST_CASE("Pages that do not reach the last key are an error",
+          "[bounded_reads]") {
+  const auto Page = [](const std::string &Items, bool More) {
+    return R"({"items":[)" + Items + R"(],"morePages":)" +
+           (More ? "true" : "false") + R"(,"end":6})";
+  };
+  const std::string Item = R"({"key":"evacuate/z1","value":"e30="})";
+  const std::string LargeItem =
+      R"({"key":"evacuate/z#","value":")" + std::string(3u << 20, 'A') + "\"}";
+  std::vector<std::string> LargePages;
+  for (char C = 'a'; C < 'a' + 20; ++C) {
+    std::string Text = LargeItem;
+    Text[Text.find('#')] = C;
+    LargePages.push_back(Page(Text, C < 'a' + 19));
+  }
+  const std::vector<std::pair<std::string, std::vector<std::string>>> Cases = {
+      {"", {Page(Item, true), Page("", false)}},
+      {"bad_response", {Page("", true)}},
+      {"bad_response", {Page(Item, true), Page(R"({"value":"e30="})", true)}},
+      {"bad_response", {Page(Item, true), Page(Item, true)}},
+      {"too_large", LargePages}};
+  for (const auto &Case : Cases) {
+    const std::string &Code = Case.first;
+    const std::vector<std::string> &Pages = Case.second;
+    INFO(Code << " after " << Pages.size() << " pages");
+    boost::asio::io_context Io;
+    std::size_t Sent = 0;
+    HttpServer Server(Io, {}, [&](const HttpRequest &, const auto &Reply) {
+      Reply->send({200, "application/json", {}, Pages.at(Sent++)});
+    });
+    StoreHttp Store(Io, value(Server.listen({"127.0.0.1", 0})));
+    std::optional<Result<StoreRecords>> Read;
+    Store.newest(StoreStream::Operators, milliseconds(5000),
+                 [&](const Result<StoreRecords> &R) { Read = R; });
+    for (int I = 0; I < 100'000 && !Read; ++I)
+      Io.run_one_for(milliseconds(1000));
+    REQUIRE(Read);
+    CHECK((ok(*Read) ? "" : error(*Read).Code_) == Code);
+  }
+}
