Do not take a run for lost while ends may follow

An endpoint lists 500 ends of runs in one answer. A run that was neither listed as running nor among these counted as lost, and its task was started again although it might have ended well. Found by looking for the cause of the bounded read on related paths; no caller has met it.

Such a run now stays while an answer has ends that its poll did not acknowledge, and the next poll does not wait. It is lost once an answer lists no further ends, or the end of a run that was dispatched after the first answer without it: ends are numbered in order, so its own would have been listed by then. The second condition is for endpoints whose every answer has new ends.

--- a/src/endpoint_port.h
+++ b/src/endpoint_port.h
@@ -135,6 +135,7 @@
   std::vector<RunningRun> Running_;
   /// Tasks of rows that list a running run but are malformed otherwise.
   std::vector<TaskKey> Unreadable_;
+  /// The oldest ends that are not acknowledged. Others may follow.
   std::vector<ListedEnd> Ended_;
   SkippedItems Skipped_;
 };
--- a/src/run_supervisor.cpp
+++ b/src/run_supervisor.cpp
@@ -153,6 +153,7 @@
     ++It;
   }
   NoOrphans_ = false;
+  HasUnlistedRuns_ = false;
   NextPoll_ = Now;
 }
 
@@ -404,9 +405,7 @@
     endRunsAfterLease(Now);
   }
   if (Endpoint_ && Polls_.empty() && NextPoll_ <= Now)
-    makePoll(Reachable_ && NoOrphans_ && FailedPolls_ == 0 ? Limits_.PollWait_
-                                                           : Duration(0),
-             Now);
+    makePoll(mayPollWait() ? Limits_.PollWait_ : Duration(0), Now);
   else if (Endpoint_ && PollDue && Polls_.size() == 1)
     makePoll(Duration(0), Now);
   return takeOutputs(Now);
--- a/src/run_supervisor.h
+++ b/src/run_supervisor.h
@@ -165,6 +165,9 @@
     /// may be renewed although no stop of the run has been confirmed.
     std::optional<Time> RenewableUntil_;
     Time LastSlowReport_;
+    /// First answer to a poll that listed the run neither as running nor as
+    /// ended, while more ends might follow.
+    std::optional<Time> UnlistedAt_;
   };
   using Runs = std::map<TaskKey, Run>;
   struct Orphan {
@@ -178,6 +181,8 @@
     std::uint32_t Run_ = 0;
     Time Sent_;
     std::optional<std::uint64_t> LeaseEndMs_;
+    /// Last end that a poll acknowledges.
+    std::uint64_t Acknowledged_ = 0;
   };
   struct Owner {
     Time LeaseEnd_;
@@ -227,9 +232,22 @@
   Runs::iterator finishRun(Runs::iterator It, RunEnding Ending, Time Now);
   void endRunsAfterLease(Time Now);
   void beginIncarnation(const EndpointIncarnation &Endpoint, Time Now);
-  /// Returns the ends whose numbers are not acknowledged.
-  SkippedItems applyEnds(const PollAnswer &A, Time Now);
-  void applyRunning(const PollAnswer &A, Time Sent, Time Now);
+  /// What the ends in an answer to a poll show about those that it lacks.
+  struct AppliedEnds {
+    /// Ends whose numbers are not acknowledged.
+    SkippedItems Skipped_;
+    /// The answer lists ends that its poll did not acknowledge. The endpoint
+    /// lists a bounded number of them, so others may follow.
+    bool MoreMayFollow_ = false;
+    /// Latest dispatch of a run whose end is listed. Runs that had ended by
+    /// then have been listed as well.
+    Time LastDispatched_;
+  };
+  AppliedEnds applyEnds(const PollAnswer &A, const Call &C, Time Now);
+  /// The endpoint may delay the answer to the next poll until a run ends.
+  bool mayPollWait() const;
+  void applyRunning(const PollAnswer &A, const AppliedEnds &Ends, Time Sent,
+                    Time Now);
   void checkProgress(const TaskKey &Key, Run &R, Time Now);
   void syncClock(std::uint64_t ClockMs, Time Now);
   /// The same for a clock in the endpoint's own answer. The first one replaces
@@ -282,6 +300,8 @@
   /// The endpoint answers polls. Set by an answer; cleared by two polls in a
   /// row without an answer, or by one error other than a time-out.
   bool Reachable_ = false;
+  /// The last answer to a poll left a run unlisted: more ends may follow.
+  bool HasUnlistedRuns_ = false;
   /// Failed polls since the last answer.
   std::uint32_t FailedPolls_ = 0;
   /// The last poll listed no orphaned runs: runs that this process does not
--- a/src/run_supervisor_polls.cpp
+++ b/src/run_supervisor_polls.cpp
@@ -140,13 +140,17 @@
   markReportsDue();
 }
 
+bool RunSupervisor::mayPollWait() const {
+  return Reachable_ && NoOrphans_ && !HasUnlistedRuns_ && FailedPolls_ == 0;
+}
+
 void RunSupervisor::makePoll(Duration Wait, Time Now) {
   std::optional<std::uint64_t> End;
   // A renewal for an endpoint that does not answer would only delay the time at
   // which its runs are known to have ended.
   if (Reachable_ && NoOrphans_ && FailedPolls_ == 0)
     End = leaseEnd(Now);
-  const EndpointCallId Id = recordCall({{}, 0, Now, End});
+  const EndpointCallId Id = recordCall({{}, 0, Now, End, Acknowledged_});
   Polls_.insert(Id);
   Out_.push_back(
       MakePoll{Id, {Endpoint_->Id_, End, Token_, Acknowledged_, Wait}});
@@ -206,19 +210,21 @@
   FailedPolls_ = 0;
   setReachable(true, "", Now);
   withdrawCrash();
+  const AppliedEnds Ends = applyEnds(Poll, C, Now);
   SkippedItems Skipped = Poll.Skipped_;
-  Skipped.add(applyEnds(Poll, Now));
+  Skipped.add(Ends.Skipped_);
   if (const auto Event = SkippedItems_.onRead(Skipped, Now))
     Out_.push_back(LogEvent{*Event});
-  applyRunning(Poll, C.Sent_, Now);
+  applyRunning(Poll, Ends, C.Sent_, Now);
   NextPoll_ = Now;
   return takeOutputs(Now);
 }
 
 // Numbers rise by one from row to row. A number far above the others is not
 // acknowledged: the endpoint would drop the ends up to it, unseen.
-SkippedItems RunSupervisor::applyEnds(const PollAnswer &A, Time Now) {
-  SkippedItems Skipped;
+RunSupervisor::AppliedEnds RunSupervisor::applyEnds(const PollAnswer &A,
+                                                    const Call &C, Time Now) {
+  AppliedEnds Applied;
   std::uint64_t Base = Acknowledged_;
   if (Base == 0 && !A.Ended_.empty())
     Base = std::min_element(A.Ended_.begin(), A.Ended_.end(),
@@ -227,23 +233,34 @@
                             })
                ->Number_;
   for (const ListedEnd &E : A.Ended_) {
-    if (E.Number_ <= Acknowledged_)
+    if (E.Number_ <= Acknowledged_) {
+      Applied.MoreMayFollow_ |= E.Number_ > C.Acknowledged_;
       continue;
-    if (E.Number_ - Base <= MaxEndNumberStep && E.Number_ <= MaxEndNumber)
+    }
+    if (E.Number_ - Base <= MaxEndNumberStep && E.Number_ <= MaxEndNumber) {
       Acknowledged_ = E.Number_;
-    else
-      Skipped.add("number " + std::to_string(E.Number_) + " of an ended run");
+      Applied.MoreMayFollow_ = true;
+    } else {
+      Applied.Skipped_.add("number " + std::to_string(E.Number_) +
+                           " of an ended run");
+    }
     const auto It = Runs_.find(E.Task_);
-    if (It != Runs_.end() && It->second.Number_ == E.Run_)
-      finishRun(It, E.Ending_, Now);
+    if (It == Runs_.end() || It->second.Number_ != E.Run_)
+      continue;
+    Applied.LastDispatched_ =
+        std::max(Applied.LastDispatched_, It->second.Dispatched_);
+    finishRun(It, E.Ending_, Now);
   }
-  return Skipped;
+  return Applied;
 }
 
 // A poll answer shows the state at some time after its call was sent. A run
 // whose start or stop was confirmed before the call was sent, and that is
-// neither listed as running nor as ended, is over.
-void RunSupervisor::applyRunning(const PollAnswer &A, Time Sent, Time Now) {
+// neither listed as running nor as ended, is over. Its end may only be missing
+// because the endpoint lists a bounded number of ends: then the next answers
+// contain it, before the end of any run that was dispatched later.
+void RunSupervisor::applyRunning(const PollAnswer &A, const AppliedEnds &Ends,
+                                 Time Sent, Time Now) {
   std::set<TaskKey> Listed(A.Unreadable_.begin(), A.Unreadable_.end());
   bool OrphanFound = false;
   for (const RunningRun &Row : A.Running_) {
@@ -274,16 +291,25 @@
       markReportsDue();
     NoOrphans_ = true;
   }
+  HasUnlistedRuns_ = false;
   for (auto It = Runs_.begin(); It != Runs_.end();) {
-    const Run &R = It->second;
+    Run &R = It->second;
     const bool StillListed = Listed.count(It->first) > 0;
     const bool Ended = R.State_ == State::Running && R.StartAnswered_ < Sent;
     const bool Stopped = R.State_ == State::Stopping && R.StopAccepted_ &&
                          *R.StopAccepted_ < Sent;
-    if (!StillListed && (Ended || Stopped))
-      It = finishRun(It, Stopped ? RunEnding::Stopped : RunEnding::Lost, Now);
-    else
+    if (StillListed || !(Ended || Stopped)) {
+      R.UnlistedAt_.reset();
+      ++It;
+    } else if (Ends.MoreMayFollow_ &&
+               (!R.UnlistedAt_ || Ends.LastDispatched_ <= *R.UnlistedAt_)) {
+      if (!R.UnlistedAt_)
+        R.UnlistedAt_ = Now;
+      HasUnlistedRuns_ = true;
       ++It;
+    } else {
+      It = finishRun(It, Stopped ? RunEnding::Stopped : RunEnding::Lost, Now);
+    }
   }
 }
 
--- a/tests/run_simulation_faults.cpp
+++ b/tests/run_simulation_faults.cpp
@@ -19,6 +19,10 @@
 // Time for which endpoints leave calls unanswered.
 constexpr Duration UnansweredPeriod = std::chrono::seconds(5);
 const Resources Capacity{8000, 8000, 0};
+// Ends that an endpoint lists in one answer. With the few, most answers lack
+// some of them.
+constexpr std::size_t FewEnds = 2;
+constexpr std::size_t ManyEnds = 500;
 
 } // namespace
 
@@ -62,6 +66,7 @@
   const double Rate = 1 - 0.02 * static_cast<double>(Random_() % 100) / 100;
   X.Endpoint_.startIncarnation(Id, StartedMs, Rate, Capacity, std::move(O),
                                Now_);
+  X.Endpoint_.setEndsPerAnswer(Options_.Seed_ % 3 == 0 ? FewEnds : ManyEnds);
 }
 
 void RunSimulation::send(std::size_t E, std::size_t A, int Direction,
--- a/tests/simulated_endpoint.cpp
+++ b/tests/simulated_endpoint.cpp
@@ -161,7 +161,9 @@
                                return E.Number_ <= C.Acknowledged_;
                              }),
               Ends_.end());
-  A.Ended_ = Ends_;
+  A.Ended_.assign(Ends_.begin(),
+                  Ends_.begin() + static_cast<std::ptrdiff_t>(
+                                      std::min(Ends_.size(), EndsPerAnswer_)));
   return A;
 }
 
--- a/tests/simulated_endpoint.h
+++ b/tests/simulated_endpoint.h
@@ -34,6 +34,8 @@
   CallAnswer stop(const StopCall &C, Time Now);
   Result<PollAnswer> poll(const PollCall &C, Time Now);
   bool hasEnds(const PollCall &C) const;
+  /// Sets the largest number of ends in one answer to a poll.
+  void setEndsPerAnswer(std::size_t Ends) { EndsPerAnswer_ = Ends; }
 
   bool alive() const { return Alive_; }
   const std::string &id() const { return Id_; }
@@ -71,6 +73,7 @@
   std::map<TaskKey, std::uint32_t> LastEndedRun_;
   std::vector<ListedEnd> Ends_;
   std::uint64_t NextEnd_ = 1;
+  std::size_t EndsPerAnswer_ = 500;
 };
 
 } // namespace chivelanding::test
