Take only an answer without records for the end of the log

ConfigFollower counted as caught up after an answer with fewer records than it had asked for. With a log that bounds its answers otherwise, it confirmed a version although a later one was in force, and appended a change again that the log already had.

The simulated log bounds its answers at random. The fixture of admin_cordons_test.cpp answers that further read; its checks are unchanged.

--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -62,12 +62,10 @@
     Reachable_ = true;
     Out.push_back(LogReachable{true, ""});
   }
-  const std::uint64_t Before = StateMachine_.nextOffset();
   applyBatch(Batch, Now, Out);
-  const bool Rewound =
-      StateMachine_.nextOffset() < Before + Batch.Records_.size();
-  CaughtUp_ = Batch.Records_.size() < Options_.BatchRecords_ && !Rewound &&
-              !StateMachine_.stalled();
+  // Only an answer without records shows that none follow: the log may bound an
+  // answer to fewer records than were asked for.
+  CaughtUp_ = Batch.Records_.empty() && !StateMachine_.stalled();
   advancePublish(Now, Out);
   advanceSnapshot(Now, Out);
   if (ReadOutstanding_)
--- a/tests/admin_cordons_test.cpp
+++ b/tests/admin_cordons_test.cpp
@@ -56,9 +56,13 @@
     Read_ = readSequence(Out);
     return Out;
   }
+  // The second read shows that no record follows.
   FollowerOutputs append(const std::string &Data) {
     Log_.push_back(Data);
-    return read();
+    FollowerOutputs Out = read();
+    FollowerOutputs Last = read();
+    Out.insert(Out.end(), Last.begin(), Last.end());
+    return Out;
   }
   AdminView view() const {
     return {Follower_.stateMachine().state(), {}, &Follower_};
--- a/tests/config_state_machine_test.cpp
+++ b/tests/config_state_machine_test.cpp
@@ -264,3 +264,34 @@
     CHECK(std::holds_alternative<AppendLog>(Out.front()));
   }
 }
+
+// Guards against a version that is confirmed although a later one is in force,
+// which the log's bounded answer did not contain.
+TEST_CASE("A version is confirmed only at the end of the log",
+          "[publication]") {
+  ConfigFollower F{FollowerOptions()};
+  Time Now;
+  FollowerOutputs Out = F.start(Now);
+  const auto Answer = [&](const LogBatch &Batch) {
+    const std::uint64_t Sequence = std::get<ReadLog>(Out.back()).Sequence_;
+    Out = F.onRead(Sequence, Batch, Now);
+  };
+  const auto Outcome = [&]() -> std::optional<PublishOutcome> {
+    for (const FollowerOutput &O : Out)
+      if (const auto *Ended = std::get_if<PublishEnded>(&O))
+        return Ended->Outcome_;
+    return std::nullopt;
+  };
+  ChangeRecord Change;
+  Change.Id_ = "check";
+  Change.Base_ = ConfigVersion(1);
+  Out = F.confirm(Change, Now);
+  Answer({0, 1, 0, {encodeChange("a", 0, 1)}});
+  CHECK(F.stateMachine().version() == ConfigVersion(1));
+  CHECK_FALSE(Outcome());
+  CHECK_FALSE(F.caughtUp());
+  Answer({0, 2, 1, {encodeChange("b", 1, 2)}});
+  CHECK_FALSE(Outcome());
+  Answer({0, 2, 2, {}});
+  CHECK(Outcome() == PublishOutcome::RefusedStale);
+}
--- a/tests/fake_log.h
+++ b/tests/fake_log.h
@@ -181,8 +181,10 @@
     LogBatch Batch;
     Batch.FirstRetained_ = FirstRetained_;
     Batch.FromOffset_ = std::max(FirstRetained_, R.FromOffset_);
+    // An answer may have fewer records than were asked for.
+    const std::uint64_t Bound = 1 + random(R.MaxRecords_);
     for (std::uint64_t O = Batch.FromOffset_;
-         O < Written_.size() && Batch.Records_.size() < R.MaxRecords_; ++O)
+         O < Written_.size() && Batch.Records_.size() < Bound; ++O)
       Batch.Records_.push_back(Written_[O]);
     Batch.NextOffset_ = Batch.FromOffset_ + Batch.Records_.size();
     reply(Index, drawDelay(),
