Bound the answers of the simulated stores

The stores of the run simulation and of the soak answered every read as a whole, so neither could show a reader that skips what an answer leaves out. Both now bound each answer and each page at random, down to one record. The simulation passes its answers through the client's decoder, and records may be written between two pages.

With the fix all cases of [run-world] pass.

--- a/tests/run_simulation.h
+++ b/tests/run_simulation.h
@@ -159,6 +159,11 @@
   void liftAllCordons();
   void startCordons(std::size_t E);
   void readStore(std::size_t E);
+  Duration drawStoreDelay();
+  StoreRecords followStream(std::uint64_t From);
+  void readNewestPage(std::size_t E, const std::string &After,
+                      StoreRecords Collected);
+  void onStoreAnswer(std::size_t E, const StoreRecords &Answer);
   PeerId entryPeer(std::size_t E) const;
   bool entriesLinked(std::size_t E, std::size_t Other) const;
   void applyCordons(std::size_t E);
--- a/tests/run_simulation_cordons.cpp
+++ b/tests/run_simulation_cordons.cpp
@@ -1,5 +1,7 @@
 #include "run_simulation.h"
 
+#include "store_http.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -89,39 +91,85 @@
 }
 
 // Reads the newest records first, and again after an error; otherwise those
-// that follow. An answer contains the stream as of some time during the call.
+// that follow.
 void RunSimulation::readStore(std::size_t E) {
   Entry &X = Entries_[E];
   if (X.StoreBlockedUntil_ > Now_) {
     X.NextRecord_.reset();
     runAtProcess(X, X.StoreBlockedUntil_, [this, E] { readStore(E); });
-    return;
-  }
-  StoreRecords Answer{{}, Stream_.size()};
-  if (X.NextRecord_) {
-    Answer.Records_.assign(Stream_.begin() +
-                               static_cast<std::ptrdiff_t>(*X.NextRecord_),
-                           Stream_.end());
+  } else if (X.NextRecord_) {
+    runAtProcess(X, Now_ + drawStoreDelay(),
+                 [this, E, Answer = followStream(*X.NextRecord_)] {
+                   onStoreAnswer(E, Answer);
+                 });
   } else {
-    std::map<std::string, std::string> Newest;
-    for (const StoreRecord &R : Stream_)
-      Newest[R.Key_] = R.Value_;
-    for (const auto &[Key, Value] : Newest)
-      if (!Value.empty())
-        Answer.Records_.push_back({Key, Value});
+    readNewestPage(E, "", {});
   }
-  const Duration Delay =
-      chance(0.1) ? drawDuration(50, 250) : drawDuration(1, 5);
-  runAtProcess(X, Now_ + Delay, [this, E, Answer] {
-    Entry &Y = Entries_[E];
-    const auto Set = Y.NextRecord_ ? Y.Records_.onFollowed(Answer)
-                                   : Y.Records_.onNewest(Answer);
-    Y.NextRecord_ = Answer.Next_;
-    if (Set)
-      Y.Cordons_.onStoreSet(*Set, Now_ + Y.Offset_);
-    applyCordons(E);
-    runAtProcess(Y, Now_ + drawDuration(5, 50), [this, E] { readStore(E); });
-  });
+}
+
+Duration RunSimulation::drawStoreDelay() {
+  return chance(0.1) ? drawDuration(50, 250) : drawDuration(1, 5);
+}
+
+// An answer in the platform's format, as its client decodes it. The store
+// bounds an answer by its bytes, so any number of records may be in it.
+StoreRecords RunSimulation::followStream(std::uint64_t From) {
+  const std::uint64_t Left = Stream_.size() - From;
+  const std::uint64_t Count =
+      Left == 0 || chance(0.5) ? Left : 1 + Random_() % Left;
+  const auto BigEndian = [](std::uint64_t Value) {
+    std::string Bytes;
+    for (int Shift = 56; Shift >= 0; Shift -= 8)
+      Bytes += static_cast<char>(Value >> Shift & 0xff);
+    return Bytes;
+  };
+  HttpResponse R;
+  R.Body_ = BigEndian(Stream_.size()) + BigEndian(0);
+  for (std::uint64_t O = From; O < From + Count; ++O)
+    R.Body_ += platform::encodeRecord(Stream_[O]);
+  return value(platform::decodeRead(R, From));
+}
+
+// Pages hold a few keys each and are no snapshot: records may be written
+// between two of them.
+void RunSimulation::readNewestPage(std::size_t E, const std::string &After,
+                                   StoreRecords Collected) {
+  std::map<std::string, std::string> Newest;
+  for (const StoreRecord &R : Stream_)
+    Newest[R.Key_] = R.Value_;
+  if (After.empty())
+    Collected.Next_ = Stream_.size();
+  const auto Bound = 1 + Random_() % 3;
+  std::size_t Count = 0;
+  std::string Last = After;
+  bool More = false;
+  for (auto It = Newest.upper_bound(After); It != Newest.end(); ++It) {
+    if (It->second.empty())
+      continue;
+    More = Count++ == Bound;
+    if (More)
+      break;
+    Last = It->first;
+    Collected.Records_.push_back({It->first, It->second});
+  }
+  runAtProcess(Entries_[E], Now_ + drawStoreDelay(),
+               [this, E, More, Last, Collected] {
+                 if (More)
+                   readNewestPage(E, Last, Collected);
+                 else
+                   onStoreAnswer(E, Collected);
+               });
+}
+
+void RunSimulation::onStoreAnswer(std::size_t E, const StoreRecords &Answer) {
+  Entry &X = Entries_[E];
+  const auto Set = X.NextRecord_ ? X.Records_.onFollowed(Answer)
+                                 : X.Records_.onNewest(Answer);
+  X.NextRecord_ = Answer.Next_;
+  if (Set)
+    X.Cordons_.onStoreSet(*Set, Now_ + X.Offset_);
+  applyCordons(E);
+  runAtProcess(X, Now_ + drawDuration(5, 50), [this, E] { readStore(E); });
 }
 
 PeerId RunSimulation::entryPeer(std::size_t E) const {
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -6,6 +6,7 @@
 import random
 import struct
 import time
+from urllib.parse import unquote
 
 from http11 import call, response, serve
 
@@ -138,9 +139,12 @@
     """The platform's store: topics with records by key, and faults."""
 
     SLOW_S = 0.2  # 50 times the usual 4 ms of an answer
+    READ_BYTES = 1024 * 1024  # largest answer to a read
+    PAGE_ITEMS = 500
 
     def __init__(self, rng):
         self.rng = rng
+        self.bounds = random.Random(0)  # of the answers, which may be shorter
         self.topics = {}
         self.mode = "up"
         self.rejected = set()  # numbers of entries whose calls are refused
@@ -161,11 +165,14 @@
         topic = request.query.get("topic", "")
         records = self.topics.get(topic, [])
         if request.path == "/log-newest":
-            newest = dict(records)
+            after = unquote(request.query.get("after", ""))
+            newest = sorted((k, v) for k, v in dict(records).items()
+                            if v and k > after)
+            count = self.bounds.choice([1, 2, self.PAGE_ITEMS])
             items = [{"key": k, "value": base64.b64encode(v).decode(),
-                      "offset": 0} for k, v in newest.items() if v]
+                      "offset": 0} for k, v in newest[:count]]
             return response(200, json.dumps(
-                {"items": items, "morePages": False,
+                {"items": items, "morePages": count < len(newest),
                  "end": len(records)}).encode())
         if request.path == "/log-read":
             if self.mode == "forgetting":
@@ -179,9 +186,13 @@
                     pass
             records = self.topics.get(topic, [])
             body = struct.pack(">QQ", len(records), 0)
+            room = self.bounds.choice([1, 2000, self.READ_BYTES])
             for key, value in records[start:]:
                 content = bytes([len(key)]) + key.encode() + value
-                body += struct.pack(">I", len(content)) + content
+                record = struct.pack(">I", len(content)) + content
+                if len(body) + len(record) > room and len(body) > 16:
+                    break
+                body += record
             return response(200, body, "application/octet-stream")
         if request.path == "/log-append":
             length = request.body[4]
