--- a/src/config_follower.h
+++ b/src/config_follower.h
@@ -14,8 +14,8 @@
 namespace chivelanding {
 
 /// Records of one answer of the log without gaps, from the requested offset or
-/// the oldest retained one, whichever is higher. Others may follow, unless there
-/// is none.
+/// the oldest retained one, whichever is higher. Others may follow, unless
+/// there is none.
 struct LogBatch {
   std::uint64_t FirstRetained_ = 0;
   std::uint64_t NextOffset_ = 0;
--- a/src/dispatch_ports.h
+++ b/src/dispatch_ports.h
@@ -112,8 +112,8 @@
   /// Reads the newest record of each key; fails if one of them may be missing.
   virtual void newest(StoreStream Stream, Duration Timeout,
                       RecordsCallback Done) = 0;
-  /// Reads records from Offset on, as many as one answer holds; waits up to Wait
-  /// for the first of them.
+  /// Reads records from Offset on, as many as one answer holds; waits up to
+  /// Wait for the first of them.
   virtual void follow(StoreStream Stream, std::uint64_t Offset, Duration Wait,
                       Duration Timeout, RecordsCallback Done) = 0;
   virtual void put(StoreStream Stream, const StoreRecord &Record,
